--- /dev/null
+++ b/src/main/java/birchusher/cli/Main.java
@@ -0,0 +1,154 @@
+package birchusher.cli;
+
+import birchusher.core.Fields.Bad;
+import birchusher.server.Loop;
+import birchusher.settings.Settings;
+import birchusher.settings.SettingsReader;
+import birchusher.settings.Tuning;
+import java.io.IOException;
+import java.io.Reader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The command line. Exit codes: 0 done, 1 refused or failed, 2 wrong use or bad settings. */
+@Command(name = "birchusher", mixinStandardHelpOptions = true, version = "birchusher 0.1.0",
+        description = "A cluster scheduler that leases tasks for a fixed term renewed by progress.",
+        subcommands = {Main.Serve.class, Main.Check.class, Main.Submit.class, Main.Status.class, Main.Cancel.class})
+public final class Main implements Runnable {
+    @CommandLine.Spec
+    CommandLine.Model.CommandSpec spec;
+
+    static {
+        String level = System.getenv("LOG_LEVEL");
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel",
+                "debug".equals(level) || "info".equals(level) || "error".equals(level) ? level : "info");
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+        System.setProperty("org.slf4j.simpleLogger.showLogName", "false");
+    }
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
+
+    @Override
+    public void run() {
+        spec.commandLine().usage(System.out);
+    }
+
+    /** The two files every controller starts from. */
+    static class Files2 {
+        @Option(names = "--config", required = true, paramLabel = "FILE", description = "the platform's settings (JSON)")
+        Path config;
+        @Option(names = "--properties", paramLabel = "FILE", description = "the operators' own settings")
+        Path properties;
+
+        Settings settings() throws IOException {
+            return SettingsReader.read(Files.readAllBytes(config));
+        }
+
+        Tuning tuning() throws IOException {
+            Tuning t = new Tuning();
+            if (properties != null) {
+                try (Reader r = Files.newBufferedReader(properties)) {
+                    t.with(r);
+                }
+            }
+            return t;
+        }
+    }
+
+    private interface Body {
+        int run() throws Exception;
+    }
+
+    static int guarded(Body body) {
+        try {
+            return body.run();
+        } catch (Bad e) {
+            System.err.println("birchusher: " + e.getMessage());
+            return 2;
+        } catch (IOException e) {
+            System.err.println("birchusher: " + e.getClass().getSimpleName() + ": " + e.getMessage());
+            return 2;
+        } catch (Exception e) {
+            System.err.println("birchusher: " + e);
+            return 1;
+        }
+    }
+
+    @Command(name = "serve", description = "run a controller", mixinStandardHelpOptions = true)
+    static final class Serve implements Callable<Integer> {
+        @CommandLine.Mixin
+        Files2 files;
+
+        @Override
+        public Integer call() {
+            return guarded(() -> {
+                new Loop(files.settings(), files.tuning()).run();
+                return 0;
+            });
+        }
+    }
+
+    @Command(name = "check-config", description = "check the settings and say what is wrong", mixinStandardHelpOptions = true)
+    static final class Check implements Callable<Integer> {
+        @CommandLine.Mixin
+        Files2 files;
+
+        @Override
+        public Integer call() {
+            return guarded(() -> {
+                Settings s = files.settings();
+                files.tuning();
+                System.out.println("ok: " + s.member() + " in " + s.zone() + ", " + (s.peers().size() + 1)
+                        + " controllers, " + s.teams().size() + " teams");
+                return 0;
+            });
+        }
+    }
+
+    @Command(name = "submit", description = "submit a job described in a JSON file", mixinStandardHelpOptions = true)
+    static final class Submit implements Callable<Integer> {
+        @Option(names = "--server", required = true, paramLabel = "HOST:PORT", description = "a controller or the load balancer")
+        String server;
+        @Parameters(paramLabel = "FILE", description = "the job, a JSON map")
+        Path file;
+
+        @Override
+        public Integer call() {
+            return guarded(() -> Client.submit(server, Files.readAllBytes(file)));
+        }
+    }
+
+    @Command(name = "status", description = "tell a job's state", mixinStandardHelpOptions = true)
+    static final class Status implements Callable<Integer> {
+        @Option(names = "--server", required = true, paramLabel = "HOST:PORT", description = "a controller or the load balancer")
+        String server;
+        @Parameters(paramLabel = "ID", description = "the job's id")
+        String id;
+
+        @Override
+        public Integer call() {
+            return guarded(() -> Client.status(server, id));
+        }
+    }
+
+    @Command(name = "cancel", description = "cancel a job", mixinStandardHelpOptions = true)
+    static final class Cancel implements Callable<Integer> {
+        @Option(names = "--server", required = true, paramLabel = "HOST:PORT", description = "a controller or the load balancer")
+        String server;
+        @Parameters(paramLabel = "ID", description = "the job's id")
+        String id;
+
+        @Override
+        public Integer call() {
+            return guarded(() -> Client.cancel(server, id));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/core/Names.java
@@ -0,0 +1,45 @@
+package birchusher.core;
+
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+/** Maps names to dense indices at the door, so that the inside compares and indexes plain numbers. */
+public final class Names {
+    public static final int NONE = -1;
+    private final Object2IntOpenHashMap<String> index = new Object2IntOpenHashMap<>();
+    private final List<String> names = new ArrayList<>();
+
+    public Names() {
+        index.defaultReturnValue(NONE);
+    }
+
+    public Names(Collection<String> known) {
+        this();
+        known.forEach(this::add);
+    }
+
+    public int add(String name) {
+        int i = index.getInt(name);
+        if (i == NONE) {
+            i = names.size();
+            index.put(name, i);
+            names.add(name);
+        }
+        return i;
+    }
+
+    /** The index of a name already known, or {@link #NONE}. */
+    public int find(String name) {
+        return name == null ? NONE : index.getInt(name);
+    }
+
+    public String name(int i) {
+        return names.get(i);
+    }
+
+    public int size() {
+        return names.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -0,0 +1,634 @@
+package birchusher.fleet;
+
+import birchusher.cloud.CloudLink;
+import birchusher.core.Effects;
+import birchusher.core.Fields;
+import birchusher.model.Catalog;
+import birchusher.model.JobSpec;
+import birchusher.placement.Planner;
+import birchusher.placement.Slot;
+import birchusher.seats.Seats;
+import birchusher.settings.Settings;
+import birchusher.settings.Tuning;
+import birchusher.store.Change;
+import birchusher.store.Keys;
+import birchusher.store.StoreLink;
+import birchusher.store.Tx;
+import birchusher.store.View;
+import birchusher.wire.Wire;
+import birchusher.workers.Counters;
+import birchusher.workers.Picture;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Rents and returns machines. One controller at a time does this; its row in the store also counts the request names,
+ * so that a name is recorded before it is used and none is used twice.
+ */
+public final class Buyer {
+    private static final Logger LOG = LoggerFactory.getLogger(Buyer.class);
+
+    /** A rental as its row tells it; {@code hosts} null: not answered yet. */
+    public record Ask(String name, int type, int zone, boolean spot, int count, long at, List<String> hosts) { }
+
+    private record Kind(int type, int zone, boolean spot) { }
+
+    private final Effects fx;
+    private final Catalog catalog;
+    private final View view;
+    private final StoreLink store;
+    private final Seats seats;
+    private final CloudLink cloud;
+    private final Counters counters;
+    private final Settings settings;
+    private final Consumer<String> retire;
+    private final Consumer<String> gone;
+    private final Map<Kind, Long> refusedUntil = new HashMap<>();
+    private final Set<String> busyAsks = new HashSet<>();
+    private final Map<String, Long> retryAsk = new HashMap<>();
+    private final Set<String> deleting = new HashSet<>();
+    private final Map<String, Long> retiring = new HashMap<>();
+    private final Map<String, Long> strangers = new HashMap<>();
+    private final Map<String, Long> recentlyGone = new LinkedHashMap<>();
+    private final List<String> toDelete = new ArrayList<>();
+    private final long lingerMs;
+    private final double giveUp;
+    private final double silentSpotS;
+    private final double silentShare;
+    private boolean claiming;
+    private boolean reserving;
+    private boolean was;
+    private boolean listing;
+    private long nextList;
+    private long nextTypes;
+    private long nextTick;
+    private long buyerSince;
+
+    public Buyer(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, CloudLink cloud,
+            Counters counters, Tuning t, Consumer<String> retire, Consumer<String> gone) {
+        this.fx = fx;
+        this.settings = s;
+        this.catalog = catalog;
+        this.view = view;
+        this.store = store;
+        this.seats = seats;
+        this.cloud = cloud;
+        this.counters = counters;
+        this.retire = retire;
+        this.gone = gone;
+        lingerMs = t.ms("fleet.linger-s");
+        giveUp = t.num("fleet.give-up-boots");
+        silentSpotS = t.num("fleet.silent-spot-reports");
+        silentShare = t.num("fleet.silent-share");
+    }
+
+    public boolean isBuyer() {
+        Map<String, Object> row = view.row(Keys.BUYER);
+        return seats.holding() && row != null && seats.memberName(0).equals(row.get("m"))
+                && Fields.countOr(row, "i", 0) == seats.incarnation();
+    }
+
+    /** Machines whose deletion was confirmed lately, to be told to their owners. */
+    public List<String> recentlyGone() {
+        recentlyGone.values().removeIf(at -> fx.now() - at > 30_000);
+        return List.copyOf(recentlyGone.keySet());
+    }
+
+    public void tick(Map<String, Picture> pictures, Planner.Plan plan) {
+        long now = fx.now();
+        if (!store.loaded() || now < nextTick) {
+            return;
+        }
+        nextTick = now + 250;
+        types(now);
+        boolean mine = isBuyer();
+        if (mine && !was) {
+            buyerSince = now;
+            LOG.info("we are the buyer");
+        }
+        was = mine;
+        if (!mine) {
+            become();
+            return;
+        }
+        settleAsks(pictures, now);
+        if (now >= nextList && !listing) {
+            list(pictures);
+        }
+        giveBack(pictures, now);
+        if (catalog.typesKnown() && !reserving && now - buyerSince > 1_500) {
+            buy(plan, pictures, now);
+        }
+        deleteNow();
+    }
+
+    // ---- machine types
+
+    private void types(long now) {
+        Map<String, Object> row = view.row(Keys.TYPES);
+        if (!catalog.typesKnown() && row != null) {
+            learn(Fields.list(row, "l"));
+        }
+        boolean wanted = !catalog.typesKnown() || was && now >= nextTypes;
+        if (!wanted || now < nextTypes) {
+            return;
+        }
+        nextTypes = now + 1_000;
+        cloud.call("GET", Wire.MACHINE_TYPES, null, (status, m) -> {
+            if (status != 200) {
+                return;
+            }
+            nextTypes = fx.now() + 60_000;
+            List<?> list = Fields.list(m, Wire.TYPE_LIST);
+            learn(list);
+            if (view.row(Keys.TYPES) == null && !list.isEmpty()) {
+                put(Keys.TYPES, Map.of("l", list));
+            }
+        });
+    }
+
+    private void learn(List<?> list) {
+        List<Catalog.Type> types = new ArrayList<>();
+        for (Object o : list) {
+            types.add(Catalog.type(catalog.typeNames, catalog.zones, Fields.map(o, "type"), Wire.TYPE_FIELDS));
+        }
+        boolean first = !catalog.typesKnown();
+        catalog.learn(types);
+        if (first) {
+            LOG.info("{} machine types known", types.size());
+        }
+    }
+
+    // ---- becoming the buyer
+
+    private void become() {
+        Map<String, Object> row = view.row(Keys.BUYER);
+        if (claiming || !seats.holding() || !store.healthy()) {
+            return;
+        }
+        if (row != null) {
+            int holder = seats.index(String.valueOf(row.get("m")));
+            if (holder > 0 && seats.live(holder)) {
+                return;
+            }
+        }
+        for (int i = 1; i < seats.memberCount(); i++) {
+            if (seats.live(i) && seats.memberName(i).compareTo(seats.memberName(0)) < 0) {
+                return;
+            }
+        }
+        claiming = true;
+        store.offer(new Simple(3, 1, tx -> {
+            Map<String, Object> now = view.row(Keys.BUYER);
+            tx.require(Keys.SEAT + seats.memberName(0));
+            tx.put(Keys.BUYER, buyerRow(now == null ? 1 : Fields.countOr(now, "n", 1)));
+            return true;
+        }, ok -> claiming = false));
+    }
+
+    private Map<String, Object> buyerRow(long next) {
+        return Map.of("m", seats.memberName(0), "i", seats.incarnation(), "n", next);
+    }
+
+    private void put(String key, Map<String, Object> value) {
+        store.offer(new Simple(3, 1, tx -> {
+            tx.put(key, value);
+            return true;
+        }, ok -> { }));
+    }
+
+    // ---- rentals
+
+    public List<Ask> asks() {
+        List<Ask> l = new ArrayList<>();
+        for (Map.Entry<String, Map<String, Object>> e : view.rows().entrySet()) {
+            if (!e.getKey().startsWith(Keys.ASK)) {
+                continue;
+            }
+            Map<String, Object> m = e.getValue();
+            int type = catalog.typeNames.find(Fields.text(m, "y"));
+            int zone = catalog.zones.find(Fields.text(m, "z"));
+            List<String> hosts = null;
+            if (m.get("h") instanceof List<?> h) {
+                hosts = new ArrayList<>();
+                for (Object o : h) {
+                    hosts.add(String.valueOf(o));
+                }
+            }
+            if (zone >= 0 && catalog.type(type) != null) {
+                l.add(new Ask(e.getKey().substring(Keys.ASK.length()), type, zone, Boolean.TRUE.equals(m.get("s")),
+                        (int) Fields.count(m, "n"), Fields.count(m, "t"), hosts));
+            }
+        }
+        return l;
+    }
+
+    /** Room on machines that are rented and not up yet. */
+    public List<Slot> coming(Map<String, Picture> pictures) {
+        List<Slot> l = new ArrayList<>();
+        for (Ask a : asks()) {
+            Catalog.Type t = catalog.type(a.type());
+            int n = a.hosts() == null ? a.count() : a.hosts().size();
+            double ageS = Math.max(0, (fx.wall() - a.at()) / 1000.0);
+            if (ageS > t.bootS() * giveUp) {
+                continue;
+            }
+            long eta = Math.max(1_000, Math.round((t.bootS() - ageS) * 1000));
+            for (int i = 0; i < n; i++) {
+                String host = a.hosts() == null ? a.name() + "/" + i : a.hosts().get(i);
+                if (!pictures.containsKey(host) && !deleting.contains(host) && !recentlyGone.containsKey(host)) {
+                    l.add(new Slot(host, t, a.zone(), a.spot(), 0, -1, 1, new int[0], eta, false, t.cpus(), t.gpus(),
+                            t.mem()));
+                }
+            }
+        }
+        return l;
+    }
+
+    private void settleAsks(Map<String, Picture> pictures, long now) {
+        for (Ask a : asks()) {
+            if (a.hosts() == null) {
+                if (!busyAsks.contains(a.name()) && now >= retryAsk.getOrDefault(a.name(), 0L)) {
+                    rent(a);
+                }
+                continue;
+            }
+            double ageS = (fx.wall() - a.at()) / 1000.0;
+            boolean allUp = true;
+            List<String> late = new ArrayList<>();
+            for (String h : a.hosts()) {
+                boolean up = pictures.containsKey(h) || recentlyGone.containsKey(h);
+                allUp &= up;
+                if (!up && ageS > catalog.type(a.type()).bootS() * giveUp) {
+                    late.add(h);
+                }
+            }
+            if (!late.isEmpty()) {
+                for (String h : late) {
+                    if (view.claims(h).isEmpty() && !deleting.contains(h)) {
+                        LOG.info("machine {} did not come up in {} s, given up", h, Math.round(ageS));
+                        delete(h);
+                    }
+                }
+            } else if (allUp && busyAsks.add(a.name())) {
+                store.offer(new Simple(3, 1, tx -> {
+                    if (view.row(Keys.ASK + a.name()) == null) {
+                        return false;
+                    }
+                    tx.remove(Keys.ASK + a.name());
+                    return true;
+                }, ok -> busyAsks.remove(a.name())));
+            }
+        }
+    }
+
+    private void rent(Ask a) {
+        busyAsks.add(a.name());
+        boolean sent = cloud.call("POST", Wire.RENTALS, body(a), (status, m) -> {
+            if (status == 200) {
+                List<Object> hosts = new ArrayList<>(Fields.list(m, Wire.MACHINES));
+                counters.rentals += hosts.size();
+                LOG.info("rented {} of {} {} in {}{}: {}", hosts.size(), a.count(), catalog.typeNames.name(a.type()),
+                        catalog.zones.name(a.zone()), a.spot() ? " (spot)" : "", hosts);
+                if (hosts.size() < a.count()) {
+                    refusedUntil.put(new Kind(a.type(), a.zone(), a.spot()), fx.now() + 15_000);
+                }
+                settle(a, hosts);
+            } else if (status == 503 && "no capacity".equals(m.get("error"))) {
+                LOG.info("no {} in {}{}", catalog.typeNames.name(a.type()), catalog.zones.name(a.zone()),
+                        a.spot() ? " (spot)" : "");
+                refusedUntil.put(new Kind(a.type(), a.zone(), a.spot()), fx.now() + 20_000);
+                settle(a, List.of());
+            } else if (status == 400) {
+                LOG.error("rental {} refused as malformed", a.name());
+                settle(a, List.of());
+            } else {
+                // Unclear or later: the same name again, so that nothing is rented twice.
+                busyAsks.remove(a.name());
+                retryAsk.put(a.name(), fx.now() + 1_500);
+            }
+        });
+        if (!sent) {
+            busyAsks.remove(a.name());
+            retryAsk.put(a.name(), fx.now() + 500);
+        }
+    }
+
+    private Map<String, Object> body(Ask a) {
+        return Map.of(Wire.REQUEST, a.name(), Wire.TYPE, catalog.typeNames.name(a.type()), Wire.ZONE,
+                catalog.zones.name(a.zone()), Wire.SPOT, a.spot(), Wire.COUNT, a.count());
+    }
+
+    private void settle(Ask a, List<Object> hosts) {
+        store.offer(new Simple(3, 1, tx -> {
+            String key = Keys.ASK + a.name();
+            if (view.row(key) == null) {
+                return false;
+            }
+            if (hosts.isEmpty()) {
+                tx.remove(key);
+            } else {
+                tx.put(key, askRow(a, hosts));
+            }
+            return true;
+        }, ok -> busyAsks.remove(a.name())));
+    }
+
+    private Map<String, Object> askRow(Ask a, List<Object> hosts) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("y", catalog.typeNames.name(a.type()));
+        m.put("z", catalog.zones.name(a.zone()));
+        m.put("s", a.spot());
+        m.put("n", a.count());
+        m.put("t", a.at());
+        if (hosts != null) {
+            m.put("h", hosts);
+        }
+        return m;
+    }
+
+    /** Buys for what found no room, neither now nor soon. */
+    private void buy(Planner.Plan plan, Map<String, Picture> pictures, long now) {
+        refusedUntil.values().removeIf(until -> now > until);
+        for (Ask a : asks()) {
+            if (a.hosts() == null) {
+                return;
+            }
+        }
+        Map<Kind, Integer> wanted = new LinkedHashMap<>();
+        List<double[]> room = new ArrayList<>();
+        List<Kind> kinds = new ArrayList<>();
+        int[] perZone = new int[catalog.zones.size()];
+        pictures.values().forEach(p -> {
+            if (p.zone() >= 0) {
+                perZone[p.zone()]++;
+            }
+        });
+        int opened = 0;
+        for (Planner.Unplaced u : plan.unplaced()) {
+            JobSpec s = u.job().spec;
+            int jobZone = -1;
+            for (int n = 0; n < Math.min(u.tasks(), 400); n++) {
+                int at = -1;
+                for (int i = 0; i < room.size() && at < 0; i++) {
+                    double[] r = room.get(i);
+                    Kind k = kinds.get(i);
+                    boolean zoneOk = (s.zone() < 0 || s.zone() == k.zone) && !(s.oneZone() && jobZone >= 0 && jobZone != k.zone);
+                    if (zoneOk && s.allows(k.type) && (!k.spot || s.spot()) && r[0] >= s.cpus() - Catalog.EPS
+                            && r[1] >= s.gpus() - Catalog.EPS && r[2] >= s.mem() - Catalog.EPS) {
+                        at = i;
+                    }
+                }
+                if (at < 0) {
+                    Kind k = choose(s, jobZone, perZone);
+                    if (k == null || opened >= 100) {
+                        break;
+                    }
+                    Catalog.Type t = catalog.type(k.type);
+                    room.add(new double[] {t.cpus(), t.gpus(), t.mem()});
+                    kinds.add(k);
+                    wanted.merge(k, 1, Integer::sum);
+                    perZone[k.zone]++;
+                    opened++;
+                    at = room.size() - 1;
+                }
+                jobZone = kinds.get(at).zone;
+                double[] r = room.get(at);
+                r[0] -= s.cpus();
+                r[1] -= s.gpus();
+                r[2] -= s.mem();
+            }
+        }
+        if (!wanted.isEmpty()) {
+            reserve(wanted);
+        }
+    }
+
+    /** The cheapest kind of machine per task that is not known to be sold out; among equals the emptiest zone. */
+    private Kind choose(JobSpec s, int jobZone, int[] perZone) {
+        Kind best = null;
+        double bestPrice = Double.MAX_VALUE;
+        for (Catalog.Type t : catalog.types()) {
+            if (!s.allows(t.index()) || !t.fits(s)) {
+                continue;
+            }
+            double fit = t.cpus() / Math.max(1e-9, s.cpus());
+            fit = s.gpus() > 0 ? Math.min(fit, t.gpus() / s.gpus()) : fit;
+            fit = Math.max(1, Math.floor(s.mem() > 0 ? Math.min(fit, t.mem() / s.mem()) : fit));
+            for (int zone : t.zones()) {
+                if (s.zone() >= 0 && s.zone() != zone || s.oneZone() && jobZone >= 0 && jobZone != zone) {
+                    continue;
+                }
+                for (int spot = s.spot() ? 1 : 0; spot >= 0; spot--) {
+                    Kind k = new Kind(t.index(), zone, spot == 1);
+                    if (refusedUntil.containsKey(k)) {
+                        continue;
+                    }
+                    double price = (k.spot ? t.spotPrice() * 1.1 : t.price()) / fit + perZone[zone] * 1e-4;
+                    if (price < bestPrice) {
+                        bestPrice = price;
+                        best = k;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Records the request names before any of them is used. */
+    private void reserve(Map<Kind, Integer> wanted) {
+        reserving = true;
+        long at = fx.wall();
+        int max = Math.max(1, settings.txnOps() - 1);
+        store.offer(new Simple(3, Math.min(settings.txnOps(), wanted.size() + 1), tx -> {
+            if (!isBuyer() || tx.writes(Keys.BUYER)) {
+                return false;
+            }
+            tx.require(Keys.SEAT + seats.memberName(0));
+            long next = Fields.countOr(view.row(Keys.BUYER), "n", 1);
+            int used = 0;
+            for (Map.Entry<Kind, Integer> e : wanted.entrySet()) {
+                if (used++ >= max) {
+                    break;
+                }
+                Kind k = e.getKey();
+                Ask a = new Ask("r-" + next++, k.type, k.zone, k.spot, Math.min(50, e.getValue()), at, null);
+                tx.put(Keys.ASK + a.name(), askRow(a, null));
+            }
+            tx.put(Keys.BUYER, buyerRow(next));
+            return true;
+        }, ok -> reserving = false));
+    }
+
+    // ---- returns
+
+    private void giveBack(Map<String, Picture> pictures, long now) {
+        retiring.values().removeIf(until -> now > until);
+        for (Picture p : pictures.values()) {
+            if (deleting.contains(p.machine()) || retiring.containsKey(p.machine())) {
+                continue;
+            }
+            boolean idle = p.idleMs() > lingerMs && view.claims(p.machine()).isEmpty();
+            boolean silent = silent(p);
+            if (silent) {
+                LOG.info("machine {} silent for {} ms, deleted to free its tasks", p.machine(), p.silentMs());
+                delete(p.machine());
+            } else if (idle || p.condemned()) {
+                retiring.put(p.machine(), now + 5_000);
+                retire.accept(p.machine());
+            }
+        }
+    }
+
+    /** A machine that says nothing is mostly lost; deleting it is the quickest proof that its tasks are gone. */
+    private boolean silent(Picture p) {
+        double s = p.silentMs() / 1000.0;
+        double bound = p.spot() ? settings.reportS() * silentSpotS : settings.leaseS() * silentShare;
+        return s > bound && !view.claims(p.machine()).isEmpty();
+    }
+
+    /** The owner's answer to a wish to return a machine. */
+    public void retired(String machine, boolean agreed) {
+        if (agreed && isBuyer()) {
+            LOG.info("machine {} is returned", machine);
+            delete(machine);
+        }
+    }
+
+    private void delete(String machine) {
+        if (deleting.add(machine)) {
+            toDelete.add(machine);
+        }
+    }
+
+    private void deleteNow() {
+        if (toDelete.isEmpty()) {
+            return;
+        }
+        List<String> names = new ArrayList<>(toDelete.subList(0, Math.min(100, toDelete.size())));
+        boolean sent = cloud.call("POST", Wire.RENTALS_DELETE, Map.of(Wire.MACHINES, names), (status, m) -> {
+            if (status == 200) {
+                counters.returns += names.size();
+                for (String n : names) {
+                    recentlyGone.put(n, fx.now());
+                    deleting.remove(n);
+                    gone.accept(n);
+                }
+            } else {
+                names.forEach(n -> {
+                    if (!toDelete.contains(n)) {
+                        toDelete.add(n);
+                    }
+                });
+            }
+        });
+        if (sent) {
+            toDelete.removeAll(names);
+        }
+    }
+
+    // ---- the lagging list
+
+    private void list(Map<String, Picture> pictures) {
+        listing = true;
+        nextList = fx.now() + Math.max(4_000, Math.round(settings.listLagS() * 500));
+        page("", new HashSet<>());
+    }
+
+    private void page(String after, Set<String> seen) {
+        boolean sent = cloud.call("GET", Wire.RENTALS + "?" + Wire.AFTER + "=" + after + "&" + Wire.LIMIT + "=500", null,
+                (status, m) -> {
+                    if (status != 200) {
+                        listing = false;
+                        return;
+                    }
+                    String last = after;
+                    for (Object o : Fields.list(m, Wire.MACHINES)) {
+                        Map<String, Object> x = Fields.map(o, "machine");
+                        last = Fields.text(x, Wire.ID);
+                        seen.add(last);
+                        listed(last, Fields.text(x, Wire.STATE), Fields.amountOr(x, Wire.AGE, 0));
+                    }
+                    if (Boolean.TRUE.equals(m.get(Wire.MORE)) && !last.equals(after)) {
+                        page(last, seen);
+                    } else {
+                        listing = false;
+                        strangers.keySet().retainAll(seen);
+                    }
+                });
+        if (!sent) {
+            listing = false;
+        }
+    }
+
+    private Map<String, Picture> known = Map.of();
+
+    public void known(Map<String, Picture> pictures) {
+        known = pictures;
+    }
+
+    private void listed(String machine, String state, double ageS) {
+        long now = fx.now();
+        if (recentlyGone.containsKey(machine) || deleting.contains(machine)) {
+            return;
+        }
+        if (state.equals("failed")) {
+            // It stopped on its own: nothing runs there, and deleting it says so.
+            delete(machine);
+            return;
+        }
+        if (known.containsKey(machine)) {
+            strangers.remove(machine);
+            return;
+        }
+        for (Ask a : asks()) {
+            if (a.hosts() == null || a.hosts().contains(machine)) {
+                return;
+            }
+        }
+        for (int i = 1; i < seats.memberCount(); i++) {
+            if (!seats.live(i)) {
+                // It may well report to a controller that we can't hear.
+                strangers.clear();
+                return;
+            }
+        }
+        long since = strangers.computeIfAbsent(machine, k -> now);
+        double bootS = 60;
+        for (Catalog.Type t : catalog.types()) {
+            bootS = Math.max(bootS, t.bootS());
+        }
+        long patience = Math.round(1000 * (state.equals("running") ? settings.leaseS() + 20 : bootS * giveUp));
+        if (now - since > patience && view.claims(machine).isEmpty()) {
+            LOG.info("machine {} is listed as {} but reports to nobody, deleted", machine, state);
+            delete(machine);
+        }
+    }
+
+    /** A change made of two functions. */
+    private record Simple(int rank, int cost, java.util.function.Predicate<Tx> write, Consumer<Boolean> over)
+            implements Change {
+        @Override
+        public boolean build(Tx tx) {
+            return write.test(tx);
+        }
+
+        @Override
+        public void committed(long revision) {
+            over.accept(true);
+        }
+
+        @Override
+        public void dropped() {
+            over.accept(false);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/http/HttpParser.java
@@ -0,0 +1,229 @@
+package birchusher.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** Parses HTTP/1.1 messages from bytes as they come, one at a time; all lengths are bounded. */
+public final class HttpParser {
+    /** A message that can't be parsed; {@code status} is what a server answers before closing. */
+    public static final class Malformed extends Exception {
+        private static final long serialVersionUID = 1;
+        public final int status;
+
+        public Malformed(int status, String message) {
+            super(message, null, false, false);
+            this.status = status;
+        }
+    }
+
+    /** One whole message. For requests {@code first} is the method and {@code second} the target. */
+    public record Message(String first, String second, int status, boolean close, byte[] body) { }
+
+    private enum State { START, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
+
+    private static final int MAX_LINE = 8 * 1024;
+    private static final int MAX_HEADERS = 64;
+
+    private final boolean request;
+    private final int maxBody;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
+    private ByteArrayOutputStream body;
+    private State state = State.START;
+    private String first;
+    private String second;
+    private int status;
+    private boolean close;
+    private boolean chunked;
+    private long length;
+    private int headers;
+
+    public HttpParser(boolean request, int maxBody) {
+        this.request = request;
+        this.maxBody = maxBody;
+        reset();
+    }
+
+    private void reset() {
+        state = State.START;
+        close = false;
+        chunked = false;
+        length = -1;
+        headers = 0;
+        line.reset();
+        body = new ByteArrayOutputStream(256);
+    }
+
+    /** Whether a message has begun and is not complete. */
+    public boolean within() {
+        return state != State.START || line.size() > 0;
+    }
+
+    /** Takes bytes until one message is complete; null if more bytes are needed. */
+    public Message feed(ByteBuffer in) throws Malformed {
+        while (in.hasRemaining()) {
+            switch (state) {
+                case BODY, CHUNK -> {
+                    int n = (int) Math.min(in.remaining(), length);
+                    byte[] part = new byte[n];
+                    in.get(part);
+                    body.write(part, 0, n);
+                    length -= n;
+                    if (length == 0) {
+                        if (state == State.BODY) {
+                            return complete();
+                        }
+                        state = State.CHUNK_END;
+                    }
+                }
+                default -> {
+                    String l = line(in);
+                    if (l != null) {
+                        Message m = onLine(l);
+                        if (m != null) {
+                            return m;
+                        }
+                    }
+                }
+            }
+        }
+        return null;
+    }
+
+    private String line(ByteBuffer in) throws Malformed {
+        while (in.hasRemaining()) {
+            byte b = in.get();
+            if (b == '\n') {
+                String l = line.toString(StandardCharsets.ISO_8859_1);
+                line.reset();
+                return l.endsWith("\r") ? l.substring(0, l.length() - 1) : l;
+            }
+            if (b == 0 || line.size() >= MAX_LINE) {
+                throw new Malformed(400, "line too long or with a zero byte");
+            }
+            line.write(b);
+        }
+        return null;
+    }
+
+    private Message onLine(String l) throws Malformed {
+        switch (state) {
+            case START -> {
+                if (l.isEmpty()) {
+                    return null;
+                }
+                start(l);
+                state = State.HEADERS;
+            }
+            case HEADERS -> {
+                if (!l.isEmpty()) {
+                    header(l);
+                    return null;
+                }
+                if (chunked) {
+                    state = State.CHUNK_SIZE;
+                    return null;
+                }
+                if (length < 0) {
+                    length = 0;
+                }
+                if (length == 0) {
+                    return complete();
+                }
+                state = State.BODY;
+            }
+            case CHUNK_SIZE -> {
+                int semi = l.indexOf(';');
+                try {
+                    length = Long.parseLong((semi < 0 ? l : l.substring(0, semi)).trim(), 16);
+                } catch (NumberFormatException e) {
+                    throw new Malformed(400, "bad chunk size");
+                }
+                if (length < 0 || body.size() + length > maxBody) {
+                    throw new Malformed(413, "body too large");
+                }
+                state = length == 0 ? State.TRAILERS : State.CHUNK;
+            }
+            case CHUNK_END -> {
+                if (!l.isEmpty()) {
+                    throw new Malformed(400, "bad chunk end");
+                }
+                state = State.CHUNK_SIZE;
+            }
+            case TRAILERS -> {
+                if (l.isEmpty()) {
+                    return complete();
+                }
+                if (++headers > MAX_HEADERS) {
+                    throw new Malformed(400, "too many headers");
+                }
+            }
+            default -> throw new IllegalStateException();
+        }
+        return null;
+    }
+
+    private void start(String l) throws Malformed {
+        String[] p = l.split(" ", 3);
+        if (request) {
+            if (p.length != 3 || !p[2].startsWith("HTTP/1.") || p[0].isEmpty() || !p[1].startsWith("/")
+                    || !p[0].chars().allMatch(c -> c >= 'A' && c <= 'Z')) {
+                throw new Malformed(400, "bad request line");
+            }
+            first = p[0];
+            second = p[1];
+            close = p[2].equals("HTTP/1.0");
+        } else {
+            try {
+                if (p.length < 2 || !p[0].startsWith("HTTP/1.")) {
+                    throw new Malformed(400, "bad status line");
+                }
+                status = Integer.parseInt(p[1]);
+                first = p[0];
+                second = p.length > 2 ? p[2] : "";
+                close = p[0].equals("HTTP/1.0");
+            } catch (NumberFormatException e) {
+                throw new Malformed(400, "bad status line");
+            }
+        }
+    }
+
+    private void header(String l) throws Malformed {
+        int colon = l.indexOf(':');
+        if (colon <= 0 || l.charAt(0) == ' ' || l.charAt(0) == '\t' || ++headers > MAX_HEADERS) {
+            throw new Malformed(400, "bad header");
+        }
+        String name = l.substring(0, colon);
+        String value = l.substring(colon + 1).trim();
+        if (name.equalsIgnoreCase("content-length")) {
+            long n;
+            try {
+                n = Long.parseLong(value);
+            } catch (NumberFormatException e) {
+                throw new Malformed(400, "bad content-length");
+            }
+            if (n < 0 || length >= 0 && length != n) {
+                throw new Malformed(400, "bad content-length");
+            }
+            if (n > maxBody) {
+                throw new Malformed(413, "body too large");
+            }
+            length = n;
+        } else if (name.equalsIgnoreCase("transfer-encoding")) {
+            if (!value.equalsIgnoreCase("chunked")) {
+                throw new Malformed(400, "unknown transfer-encoding");
+            }
+            chunked = true;
+        } else if (name.equalsIgnoreCase("connection")) {
+            close |= value.equalsIgnoreCase("close");
+        } else if (name.chars().anyMatch(c -> c <= ' ')) {
+            throw new Malformed(400, "bad header");
+        }
+    }
+
+    private Message complete() {
+        Message m = new Message(first, second, status, close, body.toByteArray());
+        reset();
+        return m;
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/jobs/Desk.java
@@ -0,0 +1,428 @@
+package birchusher.jobs;
+
+import birchusher.core.Effects;
+import birchusher.core.Fields;
+import birchusher.core.Fields.Bad;
+import birchusher.model.Catalog;
+import birchusher.model.JobSpec;
+import birchusher.seats.Seats;
+import birchusher.settings.Settings;
+import birchusher.store.Change;
+import birchusher.store.Chunk;
+import birchusher.store.Job;
+import birchusher.store.Keys;
+import birchusher.store.StoreLink;
+import birchusher.store.Tx;
+import birchusher.store.View;
+import birchusher.wire.JobCodec;
+import birchusher.wire.Pack;
+import birchusher.wire.Wire;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The users' side: submissions, polls, cancellations and the final states. */
+public final class Desk {
+    private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
+    private static final long COMMIT_MS = 2_500;
+
+    private final Effects fx;
+    private final Catalog catalog;
+    private final JobCodec codec;
+    private final View view;
+    private final StoreLink store;
+    private final Seats seats;
+    private final int chunkSize;
+    private final int txnOps;
+    private final Set<String> ending = new HashSet<>();
+    private long nextSweep;
+
+    public Desk(Effects fx, Settings s, Catalog catalog, JobCodec codec, View view, StoreLink store, Seats seats) {
+        this.fx = fx;
+        this.catalog = catalog;
+        this.codec = codec;
+        this.view = view;
+        this.store = store;
+        this.seats = seats;
+        txnOps = s.txnOps();
+        // A claim takes up to about 40 bytes of a row; a row must fit the store's limit even when all tasks are placed.
+        chunkSize = (int) Math.max(16, Math.min(500, (s.valueKb() * 1024 - 512) / 42));
+    }
+
+    private static Map<String, Object> answer(String id, String state, int done, int running) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put(Wire.ID, id);
+        m.put(Wire.STATE, state);
+        m.put(Wire.DONE, done);
+        m.put(Wire.RUNNING, running);
+        return m;
+    }
+
+    private static Map<String, Object> ended(String id, View.Ended e) {
+        return e.done() ? answer(id, Wire.DONE, e.tasks(), 0) : answer(id, Wire.CANCELLED, 0, 0);
+    }
+
+    /** What may be told of a job without asking anybody: final states are final. Null if it has none yet. */
+    private Map<String, Object> finalState(String id) {
+        View.Ended e = view.ended(id);
+        if (e != null) {
+            return ended(id, e);
+        }
+        Job j = view.job(id);
+        if (j != null && j.state == Job.State.DONE) {
+            return answer(id, Wire.DONE, j.spec.tasks(), 0);
+        }
+        return j != null && j.state == Job.State.CANCELLED ? answer(id, Wire.CANCELLED, 0, 0) : null;
+    }
+
+    private static Map<String, Object> open(Job j) {
+        int running = j.claimCount();
+        return answer(j.spec.id(), running > 0 ? Wire.RUNNING : Wire.QUEUED, j.doneCount(), running);
+    }
+
+    // ---- polls
+
+    public void poll(long exchange, String id) {
+        if (!JobCodec.isId(id)) {
+            fx.answer(exchange, 404, Map.of("error", "no such job"));
+            return;
+        }
+        Map<String, Object> known = finalState(id);
+        if (known != null) {
+            fx.answer(exchange, 200, known);
+            return;
+        }
+        lookUp(exchange, id, () -> fx.answer(exchange, 404, Map.of("error", "no such job")));
+    }
+
+    /** Answers a job's state from a view that is as new as this moment; {@code unknown} if it was never accepted. */
+    private void lookUp(long exchange, String id, Runnable unknown) {
+        boolean asked = store.fresh(ok -> {
+            if (!ok) {
+                fx.later(exchange, 503, 2);
+                return;
+            }
+            Map<String, Object> last = finalState(id);
+            Job j = view.job(id);
+            if (last != null || j != null) {
+                fx.answer(exchange, 200, last != null ? last : open(j));
+                return;
+            }
+            boolean sent = store.get(Keys.END + id, (status, m) -> {
+                if (status == 200) {
+                    fx.answer(exchange, 200, ended(id, View.readEnded(Fields.map(m.get(Wire.VALUE), "value"))));
+                } else if (status == 404) {
+                    unknown.run();
+                } else {
+                    fx.later(exchange, 503, 2);
+                }
+            });
+            if (!sent) {
+                fx.later(exchange, 503, 1);
+            }
+        });
+        if (!asked) {
+            fx.later(exchange, 503, 2);
+        }
+    }
+
+    // ---- submissions
+
+    public void submit(long exchange, byte[] body) {
+        JobSpec spec = null;
+        Bad bad = null;
+        JobCodec.Never never = null;
+        String id = null;
+        try {
+            Map<String, Object> m = Fields.map(Pack.decode(body), "body");
+            id = m.get(Wire.ID) instanceof String s && JobCodec.isId(s) ? s : null;
+            if (catalog.typesKnown()) {
+                spec = codec.read(m);
+            }
+        } catch (Bad e) {
+            bad = e;
+        } catch (JobCodec.Never e) {
+            never = e;
+        }
+        Map<String, Object> known = id == null ? null : finalState(id);
+        if (known != null) {
+            fx.answer(exchange, 200, known);
+            return;
+        }
+        if (id != null && view.job(id) != null) {
+            String jobId = id;
+            lookUp(exchange, jobId, () -> fx.later(exchange, 503, 1));
+            return;
+        }
+        if (bad != null && id == null) {
+            fx.answer(exchange, 400, Map.of("error", bad.getMessage()));
+            return;
+        }
+        if (spec == null && bad == null && never == null || !store.healthy()) {
+            fx.later(exchange, 503, 1);
+            return;
+        }
+        String why = bad != null ? bad.getMessage() : never != null ? never.getMessage() : catalog.misfit(spec);
+        if (why != null) {
+            // A repeat of an accepted id is answered with its state, whatever its body has become.
+            int status = bad != null ? 400 : 422;
+            lookUp(exchange, id, () -> fx.answer(exchange, status, Map.of("error", why)));
+            return;
+        }
+        if (!store.offer(new Accept(exchange, spec))) {
+            fx.later(exchange, 503, 2);
+        }
+    }
+
+    private final class Accept implements Change {
+        private final long exchange;
+        private final JobSpec spec;
+        private final long until = fx.now() + COMMIT_MS;
+
+        Accept(long exchange, JobSpec spec) {
+            this.exchange = exchange;
+            this.spec = spec;
+        }
+
+        @Override
+        public int rank() {
+            return 3;
+        }
+
+        @Override
+        public int cost() {
+            return 1;
+        }
+
+        @Override
+        public long expires() {
+            return until;
+        }
+
+        @Override
+        public boolean build(Tx tx) {
+            if (view.job(spec.id()) != null || view.ended(spec.id()) != null || tx.writes(Keys.JOB + spec.id())
+                    || fx.now() > until) {
+                return false;
+            }
+            tx.require(Keys.END + spec.id());
+            tx.put(Keys.JOB + spec.id(), row(spec, chunkSize, fx.wall(), Job.State.OPEN));
+            return true;
+        }
+
+        @Override
+        public void committed(long revision) {
+            LOG.info("job {} accepted: {} {} tasks, {}", spec.id(), spec.shape(), spec.tasks(), spec.priority());
+            fx.answer(exchange, 201, answer(spec.id(), Wire.QUEUED, 0, 0));
+        }
+
+        @Override
+        public boolean refused(Set<String> failed) {
+            if (failed.contains(Keys.END + spec.id()) || failed.contains(Keys.JOB + spec.id())) {
+                dropped();
+                return true;
+            }
+            return false;
+        }
+
+        @Override
+        public void dropped() {
+            lookUp(exchange, spec.id(), () -> fx.later(exchange, 503, 1));
+        }
+    }
+
+    private Map<String, Object> row(JobSpec s, int chunk, long acceptedAt, Job.State state) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("s", state.name());
+        m.put("k", chunk);
+        m.put("t", acceptedAt);
+        m.put("j", codec.write(s));
+        return m;
+    }
+
+    // ---- cancellations
+
+    public void cancel(long exchange, String id) {
+        if (!JobCodec.isId(id)) {
+            fx.answer(exchange, 404, Map.of("error", "no such job"));
+            return;
+        }
+        Map<String, Object> known = finalState(id);
+        if (known != null) {
+            fx.answer(exchange, 200, known);
+            return;
+        }
+        if (!store.healthy()) {
+            fx.later(exchange, 503, 1);
+            return;
+        }
+        if (view.job(id) == null) {
+            lookUp(exchange, id, () -> fx.answer(exchange, 404, Map.of("error", "no such job")));
+            return;
+        }
+        if (!store.offer(new Cancel(exchange, id))) {
+            fx.later(exchange, 503, 1);
+        }
+    }
+
+    private final class Cancel implements Change {
+        private final long exchange;
+        private final String id;
+        private final long until = fx.now() + COMMIT_MS;
+
+        Cancel(long exchange, String id) {
+            this.exchange = exchange;
+            this.id = id;
+        }
+
+        @Override
+        public int rank() {
+            return 1;
+        }
+
+        @Override
+        public int cost() {
+            return 1;
+        }
+
+        @Override
+        public long expires() {
+            return until;
+        }
+
+        @Override
+        public boolean build(Tx tx) {
+            Job j = view.job(id);
+            if (j == null || j.state != Job.State.OPEN || tx.writes(Keys.JOB + id) || fx.now() > until) {
+                return false;
+            }
+            tx.put(Keys.JOB + id, row(j.spec, j.chunkSize, j.acceptedAt, Job.State.CANCELLED));
+            return true;
+        }
+
+        @Override
+        public void committed(long revision) {
+            LOG.info("job {} cancelled", id);
+            fx.answer(exchange, 200, answer(id, Wire.CANCELLED, 0, 0));
+        }
+
+        @Override
+        public void dropped() {
+            Map<String, Object> known = finalState(id);
+            if (known != null) {
+                fx.answer(exchange, 200, known);
+            } else {
+                // Not settled in time, or the job ended meanwhile: the repeat will find out.
+                fx.later(exchange, 503, 1);
+            }
+        }
+    }
+
+    // ---- endings
+
+    /** Writes final states, and puts ended jobs away once nothing of them is on any machine. */
+    public void tick() {
+        long now = fx.now();
+        if (!store.loaded() || !store.healthy() || !seats.holding() || now < nextSweep) {
+            return;
+        }
+        nextSweep = now + 200;
+        for (Job j : view.jobs()) {
+            boolean allDone = j.state == Job.State.OPEN && j.allDone();
+            boolean over = j.state != Job.State.OPEN && j.claimCount() == 0;
+            if ((allDone || over) && seats.drives(j.spec.id()) && ending.size() < 100 && ending.add(j.spec.id())) {
+                if (!store.offer(new End(j.spec.id(), Math.min(txnOps, j.chunks.size() + 2)))) {
+                    ending.remove(j.spec.id());
+                }
+            }
+        }
+    }
+
+    private final class End implements Change {
+        private final String id;
+        private final int cost;
+        private boolean away;
+        private boolean done;
+
+        End(String id, int cost) {
+            this.id = id;
+            this.cost = cost;
+        }
+
+        @Override
+        public int rank() {
+            return 3;
+        }
+
+        @Override
+        public int cost() {
+            return cost;
+        }
+
+        @Override
+        public boolean build(Tx tx) {
+            Job j = view.job(id);
+            if (j == null || tx.writes(Keys.JOB + id)) {
+                return false;
+            }
+            done = j.state == Job.State.DONE || j.state == Job.State.OPEN && j.allDone();
+            if (!done && j.state != Job.State.CANCELLED) {
+                return false;
+            }
+            int places = 0;
+            for (Chunk c : j.chunks) {
+                places += c == null ? 0 : 1;
+            }
+            away = j.claimCount() == 0 && places + 2 <= txnOps;
+            if (away) {
+                for (Chunk c : j.chunks) {
+                    if (c != null) {
+                        tx.remove(Keys.place(id, c.index));
+                    } else {
+                        continue;
+                    }
+                }
+                tx.remove(Keys.JOB + id);
+                tx.put(Keys.END + id, View.endedRow(done, j.spec.tasks()));
+                return true;
+            }
+            if (j.state == Job.State.OPEN) {
+                for (Chunk c : j.chunks) {
+                    tx.require(Keys.place(id, c.index));
+                    if (tx.conditionCount() > 3 * txnOps) {
+                        break;
+                    }
+                }
+                tx.put(Keys.JOB + id, row(j.spec, j.chunkSize, j.acceptedAt, Job.State.DONE));
+                return true;
+            }
+            if (j.claimCount() > 0) {
+                return false;
+            }
+            int n = 0;
+            for (Chunk c : j.chunks) {
+                if (c != null && n++ < txnOps - 1) {
+                    tx.remove(Keys.place(id, c.index));
+                }
+            }
+            tx.require(Keys.JOB + id);
+            return true;
+        }
+
+        @Override
+        public void committed(long revision) {
+            ending.remove(id);
+            if (away) {
+                LOG.info("job {} ended: {}", id, done ? "done" : "cancelled");
+            }
+        }
+
+        @Override
+        public void dropped() {
+            ending.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/lease/Speeds.java
@@ -0,0 +1,28 @@
+package birchusher.lease;
+
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+
+/**
+ * How wrong the owners' estimates are, per class. Kept apart from the machines' speeds: an estimate that is always
+ * half the truth must not make every machine look slow.
+ */
+public final class Speeds {
+    private final Int2ObjectOpenHashMap<double[]> byClass = new Int2ObjectOpenHashMap<>();
+
+    /** A task of this class took this long on a machine of this speed. */
+    public void observe(int cls, double estimateS, double observedS, double speed) {
+        if (estimateS <= 0 || observedS <= 0) {
+            return;
+        }
+        double[] s = byClass.computeIfAbsent(cls, c -> new double[] {2, 2});
+        double ratio = Math.min(5, Math.max(0.2, observedS * speed / estimateS));
+        s[0] = s[0] * 0.98 + ratio;
+        s[1] = s[1] * 0.98 + 1;
+    }
+
+    /** Observed over estimated run time of the class, 1 while nothing is known. */
+    public double bias(int cls) {
+        double[] s = byClass.get(cls);
+        return s == null ? 1 : s[0] / s[1];
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/mesh/PeerCodec.java
@@ -0,0 +1,156 @@
+package birchusher.mesh;
+
+import birchusher.core.Fields.Bad;
+import birchusher.mesh.PeerRecord.Heartbeat;
+import birchusher.mesh.PeerRecord.Item;
+import birchusher.mesh.PeerRecord.Machine;
+import birchusher.mesh.PeerRecord.Offer;
+import birchusher.mesh.PeerRecord.Retire;
+import birchusher.mesh.PeerRecord.Retired;
+import birchusher.mesh.PeerRecord.Stop;
+import birchusher.mesh.PeerRecord.Verdict;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Records between controllers: a version, the sender, a kind, then the fields. The frame's length goes before. */
+public final class PeerCodec {
+    public static final int VERSION = 1;
+    public static final int MAX_BYTES = 512 * 1024;
+    private static final int MAX_LIST = 20_000;
+
+    /** A record with the member that sent it. */
+    public record From(String member, PeerRecord record) { }
+
+    private interface Writer<T> {
+        void write(DataOutputStream out, T value) throws IOException;
+    }
+
+    private interface Reader<T> {
+        T read(DataInputStream in) throws IOException;
+    }
+
+    private PeerCodec() { }
+
+    public static byte[] encode(String member, PeerRecord r) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(VERSION);
+            out.writeUTF(member);
+            if (r instanceof Heartbeat h) {
+                out.writeByte(1);
+                out.writeLong(h.incarnation());
+                out.writeBoolean(h.storeOk());
+                out.writeBoolean(h.withMachines());
+                list(out, h.machines(), PeerCodec::machine);
+                list(out, h.gone(), DataOutputStream::writeUTF);
+            } else if (r instanceof Offer o) {
+                out.writeByte(2);
+                out.writeLong(o.id());
+                list(out, o.items(), (d, i) -> {
+                    d.writeUTF(i.job());
+                    d.writeInt(i.task());
+                    d.writeUTF(i.machine());
+                    d.writeLong(i.session());
+                });
+            } else if (r instanceof Verdict v) {
+                out.writeByte(3);
+                out.writeLong(v.id());
+                list(out, v.refusals(), DataOutputStream::writeUTF);
+                list(out, v.terms(), DataOutputStream::writeLong);
+            } else if (r instanceof Stop s) {
+                out.writeByte(4);
+                out.writeUTF(s.job());
+                out.writeInt(s.task());
+                out.writeLong(s.attempt());
+                out.writeDouble(s.graceS());
+                out.writeUTF(s.reason());
+            } else if (r instanceof Retire x) {
+                out.writeByte(5);
+                out.writeUTF(x.machine());
+            } else if (r instanceof Retired x) {
+                out.writeByte(6);
+                out.writeUTF(x.machine());
+                out.writeBoolean(x.agreed());
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    public static From decode(byte[] record) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(record))) {
+            int version = in.readByte();
+            if (version != VERSION) {
+                throw new Bad("peer record of version " + version);
+            }
+            String member = in.readUTF();
+            PeerRecord r = switch (in.readByte()) {
+                case 1 -> new Heartbeat(in.readLong(), in.readBoolean(), in.readBoolean(),
+                        list(in, PeerCodec::machine), list(in, d -> d.readUTF()));
+                case 2 -> new Offer(in.readLong(),
+                        list(in, d -> new Item(d.readUTF(), d.readInt(), d.readUTF(), d.readLong())));
+                case 3 -> new Verdict(in.readLong(), list(in, d -> d.readUTF()),
+                        list(in, d -> d.readLong()));
+                case 4 -> new Stop(in.readUTF(), in.readInt(), in.readLong(), in.readDouble(), in.readUTF());
+                case 5 -> new Retire(in.readUTF());
+                case 6 -> new Retired(in.readUTF(), in.readBoolean());
+                default -> throw new Bad("peer record of unknown kind");
+            };
+            if (in.available() > 0) {
+                throw new Bad("peer record with bytes after its end");
+            }
+            return new From(member, r);
+        } catch (IOException e) {
+            throw new Bad("peer record cut off");
+        }
+    }
+
+    private static void machine(DataOutputStream out, Machine m) throws IOException {
+        out.writeUTF(m.name());
+        out.writeUTF(m.type());
+        out.writeUTF(m.zone());
+        out.writeBoolean(m.spot());
+        out.writeLong(m.session());
+        out.writeInt(m.shard());
+        out.writeInt(m.flags());
+        out.writeInt(m.silentMs());
+        out.writeInt(m.noticeMs());
+        out.writeInt(m.idleMs());
+        out.writeDouble(m.speed());
+        out.writeDouble(m.strayCpus());
+        out.writeDouble(m.strayGpus());
+        out.writeDouble(m.strayMem());
+        list(out, m.images(), DataOutputStream::writeUTF);
+    }
+
+    private static Machine machine(DataInputStream in) throws IOException {
+        return new Machine(in.readUTF(), in.readUTF(), in.readUTF(), in.readBoolean(), in.readLong(), in.readInt(),
+                in.readInt(), in.readInt(), in.readInt(), in.readInt(), in.readDouble(), in.readDouble(),
+                in.readDouble(), in.readDouble(), list(in, d -> d.readUTF()));
+    }
+
+    private static <T> void list(DataOutputStream out, List<T> l, Writer<? super T> w) throws IOException {
+        out.writeInt(l.size());
+        for (T t : l) {
+            w.write(out, t);
+        }
+    }
+
+    private static <T> List<T> list(DataInputStream in, Reader<T> r) throws IOException {
+        int n = in.readInt();
+        if (n < 0 || n > MAX_LIST || n > in.available()) {
+            throw new Bad("peer record with a list of " + n);
+        }
+        List<T> l = new ArrayList<>(n);
+        for (int i = 0; i < n; i++) {
+            l.add(r.read(in));
+        }
+        return l;
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/model/Catalog.java
@@ -0,0 +1,134 @@
+package birchusher.model;
+
+import birchusher.core.Names;
+import birchusher.settings.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The indices of every name the core uses, and the machine types once they are known. */
+public final class Catalog {
+    /** One machine type. {@code zones} are indices; prices are per hour. */
+    public record Type(int index, String name, double cpus, double gpus, double mem, double cacheGb, double fetchGbPerS,
+            double price, double spotPrice, double bootS, int[] zones) {
+        public boolean in(int zone) {
+            for (int z : zones) {
+                if (z == zone) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        public boolean fits(JobSpec j) {
+            return j.cpus() <= cpus + EPS && j.gpus() <= gpus + EPS && j.mem() <= mem + EPS;
+        }
+    }
+
+    /** Amounts are decimal numbers; sums of them need a little play. */
+    public static final double EPS = 1e-6;
+
+    public final Names teams = new Names();
+    public final Names zones;
+    public final Names typeNames = new Names();
+    public final Names images = new Names();
+    public final Names classes = new Names();
+    public final Names members = new Names();
+    private final List<Settings.Team> teamList;
+    private Type[] types = new Type[0];
+    private boolean known;
+
+    public Catalog(Settings s) {
+        zones = new Names(s.zones());
+        s.teams().forEach(t -> teams.add(t.name()));
+        teamList = s.teams();
+        members.add(s.member());
+        s.peers().forEach(p -> members.add(p.member()));
+        s.objectives().forEach(o -> {
+            if (o.cls() != null) {
+                classes.add(o.cls());
+            }
+        });
+    }
+
+    public Settings.Team team(int i) {
+        return teamList.get(i);
+    }
+
+    public boolean typesKnown() {
+        return known;
+    }
+
+    /** Takes the machine types as the cloud, or another controller's row, tells them. Types are only added. */
+    public void learn(List<Type> list) {
+        for (Type t : list) {
+            if (t.index() >= types.length) {
+                types = java.util.Arrays.copyOf(types, t.index() + 1);
+            }
+            types[t.index()] = t;
+        }
+        known |= !list.isEmpty();
+    }
+
+    public Type type(int i) {
+        return i >= 0 && i < types.length ? types[i] : null;
+    }
+
+    public List<Type> types() {
+        List<Type> l = new ArrayList<>();
+        for (Type t : types) {
+            if (t != null) {
+                l.add(t);
+            }
+        }
+        return l;
+    }
+
+    /** Why a job can never run here, or null. */
+    public String misfit(JobSpec j) {
+        boolean fits = false;
+        for (Type t : types()) {
+            fits |= j.allows(t.index()) && t.fits(j) && (j.zone() < 0 ? t.zones().length > 0 : t.in(j.zone()));
+        }
+        if (!fits) {
+            return "no allowed machine type fits a task";
+        }
+        Settings.Team team = team(j.team());
+        int n = j.shape() == Shape.ARRAY ? 1 : j.tasks();
+        if (over(team.cpusMax(), n * j.cpus()) || over(team.gpusMax(), n * j.gpus())) {
+            return "more than the team's limit";
+        }
+        return null;
+    }
+
+    /** 0 as a limit means that there is none. */
+    public static boolean over(double limit, double use) {
+        return limit > 0 && use > limit + EPS;
+    }
+
+    /** Whether this much of a team's work lies within its guarantee; a dimension without one counts only if it is all. */
+    public boolean guaranteed(int team, double cpus, double gpus) {
+        Settings.Team t = team(team);
+        if (t.gpus() <= 0 && t.cpus() <= 0) {
+            return false;
+        }
+        boolean g = t.gpus() > 0 ? gpus <= t.gpus() + EPS : gpus <= EPS;
+        boolean c = t.cpus() > 0 ? cpus <= t.cpus() + EPS : t.gpus() > 0 && gpus > EPS;
+        return g && c;
+    }
+
+    public static Type type(Names typeNames, Names zones, Map<String, Object> m, String[] f) {
+        List<?> zs = birchusher.core.Fields.list(m, f[8]);
+        int[] z = new int[zs.size()];
+        for (int i = 0; i < z.length; i++) {
+            z[i] = zones.add(String.valueOf(zs.get(i)));
+        }
+        String name = birchusher.core.Fields.text(m, f[0]);
+        return new Type(typeNames.add(name), name, num(m, f[1]), num(m, f[2]), num(m, f[3]), num(m, f[4]),
+                Math.max(1e-3, num(m, f[5])), num(m, f[6]), num(m, f[7]), num(m, f[9]), z);
+    }
+
+    private static double num(Map<String, Object> m, String key) {
+        return birchusher.core.Fields.amountOr(m, key, 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -0,0 +1,81 @@
+package birchusher.placement;
+
+import birchusher.model.Catalog;
+import birchusher.model.JobSpec;
+
+/** Room on a machine as a planner sees it; virtual slots stand for machines that are booting or room about to free. */
+public final class Slot {
+    final String machine;
+    final Catalog.Type type;
+    final int zone;
+    final boolean spot;
+    final long session;
+    final int shard;
+    final double speed;
+    final int[] images;
+    /** In how many ms the room is there; 0: now. */
+    final long etaMs;
+    final boolean real;
+    double cpus;
+    double gpus;
+    double mem;
+    /** Image planned here in this pass, so that several tasks of one image count one fetch. */
+    int planned = -1;
+    int plannedFetches;
+
+    public Slot(String machine, Catalog.Type type, int zone, boolean spot, long session, int shard, double speed,
+            int[] images, long etaMs, boolean real, double cpus, double gpus, double mem) {
+        this.machine = machine;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.session = session;
+        this.shard = shard;
+        this.speed = speed;
+        this.images = images;
+        this.etaMs = etaMs;
+        this.real = real;
+        this.cpus = cpus;
+        this.gpus = gpus;
+        this.mem = mem;
+    }
+
+    boolean allows(JobSpec j) {
+        return j.allows(type.index()) && (j.zone() < 0 || j.zone() == zone) && (!spot || j.spot());
+    }
+
+    boolean fits(JobSpec j) {
+        return j.cpus() <= cpus + Catalog.EPS && j.gpus() <= gpus + Catalog.EPS && j.mem() <= mem + Catalog.EPS;
+    }
+
+    void take(JobSpec j) {
+        cpus -= j.cpus();
+        gpus -= j.gpus();
+        mem -= j.mem();
+        if (!has(j.image())) {
+            planned = j.image();
+            plannedFetches++;
+        }
+    }
+
+    void giveBack(JobSpec j) {
+        cpus += j.cpus();
+        gpus += j.gpus();
+        mem += j.mem();
+    }
+
+    boolean has(int image) {
+        for (int i : images) {
+            if (i == image) {
+                return true;
+            }
+        }
+        return planned == image;
+    }
+
+    /** Expected ms until a task with this image could run here. */
+    double startDelay(JobSpec j) {
+        double fetch = has(j.image()) ? 0 : j.imageGb() / type.fetchGbPerS() * 1000 * (1 + plannedFetches);
+        return etaMs + fetch;
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -0,0 +1,611 @@
+package birchusher.seats;
+
+import birchusher.core.Effects;
+import birchusher.core.Fields;
+import birchusher.model.Catalog;
+import birchusher.settings.Settings;
+import birchusher.settings.Tuning;
+import birchusher.store.Change;
+import birchusher.store.Keys;
+import birchusher.store.StoreLink;
+import birchusher.store.Tx;
+import birchusher.store.View;
+import birchusher.wire.Wire;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Membership and who owns which workers. The seat's lease is the safety bound: nobody answers workers without it.
+ * Heartbeats are only a hint about who is alive, and never decide anything by themselves.
+ */
+public final class Seats {
+    private static final Logger LOG = LoggerFactory.getLogger(Seats.class);
+
+    private final Effects fx;
+    private final Settings settings;
+    private final Catalog catalog;
+    private final View view;
+    private final StoreLink store;
+    private final long leaseMs;
+    private final long suspectMs;
+    private final long settleMs;
+    private final int perZone;
+    private final long startedAt;
+    private final List<Settings.Peer> members = new ArrayList<>();
+    private final long[] heardAt;
+    private final long[] aliveSince;
+    private final boolean[] storeOk;
+    private final long[] badStoreSince;
+    private long lease;
+    private long incarnation;
+    private long goodUntil = -1;
+    private long nextLease;
+    private boolean leaseBusy;
+    private boolean seatBusy;
+    private boolean seated;
+    private final boolean[] giving;
+    private final long[] ownedSince;
+    private final long[] ownedTerm;
+    private final long[] fencedAt;
+    private final long[] lastTake;
+    private boolean taking;
+    public long takeovers;
+
+    public Seats(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Tuning t) {
+        this.fx = fx;
+        this.settings = s;
+        this.catalog = catalog;
+        this.view = view;
+        this.store = store;
+        leaseMs = t.ms("seats.lease-s");
+        suspectMs = t.ms("seats.suspect-s");
+        settleMs = t.ms("seats.settle-s");
+        perZone = (int) Math.max(1, t.num("seats.shards-per-zone"));
+        startedAt = fx.now();
+        members.add(new Settings.Peer(s.member(), s.zone(), s.mesh()));
+        members.addAll(s.peers());
+        heardAt = new long[members.size()];
+        aliveSince = new long[members.size()];
+        storeOk = new boolean[members.size()];
+        badStoreSince = new long[members.size()];
+        java.util.Arrays.fill(heardAt, Long.MIN_VALUE / 2);
+        java.util.Arrays.fill(badStoreSince, -1);
+        int n = s.zones().size() * perZone;
+        giving = new boolean[n];
+        ownedSince = new long[n];
+        ownedTerm = new long[n];
+        fencedAt = new long[n];
+        lastTake = new long[n];
+        java.util.Arrays.fill(lastTake, Long.MIN_VALUE / 2);
+        incarnation = fx.wall();
+    }
+
+    public int shardCount() {
+        return giving.length;
+    }
+
+    public int shardOf(String machine, int zone) {
+        return zone * perZone + Math.floorMod(machine.hashCode() * 0x9E3779B1 >>> 7, perZone);
+    }
+
+    public int zoneOf(int shard) {
+        return shard / perZone;
+    }
+
+    public String shardKey(int shard) {
+        return Keys.SHARD + catalog.zones.name(zoneOf(shard)) + "/" + shard % perZone;
+    }
+
+    public long incarnation() {
+        return incarnation;
+    }
+
+    public int memberCount() {
+        return members.size();
+    }
+
+    public String memberName(int i) {
+        return members.get(i).member();
+    }
+
+    /** Whether our seat certainly still stands in the state service, by our own clock. */
+    public boolean holding() {
+        return seated && fx.now() < goodUntil;
+    }
+
+    public boolean owns(int shard) {
+        return holding() && !giving[shard] && named(shard, settings.member(), incarnation);
+    }
+
+    /** Whether the row names this incarnation of ours, even while we may not act on it. */
+    public boolean mine(int shard) {
+        return named(shard, settings.member(), incarnation);
+    }
+
+    private boolean named(int shard, String member, long inc) {
+        Map<String, Object> row = view.row(shardKey(shard));
+        return row != null && member.equals(row.get("m")) && Fields.countOr(row, "i", 0) == inc;
+    }
+
+    public long term(int shard) {
+        Map<String, Object> row = view.row(shardKey(shard));
+        return row == null ? 0 : Fields.countOr(row, "t", 0);
+    }
+
+    /** The member a shard's row names, or null. */
+    public String owner(int shard) {
+        Map<String, Object> row = view.row(shardKey(shard));
+        return row == null ? null : String.valueOf(row.get("m"));
+    }
+
+    /** The index of a shard's owner if that one still sits in its seat and is heard of, else -1. */
+    public int liveOwner(int shard) {
+        String m = owner(shard);
+        int i = m == null ? -1 : index(m);
+        return i >= 0 && validOwner(shard) && live(i) ? i : -1;
+    }
+
+    /** When we began to own this shard under its present owner row, by the steady clock. */
+    public long ownedSince(int shard) {
+        return ownedSince[shard];
+    }
+
+    /**
+     * When it became certain that no earlier owner can answer this shard's workers any more, or -1. A silent worker's
+     * lease is counted from there at the earliest.
+     */
+    public long fencedAt(int shard) {
+        return fencedAt[shard];
+    }
+
+    public int index(String member) {
+        for (int i = 0; i < members.size(); i++) {
+            if (members.get(i).member().equals(member)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    public boolean live(int i) {
+        return i == 0 || fx.now() - heardAt[i] < suspectMs;
+    }
+
+    private boolean able(int i) {
+        return i == 0 ? store.healthy() : live(i) && storeOk[i];
+    }
+
+    public void heard(int i, boolean itsStoreOk) {
+        if (!live(i)) {
+            aliveSince[i] = fx.now();
+            LOG.info("{} is heard of", memberName(i));
+        }
+        heardAt[i] = fx.now();
+        storeOk[i] = itsStoreOk;
+        if (itsStoreOk) {
+            badStoreSince[i] = -1;
+        } else if (badStoreSince[i] < 0) {
+            badStoreSince[i] = fx.now();
+        }
+    }
+
+    /** Whether another live controller is served by the state service, so that an outage seen here is ours alone. */
+    public boolean othersAreServed() {
+        for (int i = 1; i < members.size(); i++) {
+            if (live(i) && storeOk[i]) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The member that drives this job, by rendezvous; disagreement is harmless. */
+    public boolean drives(String job) {
+        int best = 0;
+        int top = Integer.MIN_VALUE;
+        for (int i = 0; i < members.size(); i++) {
+            if (i == 0 || able(i)) {
+                int h = mix(memberName(i).hashCode() * 31 + job.hashCode());
+                if (h > top) {
+                    top = h;
+                    best = i;
+                }
+            }
+        }
+        return best == 0;
+    }
+
+    private static int mix(int h) {
+        h ^= h >>> 16;
+        h *= 0x85EBCA6B;
+        h ^= h >>> 13;
+        h *= 0xC2B2AE35;
+        return h ^ h >>> 16;
+    }
+
+    // ---- the seat
+
+    public void tick() {
+        long now = fx.now();
+        if (!store.loaded()) {
+            return;
+        }
+        if (lease == 0) {
+            if (!leaseBusy && now >= nextLease) {
+                grant();
+            }
+            return;
+        }
+        if (!leaseBusy && now >= nextLease) {
+            extend();
+        }
+        if (!seated) {
+            if (!seatBusy) {
+                sit();
+            }
+            return;
+        }
+        Map<String, Object> seat = view.row(Keys.SEAT + settings.member());
+        if (seat == null || Fields.countOr(seat, "i", 0) != incarnation || now >= goodUntil) {
+            LOG.error("seat lost, taking a new one");
+            lose();
+            return;
+        }
+        follow(now);
+        if (store.healthy()) {
+            takeWhatIsOurs(now);
+            giveWhatIsNot(now);
+        }
+    }
+
+    private void grant() {
+        leaseBusy = true;
+        long sent = fx.now();
+        nextLease = sent + 1_000;
+        store.lease("POST", Wire.LEASES, Map.of(Wire.TTL, leaseMs), (status, m) -> {
+            leaseBusy = false;
+            if (status == 200) {
+                lease = Fields.count(m, Wire.LEASE);
+                renewed(sent);
+            }
+        });
+    }
+
+    private void renewed(long sent) {
+        goodUntil = sent + (long) (leaseMs * (1 - 2 * Settings.DRIFT)) - 250;
+        nextLease = sent + Math.max(1_000, leaseMs / 9);
+    }
+
+    private void extend() {
+        leaseBusy = true;
+        long sent = fx.now();
+        nextLease = sent + 1_000;
+        long id = lease;
+        store.lease("POST", Wire.LEASES + "/" + id + Wire.EXTEND, Map.of(), (status, m) -> {
+            leaseBusy = false;
+            if (id != lease) {
+                return;
+            }
+            if (status == 200) {
+                renewed(sent);
+            } else if (status == 404) {
+                LOG.error("seat lease ended");
+                lose();
+            }
+        });
+    }
+
+    private void lose() {
+        lease = 0;
+        seated = false;
+        goodUntil = -1;
+        // A new seat is a new incarnation: whoever counted on the old one having ended must stay right.
+        incarnation = Math.max(incarnation + 1, fx.wall());
+    }
+
+    private void sit() {
+        seatBusy = true;
+        long id = lease;
+        long inc = incarnation;
+        store.offer(new Change() {
+            @Override
+            public int rank() {
+                return 0;
+            }
+
+            @Override
+            public int cost() {
+                return 1;
+            }
+
+            @Override
+            public boolean build(Tx tx) {
+                if (lease != id || incarnation != inc) {
+                    return false;
+                }
+                tx.putHeld(Keys.SEAT + settings.member(), Map.of("i", inc), id);
+                return true;
+            }
+
+            @Override
+            public void committed(long revision) {
+                seatBusy = false;
+                if (lease == id && incarnation == inc) {
+                    seated = true;
+                    LOG.info("seat taken, incarnation {}", inc);
+                }
+            }
+
+            @Override
+            public void dropped() {
+                seatBusy = false;
+                if (lease == id) {
+                    lose();
+                }
+            }
+        });
+    }
+
+    // ---- shards
+
+    /** Notes since when we own a shard and when its earlier owners became harmless. */
+    private void follow(long now) {
+        for (int s = 0; s < giving.length; s++) {
+            Map<String, Object> row = view.row(shardKey(s));
+            boolean mine = row != null && named(s, settings.member(), incarnation);
+            if (!mine) {
+                ownedTerm[s] = 0;
+                fencedAt[s] = -1;
+                giving[s] = false;
+                continue;
+            }
+            long since = Fields.countOr(row, "o", 0);
+            if (ownedTerm[s] != since) {
+                ownedTerm[s] = since;
+                ownedSince[s] = now;
+                fencedAt[s] = -1;
+            }
+            if (fencedAt[s] < 0 && priors(row).isEmpty()) {
+                fencedAt[s] = now;
+            }
+        }
+    }
+
+    /** Earlier owners whose seats still stand: they might still answer workers. */
+    private List<Object> priors(Map<String, Object> row) {
+        List<Object> alive = new ArrayList<>();
+        if (row != null && row.get("p") instanceof List<?> l) {
+            for (Object o : l) {
+                String[] p = String.valueOf(o).split("#");
+                if (p.length == 2 && sits(p[0], p[1])) {
+                    alive.add(o);
+                }
+            }
+        }
+        return alive;
+    }
+
+    private boolean sits(String member, String inc) {
+        Map<String, Object> seat = view.row(Keys.SEAT + member);
+        return seat != null && String.valueOf(seat.get("i")).equals(inc);
+    }
+
+    private boolean validOwner(int shard) {
+        Map<String, Object> row = view.row(shardKey(shard));
+        return row != null && sits(String.valueOf(row.get("m")), String.valueOf(row.get("i")));
+    }
+
+    /** The member that should own a shard: one in its zone if any is able, else any. */
+    private int preferred(int shard, boolean hopeful) {
+        String zone = catalog.zones.name(zoneOf(shard));
+        List<Integer> near = new ArrayList<>();
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < members.size(); i++) {
+            // Young controllers count on the others to be starting as well.
+            boolean maybe = able(i) || hopeful;
+            if (maybe) {
+                all.add(i);
+                if (members.get(i).zone().equals(zone)) {
+                    near.add(i);
+                }
+            }
+        }
+        List<Integer> from = near.isEmpty() ? all : near;
+        from.sort((a, b) -> memberName(a).compareTo(memberName(b)));
+        return from.isEmpty() ? -1 : from.get(shard % from.size());
+    }
+
+    private void takeWhatIsOurs(long now) {
+        if (taking) {
+            return;
+        }
+        boolean hopeful = now - startedAt < suspectMs + 500;
+        List<Integer> take = new ArrayList<>();
+        for (int s = 0; s < giving.length; s++) {
+            if (owns(s) || giving[s] || preferred(s, hopeful) != 0) {
+                continue;
+            }
+            String owner = owner(s);
+            int o = owner == null ? -1 : index(owner);
+            boolean orphan = owner == null || !validOwner(s) || o == 0;
+            boolean silent = o > 0 && !live(o) && !hopeful;
+            boolean unserved = o > 0 && badStoreSince[o] >= 0 && now - badStoreSince[o] > 4_000;
+            if (orphan || silent || unserved) {
+                take.add(s);
+            }
+        }
+        if (!take.isEmpty()) {
+            take(take);
+        }
+    }
+
+    /** Workers of a foreign shard keep coming to us: their owner can't be reached by them. */
+    public void pressed(int shard) {
+        long now = fx.now();
+        if (!taking && store.healthy() && holding() && !owns(shard) && now - lastTake[shard] > 15_000) {
+            LOG.info("workers of shard {} can't reach their owner", shard);
+            lastTake[shard] = now;
+            take(List.of(shard));
+        }
+    }
+
+    /** A higher term for a shard of ours fences commands that may still be under way. */
+    public void raise(int shard) {
+        if (!taking && owns(shard) && fx.now() - lastTake[shard] > 2_000) {
+            take(List.of(shard));
+        }
+    }
+
+    private void take(List<Integer> shards) {
+        taking = true;
+        long[] versions = shards.stream().mapToLong(s -> view.version(shardKey(s))).toArray();
+        store.offer(new ShardChange(0) {
+            @Override
+            boolean write(Tx tx) {
+                if (!seated) {
+                    return false;
+                }
+                tx.require(Keys.SEAT + settings.member());
+                long term = lastTerm();
+                int n = 0;
+                for (int i = 0; i < versions.length && n + 2 <= settings.txnOps(); i++) {
+                    int s = shards.get(i);
+                    if (view.version(shardKey(s)) != versions[i]) {
+                        // Somebody else moved it since we decided to.
+                        continue;
+                    }
+                    Map<String, Object> old = view.row(shardKey(s));
+                    List<Object> before = priors(old);
+                    boolean ours = named(s, settings.member(), incarnation);
+                    if (old != null && !ours) {
+                        String p = old.get("m") + "#" + old.get("i");
+                        if (sits(String.valueOf(old.get("m")), String.valueOf(old.get("i"))) && !before.contains(p)) {
+                            before.add(p);
+                        }
+                    }
+                    term++;
+                    tx.put(shardKey(s), row(settings.member(), incarnation, term,
+                            ours ? Fields.countOr(old, "o", term) : term, before));
+                    lastTake[s] = fx.now();
+                    n++;
+                }
+                if (n == 0) {
+                    return false;
+                }
+                tx.put(Keys.TERM, Map.of("t", term));
+                return true;
+            }
+
+            @Override
+            public int cost() {
+                return Math.min(settings.txnOps(), shards.size() + 1);
+            }
+
+            @Override
+            void over(boolean ok) {
+                taking = false;
+                if (ok) {
+                    takeovers++;
+                    LOG.info("shards {} are ours, term {}", shards, lastTerm());
+                    follow(fx.now());
+                }
+            }
+        });
+    }
+
+    private void giveWhatIsNot(long now) {
+        for (int s = 0; s < giving.length; s++) {
+            if (!owns(s) || taking) {
+                continue;
+            }
+            int p = preferred(s, false);
+            Map<String, Object> seat = p <= 0 ? null : view.row(Keys.SEAT + memberName(p));
+            if (seat == null || now - aliveSince[p] < settleMs || now - ownedSince[s] < settleMs) {
+                continue;
+            }
+            give(s, memberName(p), Fields.countOr(seat, "i", 0));
+        }
+    }
+
+    /** We stop answering first and write after: the new owner then has nobody to wait for. */
+    private void give(int shard, String to, long inc) {
+        giving[shard] = true;
+        LOG.info("handing shard {} to {}", shard, to);
+        store.offer(new ShardChange(1) {
+            @Override
+            boolean write(Tx tx) {
+                Map<String, Object> old = view.row(shardKey(shard));
+                if (!named(shard, settings.member(), incarnation) || !sits(to, String.valueOf(inc))) {
+                    return false;
+                }
+                tx.require(Keys.SEAT + to);
+                long term = lastTerm() + 1;
+                tx.put(shardKey(shard), row(to, inc, term, term, priors(old)));
+                tx.put(Keys.TERM, Map.of("t", term));
+                return true;
+            }
+
+            @Override
+            public int cost() {
+                return 2;
+            }
+
+            @Override
+            void over(boolean ok) {
+                giving[shard] = false;
+            }
+        });
+    }
+
+    private long lastTerm() {
+        Map<String, Object> row = view.row(Keys.TERM);
+        return row == null ? 0 : Fields.countOr(row, "t", 0);
+    }
+
+    private static Map<String, Object> row(String member, long inc, long term, long since, List<Object> priors) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("m", member);
+        m.put("i", inc);
+        m.put("t", term);
+        m.put("o", since);
+        m.put("p", priors);
+        return m;
+    }
+
+    /** Changes of shards share the term counter, so only one of them goes into a transaction. */
+    private abstract static class ShardChange implements Change {
+        private final int rank;
+
+        ShardChange(int rank) {
+            this.rank = rank;
+        }
+
+        abstract boolean write(Tx tx);
+
+        abstract void over(boolean ok);
+
+        @Override
+        public int rank() {
+            return rank;
+        }
+
+        @Override
+        public boolean build(Tx tx) {
+            return !tx.writes(Keys.TERM) && write(tx);
+        }
+
+        @Override
+        public void committed(long revision) {
+            over(true);
+        }
+
+        @Override
+        public void dropped() {
+            over(false);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/settings/SettingsReader.java
@@ -0,0 +1,132 @@
+package birchusher.settings;
+
+import birchusher.core.Fields;
+import birchusher.core.Fields.Bad;
+import birchusher.settings.Settings.Address;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the platform's JSON file. Unknown fields are ignored; a bad one is named. */
+public final class SettingsReader {
+    private SettingsReader() { }
+
+    public static Settings read(byte[] json) {
+        Map<String, Object> top = Fields.map(tree(json), "settings");
+        Map<String, Object> dep = section(top, "deployment");
+        Map<String, Object> ext = section(top, "external");
+        Map<String, Object> workers = section(dep, "workers");
+        Map<String, Object> state = section(dep, "state");
+        Map<String, Object> cloud = section(dep, "cloud");
+        Map<String, Object> res = section(dep, "resources");
+        List<Settings.Peer> peers = new ArrayList<>();
+        for (Object o : Fields.list(top, "seeds")) {
+            Map<String, Object> m = Fields.map(o, "seeds");
+            peers.add(new Settings.Peer(Fields.text(m, "member"), Fields.text(m, "area"), address(m, "peer_addr")));
+        }
+        List<String> zones = new ArrayList<>();
+        for (Object o : Fields.list(dep, "zones")) {
+            if (!(o instanceof String s)) {
+                throw new Bad("deployment.zones: not text");
+            }
+            zones.add(s);
+        }
+        List<Settings.Team> teams = new ArrayList<>();
+        for (Object o : Fields.list(dep, "teams")) {
+            Map<String, Object> m = Fields.map(o, "teams");
+            teams.add(new Settings.Team(Fields.text(m, "name"), Fields.amountOr(m, "cpus", 0),
+                    Fields.amountOr(m, "cpus_max", 0), Fields.amountOr(m, "gpus", 0), Fields.amountOr(m, "gpus_max", 0)));
+        }
+        List<Settings.Objective> objectives = new ArrayList<>();
+        if (dep.get("objectives") != null) {
+            for (Object o : Fields.list(dep, "objectives")) {
+                Map<String, Object> m = Fields.map(o, "objectives");
+                objectives.add(new Settings.Objective(Fields.text(m, "kind"), Fields.textOrNull(m, "class"),
+                        Fields.amountOr(m, "within_s", 0), Fields.amountOr(m, "share", 0)));
+            }
+        }
+        return new Settings(Fields.text(top, "member"), Fields.text(top, "area"), address(top, "listen"),
+                address(top, "mesh_addr"), List.copyOf(peers), address(ext, "cloud"), address(ext, "state"),
+                List.copyOf(zones), List.copyOf(teams), List.copyOf(objectives),
+                positive(workers, "report_s"), positive(workers, "lease_s"), Fields.amount(workers, "gang_wait_s"),
+                Fields.amount(workers, "gang_peer_s"), Fields.amount(workers, "cancel_s"),
+                positive(state, "rps"), positive(state, "write_rps"), positive(state, "value_kb"),
+                (int) positive(state, "txn_ops"), positive(cloud, "rps"), Fields.amount(cloud, "list_lag_s"),
+                (int) positive(res, "max_connections"), Fields.amountOr(dep, "clock_off_ms", 1000));
+    }
+
+    /** Any JSON as maps, lists, text, numbers and booleans. */
+    public static Object tree(byte[] json) {
+        try (JsonParser p = new JsonFactory().createParser(json)) {
+            p.nextToken();
+            return value(p);
+        } catch (IOException e) {
+            throw new Bad("not JSON: " + e.getClass().getSimpleName());
+        }
+    }
+
+    private static Map<String, Object> section(Map<String, Object> m, String key) {
+        return Fields.map(m.get(key), key);
+    }
+
+    private static double positive(Map<String, Object> m, String key) {
+        double d = Fields.amount(m, key);
+        if (d <= 0) {
+            throw new Bad(key + ": must be above 0");
+        }
+        return d;
+    }
+
+    private static Address address(Map<String, Object> m, String key) {
+        return parse(Fields.text(m, key), key);
+    }
+
+    public static Address parse(String s, String key) {
+        int colon = s.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(s.substring(colon + 1));
+            if (colon > 0 && port > 0 && port < 65536) {
+                return new Address(s.substring(0, colon), port);
+            }
+        } catch (NumberFormatException e) {
+            // falls through to the same complaint
+        }
+        throw new Bad(key + ": not host:port");
+    }
+
+    private static Object value(JsonParser p) throws IOException {
+        JsonToken t = p.currentToken();
+        if (t == null) {
+            throw new Bad("settings: empty");
+        }
+        return switch (t) {
+            case START_OBJECT -> {
+                Map<String, Object> m = new HashMap<>();
+                while (p.nextToken() != JsonToken.END_OBJECT) {
+                    String key = p.currentName();
+                    p.nextToken();
+                    m.put(key, value(p));
+                }
+                yield m;
+            }
+            case START_ARRAY -> {
+                List<Object> l = new ArrayList<>();
+                while (p.nextToken() != JsonToken.END_ARRAY) {
+                    l.add(value(p));
+                }
+                yield l;
+            }
+            case VALUE_STRING -> p.getText();
+            case VALUE_NUMBER_INT -> p.getLongValue();
+            case VALUE_NUMBER_FLOAT -> p.getDoubleValue();
+            case VALUE_TRUE -> Boolean.TRUE;
+            case VALUE_FALSE -> Boolean.FALSE;
+            default -> null;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/store/Change.java
@@ -0,0 +1,33 @@
+package birchusher.store;
+
+import java.util.Set;
+
+/**
+ * One intended change of the store. It is written down as a function of the current view, so that after a conflict or
+ * an unclear answer it is simply worked out again; conditions make late transactions harmless.
+ */
+public interface Change {
+    /** Lower goes first. */
+    int rank();
+
+    /** At most this many rows are written. */
+    int cost();
+
+    /** Adds conditions and writes; false when there is nothing left to do. */
+    boolean build(Tx tx);
+
+    void committed(long revision);
+
+    /** {@code build} said that there is nothing left to do, or the change expired. */
+    void dropped();
+
+    /** These conditions failed; true if the change is settled by that and needs no second try. */
+    default boolean refused(Set<String> failedKeys) {
+        return false;
+    }
+
+    /** Steady time after which it is not worth sending any more. */
+    default long expires() {
+        return Long.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/store/Chunk.java
@@ -0,0 +1,97 @@
+package birchusher.store;
+
+import birchusher.core.Fields;
+import birchusher.core.Fields.Bad;
+import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The placement of a run of a job's tasks: done set, claims and the last attempt number given out. */
+public final class Chunk {
+    public final Job job;
+    public final int index;
+    public final BitSet done = new BitSet();
+    public final Int2ObjectMap<Claim> claims = new Int2ObjectOpenHashMap<>();
+    /** Never goes down: an attempt number is not used twice. */
+    public long attempts;
+    /** Starts of tasks that had to be repeated, for operators. */
+    public long restarts;
+    /** Errors in a row; slows the job down, see the driver. */
+    public long errors;
+
+    public Chunk(Job job, int index) {
+        this.job = job;
+        this.index = index;
+    }
+
+    public Chunk copy() {
+        Chunk c = new Chunk(job, index);
+        c.done.or(done);
+        c.claims.putAll(claims);
+        c.attempts = attempts;
+        c.restarts = restarts;
+        c.errors = errors;
+        return c;
+    }
+
+    public int size() {
+        return Math.min(job.chunkSize, job.spec.tasks() - index * job.chunkSize);
+    }
+
+    public boolean full() {
+        return done.cardinality() >= size();
+    }
+
+    public Map<String, Object> write() {
+        int base = index * job.chunkSize;
+        StringBuilder hex = new StringBuilder();
+        for (long w : done.toLongArray()) {
+            hex.append(hex.isEmpty() ? "" : ",").append(Long.toHexString(w));
+        }
+        StringBuilder sb = new StringBuilder();
+        for (Claim c : claims.values()) {
+            sb.append(sb.isEmpty() ? "" : ";").append(c.task() - base).append(':').append(c.attempt()).append(':')
+                    .append(c.machine()).append(':').append(c.session()).append(':').append(c.shard());
+        }
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("a", attempts);
+        m.put("r", restarts);
+        m.put("e", errors);
+        m.put("d", hex.toString());
+        m.put("c", sb.toString());
+        return m;
+    }
+
+    public static Chunk read(Job job, int index, Map<String, Object> m) {
+        Chunk c = new Chunk(job, index);
+        int base = index * job.chunkSize;
+        c.attempts = Fields.count(m, "a");
+        c.restarts = Fields.countOr(m, "r", 0);
+        c.errors = Fields.countOr(m, "e", 0);
+        try {
+            String d = (String) m.get("d");
+            if (!d.isEmpty()) {
+                String[] words = d.split(",");
+                long[] l = new long[words.length];
+                for (int i = 0; i < l.length; i++) {
+                    l[i] = Long.parseUnsignedLong(words[i], 16);
+                }
+                c.done.or(BitSet.valueOf(l));
+            }
+            String s = (String) m.get("c");
+            if (!s.isEmpty()) {
+                for (String one : s.split(";")) {
+                    String[] p = one.split(":");
+                    int task = base + Integer.parseInt(p[0]);
+                    c.claims.put(task, new Claim(job, task, Long.parseLong(p[1]), p[2], Long.parseLong(p[3]),
+                            Integer.parseInt(p[4])));
+                }
+            }
+        } catch (RuntimeException e) {
+            throw new Bad("placement row of " + job.spec.id() + ": unreadable");
+        }
+        return c;
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/store/View.java
@@ -0,0 +1,266 @@
+package birchusher.store;
+
+import birchusher.core.Fields;
+import birchusher.model.Catalog;
+import birchusher.wire.JobCodec;
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This controller's copy of the live rows. Rows carry their versions, so that events, listings and own commits may
+ * arrive in any order: the newest version of a row wins. Use of teams and machines is derived from the rows here and
+ * never counted apart from them.
+ */
+public final class View {
+    private static final Logger LOG = LoggerFactory.getLogger(View.class);
+    private static final int ENDED_KEPT = 20_000;
+
+    /** How a job ended; {@code done} false means cancelled. */
+    public record Ended(boolean done, int tasks) { }
+
+    private final Catalog catalog;
+    private final JobCodec codec;
+    private final Object2LongOpenHashMap<String> versions = new Object2LongOpenHashMap<>();
+    private final Object2LongOpenHashMap<String> removed = new Object2LongOpenHashMap<>();
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final Map<String, Map<String, Object>> rows = new TreeMap<>();
+    private final Map<String, Map<String, Claim>> byMachine = new HashMap<>();
+    /** Placement rows that came before their job's row (listing order). */
+    private final Map<String, Map<String, Object>> orphans = new HashMap<>();
+    private final LinkedHashMap<String, Ended> ended = new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Ended> e) {
+            return size() > ENDED_KEPT;
+        }
+    };
+    private final double[] cpus;
+    private final double[] gpus;
+    private long applied;
+    private long changes;
+    private Consumer<String> touched = m -> { };
+
+    public View(Catalog catalog, JobCodec codec) {
+        this.catalog = catalog;
+        this.codec = codec;
+        cpus = new double[catalog.teams.size()];
+        gpus = new double[catalog.teams.size()];
+    }
+
+    /** Told of each machine whose claims, or whose claims' jobs, changed. */
+    public void onTouched(Consumer<String> c) {
+        touched = c;
+    }
+
+    /** Every change up to this revision is in. */
+    public long applied() {
+        return applied;
+    }
+
+    public void applied(long revision) {
+        if (revision > applied) {
+            applied = revision;
+            if (removed.size() > 4096) {
+                removed.object2LongEntrySet().removeIf(e -> e.getLongValue() <= applied);
+            }
+        }
+    }
+
+    /** Counts changes, so that planning can tell whether anything is new. */
+    public long changes() {
+        return changes;
+    }
+
+    /** The version of a row as known here, 0 if it does not exist. */
+    public long version(String key) {
+        return versions.getLong(key);
+    }
+
+    public Map<String, Object> row(String key) {
+        return rows.get(key);
+    }
+
+    public Map<String, Map<String, Object>> rows() {
+        return rows;
+    }
+
+    public Collection<Job> jobs() {
+        return jobs.values();
+    }
+
+    public Job job(String id) {
+        return jobs.get(id);
+    }
+
+    public Ended ended(String id) {
+        return ended.get(id);
+    }
+
+    public Map<String, Claim> claims(String machine) {
+        return byMachine.getOrDefault(machine, Map.of());
+    }
+
+    public Collection<String> claimedMachines() {
+        return byMachine.keySet();
+    }
+
+    public double cpusOf(int team) {
+        return cpus[team];
+    }
+
+    public double gpusOf(int team) {
+        return gpus[team];
+    }
+
+    public static Map<String, Object> endedRow(boolean done, int tasks) {
+        return Map.of("s", done ? "done" : "cancelled", "n", tasks);
+    }
+
+    public void put(String key, Map<String, Object> value, long version) {
+        if (version <= versions.getLong(key) || version <= removed.getLong(key)) {
+            return;
+        }
+        if (key.startsWith(Keys.END)) {
+            ended.put(key.substring(Keys.END.length()), readEnded(value));
+            return;
+        }
+        changes++;
+        versions.put(key, version);
+        removed.removeLong(key);
+        try {
+            if (key.startsWith(Keys.JOB)) {
+                putJob(key.substring(Keys.JOB.length()), value, version);
+            } else if (key.startsWith(Keys.PLACE)) {
+                putPlace(key, value);
+            } else {
+                rows.put(key, value);
+            }
+        } catch (Fields.Bad | JobCodec.Never e) {
+            LOG.error("row {} ignored: {}", key, e.getMessage());
+        }
+    }
+
+    public static Ended readEnded(Map<String, Object> value) {
+        return new Ended("done".equals(value.get("s")), (int) Fields.countOr(value, "n", 0));
+    }
+
+    public void remove(String key, long version) {
+        if (version <= versions.getLong(key)) {
+            return;
+        }
+        changes++;
+        versions.removeLong(key);
+        removed.put(key, Math.max(version, removed.getLong(key)));
+        if (key.startsWith(Keys.JOB)) {
+            Job j = jobs.remove(key.substring(Keys.JOB.length()));
+            if (j != null) {
+                j.chunks.forEach(this::uncount);
+            }
+        } else if (key.startsWith(Keys.PLACE)) {
+            orphans.remove(key);
+            int slash = key.lastIndexOf('/');
+            Job j = jobs.get(key.substring(Keys.PLACE.length(), slash));
+            if (j != null) {
+                int i = Integer.parseInt(key.substring(slash + 1));
+                uncount(j.chunks.get(i));
+                j.chunks.set(i, null);
+            }
+        } else {
+            rows.remove(key);
+        }
+    }
+
+    /** Drops everything but ended jobs, before the rows are read again. */
+    public void clear() {
+        versions.clear();
+        removed.clear();
+        jobs.clear();
+        rows.clear();
+        byMachine.clear();
+        orphans.clear();
+        java.util.Arrays.fill(cpus, 0);
+        java.util.Arrays.fill(gpus, 0);
+        applied = 0;
+        changes++;
+    }
+
+    private void putJob(String id, Map<String, Object> value, long version) {
+        Job old = jobs.get(id);
+        Job.State state = Job.State.valueOf(Fields.text(value, "s"));
+        Job j = old != null
+                ? new Job(old.spec, old.chunkSize, old.acceptedAt, state, old.age)
+                : new Job(codec.read(Fields.map(value.get("j"), "j")), (int) Math.max(1, Fields.count(value, "k")),
+                        Fields.count(value, "t"), state, version);
+        jobs.put(id, j);
+        if (old != null) {
+            for (Chunk c : old.chunks) {
+                if (c != null) {
+                    uncount(c);
+                    Chunk n = Chunk.read(j, c.index, c.write());
+                    j.chunks.set(c.index, n);
+                    count(n);
+                }
+            }
+        } else {
+            for (int i = 0; i < j.chunks.size(); i++) {
+                Map<String, Object> waiting = orphans.remove(Keys.place(id, i));
+                if (waiting != null) {
+                    putPlace(Keys.place(id, i), waiting);
+                }
+            }
+        }
+    }
+
+    private void putPlace(String key, Map<String, Object> value) {
+        int slash = key.lastIndexOf('/');
+        Job j = jobs.get(key.substring(Keys.PLACE.length(), slash));
+        if (j == null) {
+            orphans.put(key, value);
+            return;
+        }
+        int i = Integer.parseInt(key.substring(slash + 1));
+        Chunk next = Chunk.read(j, i, value);
+        uncount(j.chunks.get(i));
+        j.chunks.set(i, next);
+        count(next);
+    }
+
+    private void count(Chunk c) {
+        for (Claim x : c.claims.values()) {
+            cpus[c.job.spec.team()] += c.job.spec.cpus();
+            gpus[c.job.spec.team()] += c.job.spec.gpus();
+            byMachine.computeIfAbsent(x.machine(), k -> new LinkedHashMap<>()).put(x.key(), x);
+            touched.accept(x.machine());
+        }
+    }
+
+    private void uncount(Chunk c) {
+        if (c == null) {
+            return;
+        }
+        for (Claim x : c.claims.values()) {
+            cpus[c.job.spec.team()] -= c.job.spec.cpus();
+            gpus[c.job.spec.team()] -= c.job.spec.gpus();
+            Map<String, Claim> on = byMachine.get(x.machine());
+            if (on != null) {
+                on.remove(x.key());
+                if (on.isEmpty()) {
+                    byMachine.remove(x.machine());
+                }
+            }
+            touched.accept(x.machine());
+        }
+    }
+
+    public Catalog catalog() {
+        return catalog;
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/workers/Counters.java
@@ -0,0 +1,42 @@
+package birchusher.workers;
+
+import org.HdrHistogram.Histogram;
+
+/** What operators want counted; logged at intervals. */
+public final class Counters {
+    public long renewed;
+    public long atCap;
+    public long lapsed;
+    public long speedLimited;
+    public long refused;
+    public long stops;
+    public long errors;
+    public long condemned;
+    public long notices;
+    public long done;
+    public long restarts;
+    public long claims;
+    public long rentals;
+    public long returns;
+    private final Histogram waits = new Histogram(3_600_000L, 2);
+
+    public void started(long waitMs) {
+        waits.recordValue(Math.max(0, Math.min(3_600_000L, waitMs)));
+    }
+
+    public void outcome(boolean finished) {
+        if (finished) {
+            done++;
+        } else {
+            restarts++;
+        }
+    }
+
+    public String line() {
+        return "renewed=" + renewed + " at_cap=" + atCap + " lapsed=" + lapsed + " speed_limited=" + speedLimited
+                + " refused=" + refused + " stops=" + stops + " errors=" + errors + " condemned=" + condemned
+                + " notices=" + notices + " done=" + done + " restarts=" + restarts + " claims=" + claims + " rentals="
+                + rentals + " returns=" + returns + " wait_p50_ms=" + waits.getValueAtPercentile(50) + " wait_p95_ms="
+                + waits.getValueAtPercentile(95);
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -0,0 +1,86 @@
+package birchusher.workers;
+
+import birchusher.lease.MachineSpeed;
+import birchusher.lease.TaskLease;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** What an owner knows about one of its machines. All of it can be learnt again from reports and the store. */
+public final class Machine {
+    /** One attempt here, as far as this owner has followed it. */
+    static final class Run {
+        TaskLease lease;
+        boolean shown;
+        long startedAt;
+        boolean countedAtCap;
+        boolean ended;
+    }
+
+    /** A wish to stop an attempt. */
+    static final class Stop {
+        final double graceS;
+        final String reason;
+        final long since;
+
+        Stop(double graceS, String reason, long since) {
+            this.graceS = graceS;
+            this.reason = reason;
+            this.since = since;
+        }
+    }
+
+    record Reservation(String attemptKey, double cpus, double gpus, double mem, long until) { }
+
+    final String name;
+    final int shard;
+    int zone = -1;
+    int type = -1;
+    boolean spot;
+    String address;
+    long session;
+    long seq;
+    /** Highest token the worker has shown to us. */
+    long token;
+    /** When the last answered report came in, or the moment our ownership began to count. */
+    long answeredAt = -1;
+    long heardAt = -1;
+    final long knownSince;
+    long noticeAt = -1;
+    Map<String, Entry> entries = new LinkedHashMap<>();
+    final Map<String, Run> runs = new HashMap<>();
+    final Map<String, Stop> stops = new HashMap<>();
+    /** Starts sent straight to the worker and not answered: they may still arrive. Value: token they carried. */
+    final Map<String, long[]> loose = new HashMap<>();
+    final Map<String, Reservation> reserved = new HashMap<>();
+    final Set<String> outcomes = new HashSet<>();
+    final Set<String> errorJobs = new HashSet<>();
+    final ArrayDeque<Integer> images = new ArrayDeque<>();
+    MachineSpeed speed = new MachineSpeed();
+    boolean calling;
+    boolean dirty;
+    boolean condemned;
+    boolean leaving;
+    boolean gone;
+    long quarantineUntil;
+    long idleSince = -1;
+    long deadSession = -1;
+    int lapses;
+
+    Machine(String name, int shard, long now) {
+        this.name = name;
+        this.shard = shard;
+        this.knownSince = now;
+    }
+
+    void image(int i, int keep) {
+        images.remove((Integer) i);
+        images.addFirst(i);
+        while (images.size() > keep) {
+            images.removeLast();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -0,0 +1,835 @@
+package birchusher.workers;
+
+import birchusher.core.Effect.Target;
+import birchusher.core.Effects;
+import birchusher.core.Fields;
+import birchusher.lease.LeaseTerms;
+import birchusher.lease.Speeds;
+import birchusher.lease.TaskLease;
+import birchusher.model.Catalog;
+import birchusher.model.JobSpec;
+import birchusher.seats.Seats;
+import birchusher.settings.Settings;
+import birchusher.settings.Tuning;
+import birchusher.store.Change;
+import birchusher.store.Chunk;
+import birchusher.store.Claim;
+import birchusher.store.Job;
+import birchusher.store.StoreLink;
+import birchusher.store.Tx;
+import birchusher.store.View;
+import birchusher.wire.Wire;
+import birchusher.workers.Machine.Run;
+import birchusher.workers.Machine.Stop;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The workers this controller owns: their reports, the commands they get, and the proofs that tasks are gone. A claim
+ * leaves the store only through {@link #release}, and each caller of it names its proof.
+ */
+public final class Yard {
+    private static final Logger LOG = LoggerFactory.getLogger(Yard.class);
+    /** On top of a worker's lease and the clocks' drift, before a silent worker counts as having dropped its tasks. */
+    private static final long LEASE_MARGIN_MS = 1_000;
+    private static final long DO_TIMEOUT_MS = 3_000;
+
+    /** Events that other slices want to hear of. */
+    public interface Listener {
+        void stopGang(Job job, double graceS, String reason);
+    }
+
+    private final Effects fx;
+    private final Settings settings;
+    private final Catalog catalog;
+    private final View view;
+    private final StoreLink store;
+    private final Seats seats;
+    private final LeaseTerms terms;
+    private final Speeds speeds;
+    private final Counters counters;
+    private final Listener listener;
+    private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final Map<String, Long> redirected = new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> e) {
+            return size() > 5_000;
+        }
+    };
+    private final List<Machine> dirty = new ArrayList<>();
+    private final long quarantineMs;
+    private final long reserveMs;
+    private long nextSweep;
+    private long nextLeaseSweep;
+
+    public Yard(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Speeds speeds, Tuning t,
+            Counters counters, Listener listener) {
+        this.fx = fx;
+        this.settings = s;
+        this.catalog = catalog;
+        this.view = view;
+        this.store = store;
+        this.seats = seats;
+        this.speeds = speeds;
+        this.counters = counters;
+        this.listener = listener;
+        terms = LeaseTerms.from(t);
+        quarantineMs = t.ms("workers.quarantine-s");
+        reserveMs = t.ms("placement.reserve-s");
+        view.onTouched(this::touch);
+    }
+
+    private void touch(String machine) {
+        Machine m = machines.get(machine);
+        if (m != null && !m.dirty) {
+            m.dirty = true;
+            dirty.add(m);
+        }
+    }
+
+    // ---- reports
+
+    public void hello(long exchange, Map<String, Object> body) {
+        Report r = Report.read(body);
+        int zone = catalog.zones.find(r.zone());
+        if (!store.loaded() || !seats.holding() || zone < 0) {
+            fx.later(exchange, 503, 1);
+            return;
+        }
+        int shard = seats.shardOf(r.machine(), zone);
+        if (!seats.owns(shard)) {
+            redirect(exchange, r.machine(), shard);
+            return;
+        }
+        long term = seats.term(shard);
+        if (r.token() > term) {
+            // Someone holds a higher term than we know of: an answer of ours would be dropped and hold the worker here.
+            fx.later(exchange, 503, 1);
+            return;
+        }
+        Machine m = machine(r.machine(), shard);
+        boolean newer = take(m, r, zone);
+        if (newer) {
+            m.answeredAt = fx.now();
+        }
+        fx.answer(exchange, 200, Map.of(Wire.TOKEN, term, Wire.COMMANDS, newer ? orders(m, false) : List.of()));
+    }
+
+    private void redirect(long exchange, String machine, int shard) {
+        int owner = seats.liveOwner(shard);
+        if (owner <= 0) {
+            fx.later(exchange, 503, 1);
+            return;
+        }
+        long now = fx.now();
+        Long before = redirected.put(machine, now);
+        if (before != null && now - before > 3_000 && now - before < 15_000) {
+            // Sent away, it could not report there, and is back.
+            seats.pressed(shard);
+        }
+        fx.answer(exchange, 421, Map.of(Wire.REPORT_TO, seats.memberName(owner)));
+    }
+
+    private Machine machine(String name, int shard) {
+        return machines.computeIfAbsent(name, n -> {
+            Machine m = new Machine(n, shard, fx.now());
+            Picture p = inherited.get(n);
+            if (p != null) {
+                m.speed = new birchusher.lease.MachineSpeed(p.speed());
+                for (int i = p.images().length - 1; i >= 0; i--) {
+                    m.image(p.images()[i], 64);
+                }
+                m.condemned = p.condemned();
+            }
+            return m;
+        });
+    }
+
+    /** Pictures of other owners' machines, so that a new owner starts from what the old one knew. */
+    private Map<String, Picture> inherited = Map.of();
+
+    public void inherit(Map<String, Picture> pictures) {
+        inherited = pictures;
+    }
+
+    /** Takes a report if it is newer than the last one. */
+    private boolean take(Machine m, Report r, int zone) {
+        if (r.session() < m.session || r.session() == m.session && r.seq() <= m.seq) {
+            return false;
+        }
+        if (r.session() > m.session && m.session > 0) {
+            LOG.info("machine {} session {} follows {}", m.name, r.session(), m.session);
+            m.runs.clear();
+            m.stops.clear();
+            m.loose.clear();
+        }
+        if (m.heardAt < 0) {
+            LOG.info("machine {} reports: {} in {}, session {}, {} tasks", m.name, r.type(), r.zone(), r.session(),
+                    r.tasks().size());
+        }
+        m.session = r.session();
+        m.seq = r.seq();
+        m.token = Math.max(m.token, r.token());
+        m.address = r.address();
+        m.zone = zone;
+        m.type = catalog.typeNames.add(r.type());
+        m.spot = r.spot();
+        m.heardAt = fx.now();
+        long tokenNow = m.token;
+        m.loose.values().removeIf(l -> l[1] < tokenNow);
+        if (r.noticeS() >= 0 && m.noticeAt < 0) {
+            m.noticeAt = fx.now() + Math.round(r.noticeS() * 1000);
+            counters.notices++;
+            LOG.info("machine {} will be taken back in {} s", m.name, r.noticeS());
+        }
+        m.entries = r.tasks();
+        reconcile(m);
+        return true;
+    }
+
+    // ---- what the report and the records say together
+
+    private void reconcile(Machine m) {
+        long now = fx.now();
+        boolean any = false;
+        for (Claim c : List.copyOf(view.claims(m.name).values())) {
+            String ak = c.key() + "#" + c.attempt();
+            if (c.session() < m.session) {
+                release(c, Outcome.LOST, "a later session");
+                continue;
+            }
+            any = true;
+            Entry e = m.entries.get(ak);
+            if (e == null) {
+                Run run = m.runs.get(ak);
+                if (run != null && run.shown && !m.loose.containsKey(ak)) {
+                    release(c, Outcome.LOST, "absent from a newer report");
+                } else if (unwanted(c) && !m.loose.containsKey(ak) && m.token >= seats.term(m.shard)) {
+                    // Never shown, and nothing of ours or of an earlier owner is under way any more.
+                    release(c, Outcome.NOT_STARTED, "not started");
+                }
+                continue;
+            }
+            Run run = m.runs.computeIfAbsent(ak, k -> newRun(m, c.job().spec, now));
+            run.shown = true;
+            if (e.exited()) {
+                exited(m, c, e, run);
+            } else {
+                follow(m, c, e, run, now);
+            }
+        }
+        m.stops.keySet().retainAll(m.entries.keySet());
+        for (Entry e : m.entries.values()) {
+            any |= !e.exited();
+        }
+        m.idleSince = any ? -1 : m.idleSince < 0 ? now : m.idleSince;
+        if (m.noticeAt >= 0) {
+            drain(m, now);
+        }
+    }
+
+    private Run newRun(Machine m, JobSpec j, long now) {
+        Run run = new Run();
+        Catalog.Type t = catalog.type(m.type);
+        long fetch = t == null || m.images.contains(j.image()) ? 0 : Math.round(j.imageGb() / t.fetchGbPerS() * 1000);
+        run.startedAt = now;
+        run.lease = new TaskLease(terms, now, fetch, terms.cap(j, fetch));
+        return run;
+    }
+
+    private void follow(Machine m, Claim c, Entry e, Run run, long now) {
+        boolean running = e.phase() == Entry.Phase.RUNNING || e.phase() == Entry.Phase.SAVING;
+        boolean before = run.lease.runningSince() >= 0;
+        TaskLease.Renewal got = run.lease.report(now, running);
+        if (e.phase() != Entry.Phase.FETCHING) {
+            m.image(c.job().spec.image(), 64);
+        }
+        if (running && !before) {
+            counters.started(fx.wall() - c.job().acceptedAt);
+            LOG.info("task {} attempt {} runs on {}", c.key(), c.attempt(), m.name);
+        }
+        if (got == TaskLease.Renewal.GRANTED) {
+            counters.renewed++;
+        } else if (got == TaskLease.Renewal.AT_CAP && !run.countedAtCap) {
+            run.countedAtCap = true;
+            counters.atCap++;
+            atCap(m, c, run, now);
+        } else if (got == TaskLease.Renewal.LAPSED) {
+            lapsed(m, c, run);
+        }
+    }
+
+    /** At its cap a task is moved only if it loses nothing by it; else it runs on and the machine counts as slower. */
+    private void atCap(Machine m, Claim c, Run run, long now) {
+        JobSpec j = c.job().spec;
+        LOG.info("task {} attempt {} on {} is at its cap", c.key(), c.attempt(), m.name);
+        m.speed.observe(j.estimateS() * speeds.bias(j.cls()), (now - run.lease.runningSince()) / 1000.0);
+        if (j.resumes()) {
+            stopJobTask(c, j.saveS() + 4, "at cap");
+        }
+    }
+
+    private void lapsed(Machine m, Claim c, Run run) {
+        if (!run.ended) {
+            run.ended = true;
+            counters.lapsed++;
+            m.lapses++;
+            m.speed.observe(1, 4);
+            LOG.info("lease of task {} attempt {} on {} lapsed", c.key(), c.attempt(), m.name);
+            stopJobTask(c, 0, "lapsed");
+        }
+    }
+
+    private void stopJobTask(Claim c, double grace, String reason) {
+        if (c.job().spec.gang()) {
+            listener.stopGang(c.job(), grace, reason);
+        } else {
+            wishStop(c, grace, reason);
+        }
+    }
+
+    private void exited(Machine m, Claim c, Entry e, Run run) {
+        JobSpec j = c.job().spec;
+        long now = fx.now();
+        switch (e.why()) {
+            case DONE -> {
+                if (run.lease.runningSince() >= 0 && c.attempt() == 1 && !run.countedAtCap && j.estimateS() > 0
+                        && !m.outcomes.contains(e.attemptKey())) {
+                    double took = (now - run.lease.runningSince()) / 1000.0;
+                    double speed = m.speed.value();
+                    m.speed.observe(j.estimateS() * speeds.bias(j.cls()), took);
+                    speeds.observe(j.cls(), j.estimateS(), took, speed);
+                }
+                m.errorJobs.clear();
+                release(c, Outcome.DONE, "done");
+            }
+            case ERROR -> {
+                if (!m.outcomes.contains(e.attemptKey())) {
+                    erred(m, c);
+                }
+                release(c, Outcome.ERROR, "error");
+            }
+            default -> release(c, Outcome.LOST, e.why() + (e.saved() ? ", saved" : ""));
+        }
+    }
+
+    /** Errors of different jobs speak against the machine; of one job on several machines, against the job. */
+    private void erred(Machine m, Claim c) {
+        counters.errors++;
+        m.errorJobs.add(c.job().spec.id());
+        m.quarantineUntil = fx.now() + quarantineMs;
+        if (m.errorJobs.size() >= 2 && !m.condemned) {
+            m.condemned = true;
+            counters.condemned++;
+            LOG.info("machine {} fails tasks of different jobs, it is given up", m.name);
+        }
+    }
+
+    private enum Outcome { DONE, LOST, ERROR, NOT_STARTED }
+
+    /** Takes a claim out of the store, the caller having the proof that the task is not on the machine any more. */
+    private void release(Claim c, Outcome outcome, String proof) {
+        Machine m = machine(c.machine(), c.shard());
+        String ak = c.key() + "#" + c.attempt();
+        if (!m.outcomes.add(ak)) {
+            return;
+        }
+        LOG.info("task {} attempt {} left {}: {}", c.key(), c.attempt(), c.machine(), proof);
+        boolean queued = store.offer(new Change() {
+            @Override
+            public int rank() {
+                return 2;
+            }
+
+            @Override
+            public int cost() {
+                return 1;
+            }
+
+            @Override
+            public boolean build(Tx tx) {
+                Job j = view.job(c.job().spec.id());
+                if (j == null || !seats.owns(c.shard())) {
+                    return false;
+                }
+                Claim now = j.claim(c.task());
+                if (now == null || now.attempt() != c.attempt() || !now.machine().equals(c.machine())) {
+                    return false;
+                }
+                tx.require(seats.shardKey(c.shard()));
+                Chunk chunk = tx.chunk(j, c.task() / j.chunkSize);
+                chunk.claims.remove(c.task());
+                if (outcome == Outcome.DONE) {
+                    if (j.spec.gang()) {
+                        // One done means all done: the rest exit by themselves.
+                        chunk.done.set(0, chunk.size());
+                    } else {
+                        chunk.done.set(c.task() - chunk.index * j.chunkSize);
+                    }
+                    chunk.errors = 0;
+                } else if (outcome == Outcome.ERROR) {
+                    chunk.errors++;
+                }
+                if (outcome == Outcome.LOST || outcome == Outcome.ERROR) {
+                    chunk.restarts++;
+                }
+                return true;
+            }
+
+            @Override
+            public void committed(long revision) {
+                m.outcomes.remove(ak);
+                m.runs.remove(ak);
+                counters.outcome(outcome == Outcome.DONE);
+                touch(m.name);
+            }
+
+            @Override
+            public void dropped() {
+                m.outcomes.remove(ak);
+            }
+        });
+        if (!queued) {
+            m.outcomes.remove(ak);
+        }
+    }
+
+    /** Whether nobody wants this attempt to run any more. */
+    private boolean unwanted(Claim c) {
+        Machine m = machines.get(c.machine());
+        return c.job().state != Job.State.OPEN || broken(c.job())
+                || m != null && (m.stops.containsKey(c.key() + "#" + c.attempt()) || m.noticeAt >= 0 || m.gone);
+    }
+
+    /** A gang attempt that has lost a task can't go on; all its claims were made at once, so a gap means a loss. */
+    private static boolean broken(Job j) {
+        return j.spec.gang() && j.claimCount() < j.spec.tasks() && !j.allDone();
+    }
+
+    // ---- commands
+
+    private List<Object> orders(Machine m, boolean straight) {
+        List<Object> orders = new ArrayList<>();
+        if (!store.loaded()) {
+            return orders;
+        }
+        long now = fx.now();
+        Map<String, Claim> claims = view.claims(m.name);
+        for (Entry e : m.entries.values()) {
+            Claim c = claims.get(e.key());
+            boolean claimed = c != null && c.attempt() == e.attempt() && c.session() == m.session;
+            if (e.exited()) {
+                if (!claimed && !m.loose.containsKey(e.attemptKey()) && !m.outcomes.contains(e.attemptKey())) {
+                    orders.add(order(Wire.FORGET, e.key(), e.attempt(), -1));
+                } else if (!claimed) {
+                    fence(m, e.attemptKey(), now);
+                }
+                continue;
+            }
+            Stop stop = m.stops.get(e.attemptKey());
+            boolean must = !claimed || unwanted(c) && stop == null && m.noticeAt < 0;
+            if (must) {
+                boolean goneOn = claimed && c.job().allDone();
+                if (!goneOn) {
+                    orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
+                }
+            } else if (stop != null) {
+                boolean overdue = now - stop.since > stop.graceS * 1000 + 4_000;
+                if (e.phase() != Entry.Phase.SAVING) {
+                    orders.add(order(Wire.STOP, e.key(), e.attempt(), stop.graceS));
+                } else if (overdue) {
+                    orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
+                }
+            }
+        }
+        for (Claim c : claims.values()) {
+            String ak = c.key() + "#" + c.attempt();
+            if (c.session() != m.session || m.entries.containsKey(ak) || m.outcomes.contains(ak)) {
+                continue;
+            }
+            Run run = m.runs.get(ak);
+            if (run != null && run.shown) {
+                continue;
+            }
+            if (unwanted(c)) {
+                fence(m, ak, now);
+                continue;
+            }
+            if (m.session == m.deadSession || straight && m.loose.containsKey(ak)) {
+                continue;
+            }
+            if (run == null) {
+                m.runs.put(ak, newRun(m, c.job().spec, now));
+                LOG.info("task {} attempt {} starts on {}", c.key(), c.attempt(), m.name);
+            }
+            orders.add(order(Wire.START, c.key(), c.attempt(), -1));
+            if (straight) {
+                m.loose.put(ak, new long[] {now, seats.term(m.shard)});
+            }
+        }
+        return orders;
+    }
+
+    /** An unanswered start may still arrive; when that must not happen any more, a higher term keeps it out. */
+    private void fence(Machine m, String attemptKey, long now) {
+        long[] l = m.loose.get(attemptKey);
+        if (l != null && now - l[0] > DO_TIMEOUT_MS + 500 && l[1] >= seats.term(m.shard)) {
+            seats.raise(m.shard);
+        }
+    }
+
+    private static Map<String, Object> order(String op, String task, long attempt, double grace) {
+        Map<String, Object> o = new LinkedHashMap<>();
+        o.put(Wire.OP, op);
+        o.put(Wire.TASK, task);
+        o.put(Wire.ATTEMPT, attempt);
+        if (grace >= 0) {
+            o.put(Wire.GRACE, grace);
+        }
+        return o;
+    }
+
+    /** Sends starts and stops straight to machines whose state changed, so that they need not wait for a report. */
+    public void flush() {
+        if (dirty.isEmpty()) {
+            return;
+        }
+        List<Machine> all = new ArrayList<>(dirty);
+        dirty.clear();
+        for (Machine m : all) {
+            m.dirty = false;
+            if (seats.owns(m.shard) && m.heardAt >= 0) {
+                reconcile(m);
+                push(m);
+            }
+        }
+    }
+
+    private void push(Machine m) {
+        long now = fx.now();
+        boolean reachable = m.address != null && now - m.heardAt < settings.reportS() * 1250 + 1_500;
+        if (m.calling || !reachable || m.token < seats.term(m.shard) && m.token > 0 && now - m.heardAt > 1_000) {
+            return;
+        }
+        List<Object> orders = orders(m, true);
+        if (orders.isEmpty()) {
+            return;
+        }
+        m.calling = true;
+        long session = m.session;
+        long sent = now;
+        List<String> starts = new ArrayList<>();
+        for (Object o : orders) {
+            Map<String, Object> x = Fields.map(o, "order");
+            if (Wire.START.equals(x.get(Wire.OP))) {
+                starts.add(x.get(Wire.TASK) + "#" + x.get(Wire.ATTEMPT));
+            }
+        }
+        fx.call(Target.WORKER, m.address, "POST", Wire.DO,
+                Map.of(Wire.TOKEN, seats.term(m.shard), Wire.SESSION, session, Wire.COMMANDS, orders),
+                (int) DO_TIMEOUT_MS, (status, body) -> {
+                    m.calling = false;
+                    if (status == 0) {
+                        LOG.info("machine {} did not answer {} commands after {} ms", m.name, orders.size(),
+                                fx.now() - sent);
+                        return;
+                    }
+                    for (String ak : starts) {
+                        long[] l = m.loose.get(ak);
+                        if (l != null && l[0] == sent) {
+                            m.loose.remove(ak);
+                        }
+                    }
+                    if ((status == 200 || status == 409) && seats.owns(m.shard)) {
+                        try {
+                            Report r = Report.read(body);
+                            int zone = catalog.zones.find(r.zone());
+                            if (zone >= 0 && r.machine().equals(m.name)) {
+                                take(m, r, zone);
+                            }
+                        } catch (Fields.Bad e) {
+                            LOG.info("machine {}: unreadable answer: {}", m.name, e.getMessage());
+                        }
+                    }
+                });
+    }
+
+    /** Asks for an attempt to be stopped; repeated until it is seen to be saving or gone. */
+    public void wishStop(Claim c, double graceS, String reason) {
+        Machine m = machines.get(c.machine());
+        String ak = c.key() + "#" + c.attempt();
+        if (m == null || !seats.owns(c.shard())) {
+            return;
+        }
+        Stop old = m.stops.get(ak);
+        if (old == null || old.graceS > graceS) {
+            m.stops.put(ak, new Stop(graceS, reason, fx.now()));
+            counters.stops++;
+            LOG.info("task {} attempt {} on {} is to stop: {}", c.key(), c.attempt(), m.name, reason);
+            touch(m.name);
+        }
+    }
+
+    /** A notice: what can save does so at once; what ends in time may; the rest starts elsewhere without waiting. */
+    private void drain(Machine m, long now) {
+        long left = m.noticeAt - now;
+        for (Claim c : view.claims(m.name).values()) {
+            JobSpec j = c.job().spec;
+            String ak = c.key() + "#" + c.attempt();
+            if (m.stops.containsKey(ak) || !m.entries.containsKey(ak)) {
+                continue;
+            }
+            Run run = m.runs.get(ak);
+            double expected = j.estimateS() * speeds.bias(j.cls()) * 1000 / m.speed.value();
+            boolean endsInTime = !j.service() && !j.resumes() && run != null && run.lease.runningSince() >= 0
+                    && run.lease.runningSince() + expected < m.noticeAt && left > 2_500;
+            if (!endsInTime) {
+                stopJobTask(c, j.resumes() ? j.saveS() + 1 : 0, "notice");
+            }
+        }
+    }
+
+    // ---- offers
+
+    /** Free room by the truth known here: records, reports and reservations. */
+    private double[] free(Machine m) {
+        Catalog.Type t = catalog.type(m.type);
+        if (t == null) {
+            return new double[3];
+        }
+        double[] f = {t.cpus(), t.gpus(), t.mem()};
+        Map<String, Claim> claims = view.claims(m.name);
+        for (Claim c : claims.values()) {
+            minus(f, c.job().spec);
+        }
+        double[] stray = stray(m);
+        for (int i = 0; i < 3; i++) {
+            f[i] -= stray[i];
+        }
+        long now = fx.now();
+        m.reserved.values().removeIf(r -> {
+            String key = r.attemptKey().substring(0, r.attemptKey().lastIndexOf('#'));
+            return now > r.until() || claims.containsKey(key);
+        });
+        for (Machine.Reservation r : m.reserved.values()) {
+            f[0] -= r.cpus();
+            f[1] -= r.gpus();
+            f[2] -= r.mem();
+        }
+        return f;
+    }
+
+    /** Room held by tasks that no record covers, such as those being stopped after a late command. */
+    private double[] stray(Machine m) {
+        double[] f = new double[3];
+        Map<String, Claim> claims = view.claims(m.name);
+        for (Entry e : m.entries.values()) {
+            if (!e.exited() && !claims.containsKey(e.key())) {
+                Job j = view.job(e.key().substring(0, Math.max(0, e.key().lastIndexOf('/'))));
+                Catalog.Type t = catalog.type(m.type);
+                if (j != null) {
+                    f[0] += j.spec.cpus();
+                    f[1] += j.spec.gpus();
+                    f[2] += j.spec.mem();
+                } else if (t != null) {
+                    f[0] += t.cpus();
+                    f[1] += t.gpus();
+                    f[2] += t.mem();
+                }
+            }
+        }
+        return f;
+    }
+
+    private static void minus(double[] f, JobSpec j) {
+        f[0] -= j.cpus();
+        f[1] -= j.gpus();
+        f[2] -= j.mem();
+    }
+
+    private boolean usable(Machine m) {
+        long now = fx.now();
+        return m.heardAt >= 0 && seats.owns(m.shard) && !m.condemned && !m.leaving && !m.gone && m.noticeAt < 0
+                && m.session != m.deadSession && m.token >= seats.term(m.shard)
+                && now - m.heardAt < settings.reportS() * 1250 + 1_500 && now >= m.quarantineUntil;
+    }
+
+    /** Checks a task offered to one of our machines and keeps room for it; returns why not, or null. */
+    public String reserve(JobSpec j, int task, long attempt, String machine, long session) {
+        Machine m = machines.get(machine);
+        if (m == null || !usable(m)) {
+            return "not usable";
+        }
+        if (m.session != session) {
+            return "other session";
+        }
+        if (m.errorJobs.contains(j.id())) {
+            return "failed here";
+        }
+        String key = j.id() + "/" + task;
+        for (Entry e : m.entries.values()) {
+            if (e.key().equals(key) && !e.exited()) {
+                return "still here";
+            }
+        }
+        double[] f = free(m);
+        if (f[0] < j.cpus() - Catalog.EPS || f[1] < j.gpus() - Catalog.EPS || f[2] < j.mem() - Catalog.EPS) {
+            return "no room";
+        }
+        String ak = key + "#" + attempt;
+        m.reserved.put(ak, new Machine.Reservation(ak, j.cpus(), j.gpus(), j.mem(), fx.now() + reserveMs));
+        return null;
+    }
+
+    public void unreserve(String machine, String attemptKey) {
+        Machine m = machines.get(machine);
+        if (m != null) {
+            m.reserved.remove(attemptKey);
+        }
+    }
+
+    /** The buyer wants to return a machine: agreed only if nothing is or may come to be on it. */
+    public boolean retire(String machine) {
+        Machine m = machines.get(machine);
+        if (m == null || !seats.owns(m.shard)) {
+            return false;
+        }
+        if (m.condemned || view.claims(machine).isEmpty() && m.reserved.isEmpty()) {
+            m.leaving = true;
+            return true;
+        }
+        return false;
+    }
+
+    /** The cloud confirmed that a machine is gone: proof for all that was on it. */
+    public void gone(String machine) {
+        Machine m = machines.get(machine);
+        if (m != null) {
+            m.gone = true;
+        }
+        for (Claim c : List.copyOf(view.claims(machine).values())) {
+            if (seats.owns(c.shard())) {
+                release(c, Outcome.LOST, "machine gone");
+            }
+        }
+    }
+
+    // ---- time
+
+    public void tick() {
+        long now = fx.now();
+        if (!store.loaded() || now < nextSweep) {
+            return;
+        }
+        nextSweep = now + 500;
+        boolean sweepLeases = now >= nextLeaseSweep;
+        if (sweepLeases) {
+            nextLeaseSweep = now + terms.sweepMs();
+        }
+        for (String name : List.copyOf(view.claimedMachines())) {
+            Map<String, Claim> claims = view.claims(name);
+            Claim any = claims.isEmpty() ? null : claims.values().iterator().next();
+            if (any != null && seats.owns(any.shard())) {
+                watchSilence(machine(name, any.shard()), now);
+            }
+        }
+        for (Machine m : List.copyOf(machines.values())) {
+            if (!seats.mine(m.shard)) {
+                machines.remove(m.name);
+                continue;
+            }
+            if (!seats.owns(m.shard)) {
+                // Between two owners: what is known must not be forgotten, loose commands above all.
+                continue;
+            }
+            if (m.heardAt >= 0 && now - m.heardAt > 120_000 && view.claims(m.name).isEmpty()
+                    || m.gone && view.claims(m.name).isEmpty() && now - m.heardAt > 30_000) {
+                machines.remove(m.name);
+                continue;
+            }
+            if (sweepLeases) {
+                sweep(m, now);
+            }
+            if (m.noticeAt >= 0) {
+                drain(m, now);
+            }
+            if (!m.stops.isEmpty() || hasUnstarted(m)) {
+                push(m);
+            }
+        }
+    }
+
+    private boolean hasUnstarted(Machine m) {
+        for (Claim c : view.claims(m.name).values()) {
+            if (!m.entries.containsKey(c.key() + "#" + c.attempt())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The paper's sweep: lapsed leases are stopped, counted, and go elsewhere once the machine confirms. */
+    private void sweep(Machine m, long now) {
+        for (Claim c : view.claims(m.name).values()) {
+            Run run = m.runs.get(c.key() + "#" + c.attempt());
+            if (run != null && run.lease.lapsed(now)) {
+                lapsed(m, c, run);
+            }
+        }
+    }
+
+    /**
+     * A worker drops its tasks once its lease is over. The lease is counted from the last report we answered, or, as long
+     * as the worker has not shown our own term, from when no earlier owner can have answered it any more.
+     */
+    private void watchSilence(Machine m, long now) {
+        long from = Math.max(m.answeredAt, seats.ownedSince(m.shard));
+        if (m.token < seats.term(m.shard) || m.heardAt < 0) {
+            long fenced = seats.fencedAt(m.shard);
+            if (fenced < 0) {
+                return;
+            }
+            from = Math.max(from, fenced);
+        }
+        long over = from + Math.round(settings.leaseS() * 1000 * (1 + 2 * Settings.DRIFT)) + LEASE_MARGIN_MS;
+        if (now < over) {
+            return;
+        }
+        if (m.deadSession != m.session) {
+            LOG.info("machine {} was not heard for {} ms, its lease is over", m.name, now - from);
+            m.deadSession = m.session;
+        }
+        for (Claim c : List.copyOf(view.claims(m.name).values())) {
+            if (m.session == 0 || c.session() <= m.session) {
+                release(c, Outcome.LOST, "worker's lease over");
+            }
+        }
+    }
+
+    public List<Picture> pictures() {
+        long now = fx.now();
+        List<Picture> l = new ArrayList<>();
+        for (Machine m : machines.values()) {
+            if (m.heardAt < 0 || m.gone || !seats.owns(m.shard)) {
+                continue;
+            }
+            l.add(new Picture(m.name, m.type, m.zone, m.spot, m.session, m.shard, usable(m), m.condemned, m.leaving,
+                    (int) (now - m.heardAt), m.noticeAt < 0 ? -1 : (int) Math.max(0, m.noticeAt - now),
+                    m.idleSince < 0 ? -1 : (int) (now - m.idleSince), m.speed.value(), stray(m),
+                    m.images.stream().mapToInt(i -> i).toArray()));
+        }
+        return l;
+    }
+
+    /** The shard of a machine of ours, or null. */
+    public Integer shardOf(String machine) {
+        Machine m = machines.get(machine);
+        return m == null ? null : m.shard;
+    }
+}
