--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -117,7 +117,7 @@
         List<Slot> slots = slots(pictures);
         slots.addAll(coming);
         Planner.Plan plan = planner.plan(slots, held::containsKey, (m, j) -> refusals.containsKey(m + " " + j),
-                this::paused);
+                this::paused, underway());
         last = plan;
         counters.speedLimited += plan.speedLimited();
         if (seats.holding() && store.healthy()) {
@@ -166,9 +166,16 @@
         return fx.now() < seen[1];
     }
 
+    private List<Planner.Choice> underway() {
+        List<Planner.Choice> l = new ArrayList<>(claiming.values());
+        asked.values().forEach(a -> l.addAll(a.items()));
+        return l;
+    }
+
     /** Free room on every machine in the pictures, less what the store records. */
     public List<Slot> slots(Map<String, Picture> pictures) {
         List<Slot> slots = new ArrayList<>();
+        List<Planner.Choice> underway = underway();
         for (Picture p : pictures.values()) {
             Catalog.Type t = catalog.type(p.type());
             if (!p.usable() || t == null) {
@@ -179,14 +186,7 @@
             for (Claim c : claims.values()) {
                 minus(f, c.job().spec);
             }
-            for (Asked a : asked.values()) {
-                for (Planner.Choice c : a.items()) {
-                    if (c.slot().machine.equals(p.machine()) && !claims.containsKey(c.job().spec.id() + "/" + c.task())) {
-                        minus(f, c.job().spec);
-                    }
-                }
-            }
-            for (Planner.Choice c : claiming.values()) {
+            for (Planner.Choice c : underway) {
                 if (c.slot().machine.equals(p.machine()) && !claims.containsKey(c.job().spec.id() + "/" + c.task())) {
                     minus(f, c.job().spec);
                 }
@@ -390,7 +390,8 @@
         double[] extra = tx.claimed(s.team());
         double cpus = view.cpusOf(s.team()) + extra[0];
         double gpus = view.gpusOf(s.team()) + extra[1];
-        Map<Integer, Integer> zones = Planner.zones(j, seats::zoneOf);
+        // Another change of this same transaction may already have placed tasks of this job.
+        Map<Integer, Integer> zones = Planner.zones(j, seats::zoneOf, i -> tx.peek(j, i));
         List<Planner.Choice> ok = new ArrayList<>();
         for (Planner.Choice c : list) {
             Slot slot = c.slot();
@@ -398,7 +399,8 @@
             int zone = seats.zoneOf(shard);
             cpus += s.cpus();
             gpus += s.gpus();
-            boolean fine = !j.isDone(c.task()) && j.claim(c.task()) == null
+            Chunk before = tx.peek(j, c.task() / j.chunkSize);
+            boolean fine = !j.isDone(c.task()) && (before == null || !before.claims.containsKey(c.task()))
                     && seats.term(shard) == g.accepted.get(c.task()) && slot.allows(s) && zone == slot.zone
                     && !Catalog.over(team.cpusMax(), cpus) && !Catalog.over(team.gpusMax(), gpus)
                     && !(s.oneZone() && !zones.isEmpty() && !zones.containsKey(zone))
@@ -469,7 +471,7 @@
     private List<Claim> victims(Job j, boolean guaranteed, Planner.Plan plan, Map<String, Picture> pictures) {
         List<Claim> best = List.of();
         double bestCost = Double.MAX_VALUE;
-        Map<Integer, Integer> zones = Planner.zones(j, seats::zoneOf);
+        Map<Integer, Integer> zones = planner.zones(j, underway());
         for (Slot slot : slots(pictures)) {
             if (!slot.allows(j.spec) || j.spec.spread() && zones.getOrDefault(slot.zone, 0) >= j.spec.zoneLimit()
                     || j.spec.oneZone() && !zones.isEmpty() && !zones.containsKey(slot.zone)) {
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -15,6 +15,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiPredicate;
+import java.util.function.IntFunction;
+import java.util.function.IntUnaryOperator;
 import java.util.function.Predicate;
 
 /**
@@ -89,9 +91,11 @@
     /**
      * @param held tasks already offered or being claimed by this controller, or backing off
      * @param refused machines that lately refused a job
+     * @param paused jobs that back off
+     * @param underway tasks offered or being claimed, with their machines
      */
     public Plan plan(List<Slot> slots, Predicate<String> held, BiPredicate<String, String> refused,
-            Predicate<Job> paused) {
+            Predicate<Job> paused, List<Choice> underway) {
         Set<String> guaranteed = guaranteed();
         List<Choice> choices = new ArrayList<>();
         List<Unplaced> unplaced = new ArrayList<>();
@@ -120,7 +124,7 @@
                 }
                 continue;
             }
-            Map<Integer, Integer> zones = zones(j);
+            Map<Integer, Integer> zones = zones(j, underway);
             int missing = 0;
             boolean full = false;
             for (int task = 0; task < s.tasks(); task++) {
@@ -158,9 +162,10 @@
     }
 
     /** How many tasks of a job are recorded in each zone; whatever is not proven gone counts. */
-    public static Map<Integer, Integer> zones(Job j, java.util.function.IntUnaryOperator zoneOfShard) {
+    public static Map<Integer, Integer> zones(Job j, IntUnaryOperator zoneOfShard, IntFunction<Chunk> chunks) {
         Map<Integer, Integer> n = new HashMap<>();
-        for (Chunk c : j.chunks) {
+        for (int i = 0; i < j.chunks.size(); i++) {
+            Chunk c = chunks.apply(i);
             if (c != null) {
                 for (Claim x : c.claims.values()) {
                     n.merge(zoneOfShard.applyAsInt(x.shard()), 1, Integer::sum);
@@ -170,14 +175,21 @@
         return n;
     }
 
-    private java.util.function.IntUnaryOperator zoneOfShard = i -> i;
+    private IntUnaryOperator zoneOfShard = i -> i;
 
-    public void zoneOfShard(java.util.function.IntUnaryOperator f) {
+    public void zoneOfShard(IntUnaryOperator f) {
         zoneOfShard = f;
     }
 
-    private Map<Integer, Integer> zones(Job j) {
-        return zones(j, zoneOfShard);
+    /** Zones of a job's recorded tasks, and of those on their way into a record. */
+    public Map<Integer, Integer> zones(Job j, Iterable<Choice> underway) {
+        Map<Integer, Integer> n = zones(j, zoneOfShard, j.chunks::get);
+        for (Choice c : underway) {
+            if (c.job().spec.id().equals(j.spec.id()) && j.claim(c.task()) == null) {
+                n.merge(c.slot().zone, 1, Integer::sum);
+            }
+        }
+        return n;
     }
 
     private List<Choice> gang(Job j, List<Slot> slots, BiPredicate<String, String> refused, double[] use) {
--- a/src/main/java/birchusher/store/Tx.java
+++ b/src/main/java/birchusher/store/Tx.java
@@ -65,6 +65,12 @@
         return c;
     }
 
+    /** A chunk as this transaction would leave it, without making it part of the transaction; may be null. */
+    public Chunk peek(Job job, int index) {
+        Chunk c = chunks.get(Keys.place(job.spec.id(), index));
+        return c == null ? job.chunks.get(index) : c;
+    }
+
     /** What this transaction already claims for a team: cpus and gpus, to be added to what the view shows. */
     public double[] claimed(int team) {
         return claimed.computeIfAbsent(team, t -> new double[2]);
