--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -612,11 +612,7 @@
         for (int i = 0; i < 3; i++) {
             f[i] -= stray[i];
         }
-        long now = fx.now();
-        m.reserved.values().removeIf(r -> {
-            String key = r.attemptKey().substring(0, r.attemptKey().lastIndexOf('#'));
-            return now > r.until() || claims.containsKey(key);
-        });
+        forgetReservations(m);
         for (Machine.Reservation r : m.reserved.values()) {
             f[0] -= r.cpus();
             f[1] -= r.gpus();
@@ -625,6 +621,16 @@
         return f;
     }
 
+    /** Reservations end by time, or when the claim that they were made for stands. */
+    private void forgetReservations(Machine m) {
+        long now = fx.now();
+        Map<String, Claim> claims = view.claims(m.name);
+        m.reserved.values().removeIf(r -> {
+            String key = r.attemptKey().substring(0, r.attemptKey().lastIndexOf('#'));
+            return now > r.until() || claims.containsKey(key);
+        });
+    }
+
     /** Room held by tasks that no record covers, such as those being stopped after a late command. */
     private double[] stray(Machine m) {
         double[] f = new double[3];
@@ -700,6 +706,8 @@
         if (m == null || !seats.owns(m.shard)) {
             return false;
         }
+        // Without this, one old reservation kept a machine rented for good.
+        forgetReservations(m);
         if (m.condemned || view.claims(machine).isEmpty() && m.reserved.isEmpty()) {
             m.leaving = true;
             return true;
