--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -59,7 +59,8 @@
     private final Map<String, Long> strangers = new HashMap<>();
     private final Map<String, Long> recentlyGone = new LinkedHashMap<>();
     private final List<String> toDelete = new ArrayList<>();
-    private final long lingerMs;
+    private final double lingerBoot;
+    private final double lingerFetch;
     private final double giveUp;
     private final double silentSpotS;
     private final double silentShare;
@@ -84,7 +85,8 @@
         this.counters = counters;
         this.retire = retire;
         this.gone = gone;
-        lingerMs = t.ms("fleet.linger-s");
+        lingerBoot = t.num("fleet.linger-boots");
+        lingerFetch = t.num("fleet.linger-fetches");
         giveUp = t.num("fleet.give-up-boots");
         silentSpotS = t.num("fleet.silent-spot-reports");
         silentShare = t.num("fleet.silent-share");
@@ -245,7 +247,7 @@
             for (int i = 0; i < n; i++) {
                 String host = a.hosts() == null ? a.name() + "/" + i : a.hosts().get(i);
                 if (!pictures.containsKey(host) && !deleting.contains(host) && !recentlyGone.containsKey(host)) {
-                    l.add(new Slot(host, t, a.zone(), a.spot(), 0, -1, 1, new int[0], eta, false, t.cpus(), t.gpus(),
+                    l.add(new Slot(host, t, a.zone(), a.spot(), 0, -1, 1, new int[0], new int[0], eta, false, t.cpus(), t.gpus(),
                             t.mem()));
                 }
             }
@@ -476,7 +478,7 @@
             if (deleting.contains(p.machine()) || retiring.containsKey(p.machine())) {
                 continue;
             }
-            boolean idle = p.idleMs() > lingerMs && view.claims(p.machine()).isEmpty();
+            boolean idle = p.idleMs() > linger(p) && view.claims(p.machine()).isEmpty();
             boolean silent = silent(p);
             if (silent) {
                 LOG.info("machine {} silent for {} ms, deleted to free its tasks", p.machine(), p.silentMs());
@@ -488,6 +490,25 @@
         }
     }
 
+    /**
+     * How long an idle machine is kept: what it would take to have one like it again, which is booting and fetching what
+     * the present jobs need.
+     */
+    private double linger(Picture p) {
+        Catalog.Type t = catalog.type(p.type());
+        if (t == null) {
+            return 60_000;
+        }
+        double gb = 0;
+        int n = 0;
+        for (birchusher.store.Job j : view.jobs()) {
+            gb += j.spec.imageGb();
+            n++;
+        }
+        double fetch = n == 0 ? 0 : gb / n / t.fetchGbPerS();
+        return 1000 * (lingerBoot * t.bootS() + lingerFetch * fetch);
+    }
+
     /** A machine that says nothing is mostly lost; deleting it is the quickest proof that its tasks are gone. */
     private boolean silent(Picture p) {
         double s = p.silentMs() / 1000.0;
--- a/src/main/java/birchusher/mesh/PeerCodec.java
+++ b/src/main/java/birchusher/mesh/PeerCodec.java
@@ -126,13 +126,16 @@
         out.writeDouble(m.strayCpus());
         out.writeDouble(m.strayGpus());
         out.writeDouble(m.strayMem());
+        list(out, m.fetching(), DataOutputStream::writeUTF);
+        list(out, m.fetchMs(), DataOutputStream::writeInt);
         list(out, m.images(), DataOutputStream::writeUTF);
     }
 
     private static Machine machine(DataInputStream in) throws IOException {
         return new Machine(in.readUTF(), in.readUTF(), in.readUTF(), in.readBoolean(), in.readLong(), in.readInt(),
                 in.readInt(), in.readInt(), in.readInt(), in.readInt(), in.readDouble(), in.readDouble(),
-                in.readDouble(), in.readDouble(), list(in, d -> d.readUTF()));
+                in.readDouble(), in.readDouble(), list(in, d -> d.readUTF()), list(in, d -> d.readInt()),
+                list(in, d -> d.readUTF()));
     }
 
     private static <T> void list(DataOutputStream out, List<T> l, Writer<? super T> w) throws IOException {
--- a/src/main/java/birchusher/mesh/PeerRecord.java
+++ b/src/main/java/birchusher/mesh/PeerRecord.java
@@ -7,7 +7,7 @@
     /** One machine as its owner sees it; names, as indices are each process's own. */
     record Machine(String name, String type, String zone, boolean spot, long session, int shard, int flags, int silentMs,
             int noticeMs, int idleMs, double speed, double strayCpus, double strayGpus, double strayMem,
-            List<String> images) {
+            List<String> fetching, List<Integer> fetchMs, List<String> images) {
         public static final int USABLE = 1;
         public static final int CONDEMNED = 2;
         public static final int LEAVING = 4;
--- a/src/main/java/birchusher/model/Catalog.java
+++ b/src/main/java/birchusher/model/Catalog.java
@@ -37,6 +37,7 @@
     private final List<Settings.Team> teamList;
     private Type[] types = new Type[0];
     private boolean known;
+    private final it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap imageGb = new it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap();
 
     public Catalog(Settings s) {
         zones = new Names(s.zones());
@@ -55,6 +56,15 @@
         return teamList.get(i);
     }
 
+    /** Notes an image's size, as jobs tell it. */
+    public void imageSize(int image, double gb) {
+        imageGb.put(image, gb);
+    }
+
+    public double imageGb(int image) {
+        return imageGb.get(image);
+    }
+
     public boolean typesKnown() {
         return known;
     }
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -191,8 +191,8 @@
                     minus(f, c.job().spec);
                 }
             }
-            slots.add(new Slot(p.machine(), t, p.zone(), p.spot(), p.session(), p.shard(), p.speed(), p.images(), 0,
-                    true, f[0], f[1], f[2]));
+            slots.add(new Slot(p.machine(), t, p.zone(), p.spot(), p.session(), p.shard(), p.speed(), p.fetching(),
+                    p.images(), 0, true, f[0], f[1], f[2]));
         }
         return slots;
     }
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -12,6 +12,7 @@
     final long session;
     final int shard;
     final double speed;
+    final int[] fetching;
     final int[] images;
     /** In how many ms the room is there; 0: now. */
     final long etaMs;
@@ -24,7 +25,7 @@
     int plannedFetches;
 
     public Slot(String machine, Catalog.Type type, int zone, boolean spot, long session, int shard, double speed,
-            int[] images, long etaMs, boolean real, double cpus, double gpus, double mem) {
+            int[] fetching, int[] images, long etaMs, boolean real, double cpus, double gpus, double mem) {
         this.machine = machine;
         this.type = type;
         this.zone = zone;
@@ -32,6 +33,7 @@
         this.session = session;
         this.shard = shard;
         this.speed = speed;
+        this.fetching = fetching;
         this.images = images;
         this.etaMs = etaMs;
         this.real = real;
@@ -75,7 +77,18 @@
 
     /** Expected ms until a task with this image could run here. */
     double startDelay(JobSpec j) {
-        double fetch = has(j.image()) ? 0 : j.imageGb() / type.fetchGbPerS() * 1000 * (1 + plannedFetches);
-        return etaMs + fetch;
+        if (has(j.image())) {
+            return etaMs;
+        }
+        // Images fetched at the same time share the rate.
+        double others = 0;
+        for (int i = 0; i < fetching.length; i += 2) {
+            if (fetching[i] == j.image()) {
+                return Math.max(etaMs, fetching[i + 1]);
+            }
+            others += fetching[i + 1];
+        }
+        double own = j.imageGb() / type.fetchGbPerS() * 1000;
+        return etaMs + own * (1 + plannedFetches) + Math.min(others, own * (fetching.length / 2));
     }
 }
--- a/src/main/java/birchusher/server/Core.java
+++ b/src/main/java/birchusher/server/Core.java
@@ -227,11 +227,18 @@
             for (int i : p.images()) {
                 images.add(catalog.images.name(i));
             }
+            List<String> fetching = new ArrayList<>();
+            List<Integer> fetchMs = new ArrayList<>();
+            for (int i = 0; i < p.fetching().length; i += 2) {
+                fetching.add(catalog.images.name(p.fetching()[i]));
+                fetchMs.add(p.fetching()[i + 1]);
+            }
             int flags = (p.usable() ? PeerRecord.Machine.USABLE : 0) | (p.condemned() ? PeerRecord.Machine.CONDEMNED : 0)
                     | (p.leaving() ? PeerRecord.Machine.LEAVING : 0);
             list.add(new PeerRecord.Machine(p.machine(), catalog.typeNames.name(p.type()), catalog.zones.name(p.zone()),
                     p.spot(), p.session(), p.shard(), flags, p.silentMs(), p.noticeMs(), p.idleMs(), p.speed(),
-                    p.strayUse()[0], p.strayUse()[1], p.strayUse()[2], images));
+                    p.strayUse()[0], p.strayUse()[1], p.strayUse()[2], fetching, fetchMs,
+                    images));
         }
         PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(seats.incarnation(), store.healthy(), true, list,
                 buyer.recentlyGone());
@@ -250,11 +257,17 @@
                     continue;
                 }
                 int[] images = m.images().stream().mapToInt(catalog.images::add).toArray();
+                int n = Math.min(m.fetching().size(), m.fetchMs().size());
+                int[] fetching = new int[n * 2];
+                for (int i = 0; i < n; i++) {
+                    fetching[2 * i] = catalog.images.add(m.fetching().get(i));
+                    fetching[2 * i + 1] = m.fetchMs().get(i);
+                }
                 theirs.put(m.name(), new Picture(m.name(), catalog.typeNames.add(m.type()), zone, m.spot(), m.session(),
                         m.shard(), (m.flags() & PeerRecord.Machine.USABLE) != 0,
                         (m.flags() & PeerRecord.Machine.CONDEMNED) != 0, (m.flags() & PeerRecord.Machine.LEAVING) != 0,
                         m.silentMs(), m.noticeMs(), m.idleMs(), m.speed(),
-                        new double[] {m.strayCpus(), m.strayGpus(), m.strayMem()}, images));
+                        new double[] {m.strayCpus(), m.strayGpus(), m.strayMem()}, fetching, images));
                 theirOwner.put(m.name(), from);
             }
             h.gone().forEach(yard::gone);
@@ -323,8 +336,8 @@
                 mem += c.job().spec.mem();
             }
             if (eta > 0) {
-                l.add(new Slot(p.machine(), t, p.zone(), p.spot(), p.session(), p.shard(), p.speed(), p.images(), eta,
-                        false, cpus, gpus, mem));
+                l.add(new Slot(p.machine(), t, p.zone(), p.spot(), p.session(), p.shard(), p.speed(), p.fetching(),
+                        p.images(), eta, false, cpus, gpus, mem));
             }
         }
         return l;
--- a/src/main/java/birchusher/store/View.java
+++ b/src/main/java/birchusher/store/View.java
@@ -200,6 +200,7 @@
                 : new Job(codec.read(Fields.map(value.get("j"), "j")), (int) Math.max(1, Fields.count(value, "k")),
                         Fields.count(value, "t"), state, version);
         jobs.put(id, j);
+        catalog.imageSize(j.spec.image(), j.spec.imageGb());
         if (old != null) {
             for (Chunk c : old.chunks) {
                 if (c != null) {
--- a/src/main/java/birchusher/workers/Machine.java
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -2,6 +2,7 @@
 
 import birchusher.lease.MachineSpeed;
 import birchusher.lease.TaskLease;
+import birchusher.model.Catalog;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,6 +16,7 @@
     static final class Run {
         TaskLease lease;
         boolean shown;
+        long fetchUntil = -1;
         long startedAt;
         boolean countedAtCap;
         boolean ended;
@@ -35,6 +37,8 @@
 
     record Reservation(String attemptKey, double cpus, double gpus, double mem, long until) { }
 
+    private static final int MAX_IMAGES = 64;
+
     final String name;
     final int shard;
     int zone = -1;
@@ -76,10 +80,21 @@
         this.knownSince = now;
     }
 
-    void image(int i, int keep) {
+    /** An image was used; the least recently used ones beyond the cache's size are forgotten, as the worker does. */
+    void image(int i, Catalog catalog) {
         images.remove((Integer) i);
         images.addFirst(i);
-        while (images.size() > keep) {
+        Catalog.Type t = catalog.type(type);
+        double room = t == null ? Double.MAX_VALUE : t.cacheGb();
+        int kept = 0;
+        for (int x : images) {
+            room -= catalog.imageGb(x);
+            if (room < 0 && kept > 0) {
+                break;
+            }
+            kept++;
+        }
+        while (images.size() > Math.min(kept, MAX_IMAGES)) {
             images.removeLast();
         }
     }
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -143,7 +143,7 @@
             if (p != null) {
                 m.speed = new birchusher.lease.MachineSpeed(p.speed());
                 for (int i = p.images().length - 1; i >= 0; i--) {
-                    m.image(p.images()[i], 64);
+                    m.image(p.images()[i], catalog);
                 }
                 m.condemned = p.condemned();
             }
@@ -236,19 +236,27 @@
 
     private Run newRun(Machine m, JobSpec j, long now) {
         Run run = new Run();
-        Catalog.Type t = catalog.type(m.type);
-        long fetch = t == null || m.images.contains(j.image()) ? 0 : Math.round(j.imageGb() / t.fetchGbPerS() * 1000);
+        long fetch = fetchMs(m, j);
         run.startedAt = now;
         run.lease = new TaskLease(terms, now, fetch, terms.cap(j, fetch));
         return run;
     }
 
+    /** Expected ms of fetching a job's image on a machine, none if it is there. */
+    private long fetchMs(Machine m, JobSpec j) {
+        Catalog.Type t = catalog.type(m.type);
+        return t == null || m.images.contains(j.image()) ? 0 : Math.round(j.imageGb() / t.fetchGbPerS() * 1000);
+    }
+
     private void follow(Machine m, Claim c, Entry e, Run run, long now) {
+        if (e.phase() == Entry.Phase.FETCHING && run.fetchUntil < 0) {
+            run.fetchUntil = now + fetchMs(m, c.job().spec);
+        }
         boolean running = e.phase() == Entry.Phase.RUNNING || e.phase() == Entry.Phase.SAVING;
         boolean before = run.lease.runningSince() >= 0;
         TaskLease.Renewal got = run.lease.report(now, running);
         if (e.phase() != Entry.Phase.FETCHING) {
-            m.image(c.job().spec.image(), 64);
+            m.image(c.job().spec.image(), catalog);
         }
         if (running && !before) {
             counters.started(fx.wall() - c.job().acceptedAt);
@@ -829,12 +837,34 @@
             }
             l.add(new Picture(m.name, m.type, m.zone, m.spot, m.session, m.shard, usable(m), m.condemned, m.leaving,
                     (int) (now - m.heardAt), m.noticeAt < 0 ? -1 : (int) Math.max(0, m.noticeAt - now),
-                    m.idleSince < 0 ? -1 : (int) (now - m.idleSince), m.speed.value(), stray(m),
+                    m.idleSince < 0 ? -1 : (int) (now - m.idleSince), m.speed.value(), stray(m), fetching(m, now),
                     m.images.stream().mapToInt(i -> i).toArray()));
         }
         return l;
     }
 
+    /** Images being fetched, each with the ms that it should still take: image, ms, image, ms. */
+    private int[] fetching(Machine m, long now) {
+        Map<Integer, Integer> left = new LinkedHashMap<>();
+        for (Claim c : view.claims(m.name).values()) {
+            Entry e = m.entries.get(c.key() + "#" + c.attempt());
+            Run run = m.runs.get(c.key() + "#" + c.attempt());
+            int image = c.job().spec.image();
+            if (m.images.contains(image) || e != null && e.phase() != Entry.Phase.FETCHING) {
+                continue;
+            }
+            long ms = run == null || run.fetchUntil < 0 ? fetchMs(m, c.job().spec) : Math.max(1_000, run.fetchUntil - now);
+            left.merge(image, (int) ms, Math::min);
+        }
+        int[] flat = new int[left.size() * 2];
+        int i = 0;
+        for (Map.Entry<Integer, Integer> e : left.entrySet()) {
+            flat[i++] = e.getKey();
+            flat[i++] = e.getValue();
+        }
+        return flat;
+    }
+
     /** The shard of a machine of ours, or null. */
     public Integer shardOf(String machine) {
         Machine m = machines.get(machine);
