--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -475,7 +475,7 @@
     private void giveBack(Map<String, Picture> pictures, long now) {
         retiring.values().removeIf(until -> now > until);
         for (Picture p : pictures.values()) {
-            if (deleting.contains(p.machine()) || retiring.containsKey(p.machine())) {
+            if (deleting.contains(p.machine()) || recentlyGone.containsKey(p.machine()) || retiring.containsKey(p.machine())) {
                 continue;
             }
             boolean idle = p.idleMs() > linger(p) && view.claims(p.machine()).isEmpty();
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -113,6 +113,9 @@
         held.values().removeIf(until -> now > until);
         refusals.values().removeIf(until -> now > until);
         preempting.values().removeIf(until -> now > until);
+        // An owner that died answers no offer: forgetting it only with the next offer once left a replica waiting for good,
+        // as its own old offer took the one place its zone rule allowed.
+        asked.values().removeIf(a -> now - a.group.since > offerMs);
         noteClaims(now);
         List<Slot> slots = slots(pictures);
         slots.addAll(coming);
@@ -261,8 +264,6 @@
                 mesh.send(owner, offer);
             }
         });
-        long until = fx.now() - offerMs;
-        asked.values().removeIf(a -> a.group.since < until);
     }
 
     private static String key(Planner.Choice c) {
