--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -5,6 +5,7 @@
 import birchusher.mesh.PeerRecord;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
+import birchusher.model.Priority;
 import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
@@ -54,6 +55,9 @@
         }
     }
 
+    /** A job that would be served late, by how much, and whether it lies within its team's guarantee. */
+    private record Wish(Job job, boolean guaranteed, double delayS) { }
+
     private record Asked(Group group, List<Planner.Choice> items) { }
 
     private final Effects fx;
@@ -74,6 +78,7 @@
     private final Map<String, long[]> errorSeen = new HashMap<>();
     private final long offerMs;
     private final long planGap;
+    private final double preemptDelay;
     private long nextPlan;
     private long plannedChanges = -1;
     private long nextId = 1;
@@ -92,6 +97,7 @@
         this.counters = counters;
         this.mesh = mesh;
         offerMs = t.ms("placement.offer-s");
+        preemptDelay = t.num("placement.preempt-delay-s") * 1000;
         planGap = t.ms("placement.plan-gap-s");
         planner.zoneOfShard(seats::zoneOf);
     }
@@ -445,8 +451,21 @@
 
     /** Stops work that may be stopped to make room: of lower priority, or beyond its team's guarantee. */
     private void preempt(Planner.Plan plan, Map<String, Picture> pictures, long now) {
-        int budget = 4;
+        int budget = 8;
+        List<Wish> wishes = new ArrayList<>();
+        Map<String, Wish> slow = new LinkedHashMap<>();
+        for (Planner.Choice c : plan.choices()) {
+            boolean guaranteed = plan.guaranteed().contains(c.job().spec.id());
+            if (c.delayMs() > preemptDelay && (guaranteed || c.job().spec.priority() == Priority.PRODUCTION)) {
+                slow.putIfAbsent(c.job().spec.id(), new Wish(c.job(), guaranteed, c.delayMs() / 1000));
+            }
+        }
         for (Planner.Unplaced u : plan.unplaced()) {
+            slow.remove(u.job().spec.id());
+            wishes.add(new Wish(u.job(), u.guaranteed(), Double.MAX_VALUE));
+        }
+        wishes.addAll(slow.values());
+        for (Wish u : wishes) {
             Job j = u.job();
             if (!seats.drives(j.spec.id()) || budget <= 0 || j.spec.gang() && j.spec.tasks() > 1) {
                 continue;
@@ -454,7 +473,7 @@
             if (preempting.size() > 16 || preempting.containsKey("for " + j.spec.id())) {
                 continue;
             }
-            List<Claim> victims = victims(j, u.guaranteed(), plan, pictures);
+            List<Claim> victims = victims(j, u.guaranteed(), u.delayS(), plan, pictures);
             if (victims.isEmpty()) {
                 continue;
             }
@@ -469,9 +488,10 @@
         }
     }
 
-    private List<Claim> victims(Job j, boolean guaranteed, Planner.Plan plan, Map<String, Picture> pictures) {
+    private List<Claim> victims(Job j, boolean guaranteed, double delayS, Planner.Plan plan, Map<String, Picture> pictures) {
         List<Claim> best = List.of();
-        double bestCost = Double.MAX_VALUE;
+        // Stopping somebody must be clearly better than the delay without it.
+        double bestCost = delayS == Double.MAX_VALUE ? delayS : delayS * 0.7 - 2;
         Map<Integer, Integer> zones = planner.zones(j, underway());
         for (Slot slot : slots(pictures)) {
             if (!slot.allows(j.spec) || j.spec.spread() && zones.getOrDefault(slot.zone, 0) >= j.spec.zoneLimit()
@@ -512,7 +532,7 @@
     private double cost(Claim c) {
         long[] seen = claimSeen.get(c.key() + "#" + c.attempt());
         double ran = seen == null ? 0 : (fx.now() - seen[0]) / 1000.0;
-        return c.job().spec.resumes() ? 5 + c.job().spec.saveS() : 5 + ran;
+        return c.job().spec.resumes() ? 3 + c.job().spec.saveS() : 3 + ran * 0.5;
     }
 
     /** Has a task, or the whole gang it belongs to, stopped by the owners of the machines. */
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -25,7 +25,7 @@
  */
 public final class Planner {
     /** A task and where it goes. */
-    public record Choice(Job job, int task, Slot slot) { }
+    public record Choice(Job job, int task, Slot slot, double delayMs) { }
 
     /** Tasks of a job that found no room, not even soon. */
     public record Unplaced(Job job, int tasks, boolean guaranteed) { }
@@ -145,9 +145,10 @@
                 if (!terms.fits(s, expectedS(s), slot.speed)) {
                     limited++;
                 }
+                double delay = slot.startDelay(s);
                 slot.take(s);
                 zones.merge(slot.zone, 1, Integer::sum);
-                choices.add(new Choice(j, task, slot));
+                choices.add(new Choice(j, task, slot, delay));
             }
             if (missing > 0) {
                 unplaced.add(new Unplaced(j, missing, guaranteed.contains(s.id())));
@@ -210,9 +211,10 @@
                     break;
                 }
                 worst = Math.max(worst, score(j, slot, zones));
+                double delay = slot.startDelay(j.spec);
                 slot.take(j.spec);
                 zones.merge(slot.zone, 1, Integer::sum);
-                got.add(new Choice(j, task, slot));
+                got.add(new Choice(j, task, slot, delay));
             }
             got.forEach(c -> c.slot().giveBack(j.spec));
             if (got.size() == j.spec.tasks() && worst < bestScore) {
@@ -252,7 +254,7 @@
     /** Lower is better, in ms of expected delay; ties go to full machines, so that others become empty. */
     private double score(Job j, Slot s, Map<Integer, Integer> zones) {
         JobSpec spec = j.spec;
-        double score = s.startDelay(spec);
+        double score = s.startDelay(spec) + s.harm(spec);
         double expected = expectedS(spec);
         score += expected * 1000 * (1 / Math.max(0.05, s.speed) - 1);
         if (!terms.fits(spec, expected, s.speed)) {
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -75,6 +75,22 @@
         return planned == image;
     }
 
+    /** Ms by which one more image would slow down the fetches already going on here. */
+    double harm(JobSpec j) {
+        if (has(j.image())) {
+            return 0;
+        }
+        double own = j.imageGb() / type.fetchGbPerS() * 1000;
+        double harm = own * Math.max(0, plannedFetches);
+        for (int i = 0; i < fetching.length; i += 2) {
+            if (fetching[i] == j.image()) {
+                return 0;
+            }
+            harm += Math.min(own, fetching[i + 1]);
+        }
+        return harm;
+    }
+
     /** Expected ms until a task with this image could run here. */
     double startDelay(JobSpec j) {
         if (has(j.image())) {
