--- /dev/null
+++ b/src/test/java/birchusher/sim/FakeStore.java
@@ -0,0 +1,164 @@
+package birchusher.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+
+/** A stand-in for the state service, by its published protocol. Answers go to a callback; watches may wait. */
+final class FakeStore {
+    private record Row(Object value, long stamp, long lease) { }
+
+    private record Event(String key, Object value, long stamp) { }
+
+    private record Watch(String prefix, long since, long until, BiConsumer<Integer, Map<String, Object>> reply) { }
+
+    private final TreeMap<String, Row> rows = new TreeMap<>();
+    private final List<Event> history = new ArrayList<>();
+    private final Map<Long, long[]> leases = new LinkedHashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long epoch;
+    private long nextLease = 1;
+    private long outageSince = -1;
+
+    void outage(boolean on, long now) {
+        if (on) {
+            outageSince = now;
+        } else {
+            leases.values().forEach(l -> l[1] = now + l[0]);
+            outageSince = -1;
+        }
+    }
+
+    boolean out() {
+        return outageSince >= 0;
+    }
+
+    void tick(long now) {
+        if (out()) {
+            return;
+        }
+        leases.entrySet().removeIf(e -> {
+            if (now <= e.getValue()[1] + 50) {
+                return false;
+            }
+            List<String> keys = new ArrayList<>();
+            rows.forEach((k, r) -> {
+                if (r.lease == e.getKey()) {
+                    keys.add(k);
+                }
+            });
+            if (!keys.isEmpty()) {
+                epoch++;
+                keys.forEach(k -> set(k, null, 0));
+            }
+            return true;
+        });
+        for (Watch w : List.copyOf(watches)) {
+            List<Object> events = events(w.prefix, w.since);
+            if (!events.isEmpty() || now >= w.until) {
+                watches.remove(w);
+                w.reply.accept(200, Map.of("epoch", epoch, "events", events));
+            }
+        }
+    }
+
+    private void set(String key, Object value, long lease) {
+        if (value == null) {
+            rows.remove(key);
+        } else {
+            rows.put(key, new Row(value, epoch, lease));
+        }
+        history.add(new Event(key, value, epoch));
+    }
+
+    private List<Object> events(String prefix, long since) {
+        List<Object> l = new ArrayList<>();
+        for (Event e : history) {
+            if (e.stamp > since && e.key.startsWith(prefix)) {
+                l.add(e.value == null ? Map.of("remove", e.key, "stamp", e.stamp)
+                        : Map.of("set", e.key, "value", e.value, "stamp", e.stamp));
+            }
+        }
+        return l;
+    }
+
+    private static Map<String, String> query(String target) {
+        Map<String, String> q = new HashMap<>();
+        int i = target.indexOf('?');
+        if (i >= 0) {
+            for (String p : target.substring(i + 1).split("&")) {
+                int eq = p.indexOf('=');
+                q.put(p.substring(0, eq), p.substring(eq + 1));
+            }
+        }
+        return q;
+    }
+
+    @SuppressWarnings("unchecked")
+    void handle(long now, String method, String target, Map<String, Object> body,
+            BiConsumer<Integer, Map<String, Object>> reply) {
+        Map<String, String> q = query(target);
+        if (target.startsWith("/watch")) {
+            watches.add(new Watch(q.get("under"), Long.parseLong(q.get("since")),
+                    now + Long.parseLong(q.getOrDefault("wait_ms", "0")), reply));
+            if (!out()) {
+                tick(now);
+            }
+            return;
+        }
+        if (out()) {
+            reply.accept(503, Map.of());
+        } else if (target.startsWith("/store?")) {
+            List<Object> l = new ArrayList<>();
+            rows.tailMap(q.getOrDefault("since", ""), false).forEach((k, r) -> {
+                if (k.startsWith(q.get("under"))) {
+                    l.add(Map.of("path", k, "value", r.value, "stamp", r.stamp));
+                }
+            });
+            reply.accept(200, Map.of("rows", l, "has_next", false, "epoch", epoch));
+        } else if (target.startsWith("/store/")) {
+            Row r = rows.get(target.substring(7));
+            reply.accept(r == null ? 404 : 200, r == null ? Map.of("epoch", epoch)
+                    : Map.of("path", target.substring(7), "value", r.value, "stamp", r.stamp));
+        } else if (target.equals("/multi")) {
+            List<String> failed = new ArrayList<>();
+            for (Object o : (List<Object>) body.get("if")) {
+                Map<String, Object> c = (Map<String, Object>) o;
+                Row r = rows.get((String) c.get("path"));
+                if ((r == null ? 0 : r.stamp) != (Long) c.get("stamp")) {
+                    failed.add((String) c.get("path"));
+                }
+            }
+            if (!failed.isEmpty()) {
+                reply.accept(409, Map.of("failed", failed, "epoch", epoch));
+                return;
+            }
+            epoch++;
+            for (Object o : (List<Object>) body.get("writes")) {
+                Map<String, Object> w = (Map<String, Object>) o;
+                if (w.get("set") != null) {
+                    set((String) w.get("set"), w.get("value"), w.get("hold") == null ? 0 : (Long) w.get("hold"));
+                } else {
+                    set((String) w.get("remove"), null, 0);
+                }
+            }
+            reply.accept(200, Map.of("epoch", epoch));
+            tick(now);
+        } else if (target.equals("/leases")) {
+            long ttl = (Long) body.get("life_ms");
+            leases.put(nextLease, new long[] {ttl, now + ttl});
+            reply.accept(200, Map.of("hold", nextLease++));
+        } else {
+            long id = Long.parseLong(target.split("/")[2]);
+            long[] l = leases.get(id);
+            if (l != null) {
+                l[1] = now + l[0];
+            }
+            reply.accept(l == null ? 404 : 200, Map.of());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/birchusher/sim/FakeWorker.java
@@ -0,0 +1,154 @@
+package birchusher.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A stand-in for one machine's worker, by its published protocol. */
+final class FakeWorker {
+    static final class Task {
+        final String key;
+        final long attempt;
+        String stage = "fetching";
+        String why;
+        long until;
+        long ran;
+
+        Task(String key, long attempt, long until) {
+            this.key = key;
+            this.attempt = attempt;
+            this.until = until;
+        }
+
+        boolean exited() {
+            return stage.equals("exited");
+        }
+    }
+
+    final World world;
+    final String name;
+    final String zone;
+    final boolean spot;
+    final long upAt;
+    final Map<String, Task> tasks = new LinkedHashMap<>();
+    long session = 1;
+    long tick;
+    long token;
+    long leaseFrom;
+    int node;
+    boolean deleted;
+    long hungUntil;
+    boolean reporting;
+    long nextReport;
+
+    FakeWorker(World world, String name, String zone, boolean spot, long upAt) {
+        this.world = world;
+        this.name = name;
+        this.zone = zone;
+        this.spot = spot;
+        this.upAt = upAt;
+        this.nextReport = upAt;
+        this.leaseFrom = upAt;
+    }
+
+    Map<String, Object> report() {
+        List<Object> pieces = new ArrayList<>();
+        for (Task t : tasks.values()) {
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("piece", t.key);
+            m.put("try", t.attempt);
+            m.put("stage", t.stage);
+            if (t.why != null) {
+                m.put("cause", t.why);
+            }
+            pieces.add(m);
+        }
+        Map<String, Object> r = new LinkedHashMap<>();
+        r.put("host", name);
+        r.put("address", name + ":1");
+        r.put("build", "g4");
+        r.put("grove", zone);
+        r.put("loaners", spot);
+        r.put("tenure", session);
+        r.put("tick", ++tick);
+        r.put("baton", token);
+        r.put("pieces", pieces);
+        return r;
+    }
+
+    /** Runs time forward; false while the machine hangs. */
+    boolean advance(long now) {
+        if (deleted || now < upAt || now < hungUntil) {
+            return false;
+        }
+        if (now - leaseFrom > World.LEASE_MS) {
+            tasks.clear();
+            session++;
+            leaseFrom = now;
+        }
+        for (Task t : List.copyOf(tasks.values())) {
+            if (t.stage.equals("fetching") && now >= t.until) {
+                boolean gang = world.isGang(t.key);
+                t.stage = gang ? "waiting" : "running";
+                t.until = gang ? Long.MAX_VALUE : now + world.runMs(t.key);
+                world.started(this, t);
+                nextReport = Math.min(nextReport, now + 500);
+            } else if (t.stage.equals("running") && !world.isGang(t.key) && now >= t.until) {
+                t.stage = "exited";
+                t.why = "done";
+                world.finished(t.key);
+                nextReport = Math.min(nextReport, now + 500);
+            }
+        }
+        return true;
+    }
+
+    /** Whether the tasks are still there: a worker whose lease is over has dropped them, hanging or not. */
+    boolean alive(long now) {
+        return !deleted && now - leaseFrom <= World.LEASE_MS;
+    }
+
+    void advanceLeaseOnly(long now) {
+        if (!alive(now)) {
+            tasks.values().forEach(t -> t.stage = "exited");
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    void execute(List<Object> orders, long now) {
+        for (Object o : orders) {
+            Map<String, Object> c = (Map<String, Object>) o;
+            String key = (String) c.get("piece");
+            long attempt = ((Number) c.get("try")).longValue();
+            String id = key + "#" + attempt;
+            Task t = tasks.get(id);
+            switch ((String) c.get("verb")) {
+                case "start" -> {
+                    if (t == null) {
+                        t = new Task(key, attempt, now + 1_000 + world.random.nextInt(2_000));
+                        for (Task other : tasks.values()) {
+                            if (other.key.equals(key) && !other.exited()) {
+                                t.stage = "exited";
+                                t.why = "in_use";
+                            }
+                        }
+                        tasks.put(id, t);
+                    }
+                }
+                case "stop" -> {
+                    if (t != null && !t.exited()) {
+                        t.stage = "exited";
+                        t.why = "halted";
+                    }
+                }
+                default -> {
+                    if (t != null && t.exited()) {
+                        tasks.remove(id);
+                    }
+                }
+            }
+        }
+        nextReport = Math.min(nextReport, now + 500);
+    }
+}
--- /dev/null
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -0,0 +1,121 @@
+package birchusher.sim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Random;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Whole days of three cores under failures; every rule of the protocol is an invariant of the stand-ins. */
+class SimulationTest {
+    @BeforeAll
+    static void quiet() {
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "off");
+    }
+
+    private static World world(long seed) {
+        World w = new World(seed);
+        w.submit("wk-web", "standing", 2, "production", true, false);
+        w.submit("wk-arr", "sweep", 14, "standard", false, false);
+        w.submit("wk-gang", "gang", 3, "standard", false, true);
+        return w;
+    }
+
+    @Test
+    void aQuietDayRunsEverythingWithinTheTeamsLimit() {
+        World w = world(1);
+        w.run(120_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(w.state("wk-arr")).isEqualTo("done");
+        assertThat(w.state("wk-gang")).isEqualTo("done");
+        assertThat(w.state("wk-web")).isEqualTo("running");
+    }
+
+    @Test
+    void aCancelledServiceStopsThoughItsMachineHangs() {
+        World w = world(2);
+        w.run(40_000);
+        w.workers.values().forEach(m -> m.hungUntil = w.now + 6_000);
+        w.cancel("wk-web");
+        w.run(60_000);
+        assertThat(w.cancelled("wk-web")).isTrue();
+        assertThat(w.broken).isEmpty();
+    }
+
+    @Test
+    void everyControllerCrashesAndNothingAcceptedIsForgotten() {
+        World w = world(3);
+        w.run(20_000);
+        for (int i = 0; i < 3; i++) {
+            w.crash(i, 5_000);
+        }
+        w.run(120_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(w.state("wk-arr")).isEqualTo("done");
+        assertThat(w.state("wk-web")).isEqualTo("running");
+    }
+
+    @Test
+    void aStateOutageLongerThanTheSeatsLeasesLosesNoJob() {
+        World w = world(4);
+        w.run(30_000);
+        w.store.outage(true, w.now);
+        w.run(70_000);
+        w.store.outage(false, w.now);
+        w.run(100_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(w.state("wk-arr")).isEqualTo("done");
+        assertThat(w.state("wk-web")).isEqualTo("running");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
+    void lossesLateMessagesCrashesHangsCutsAndOutagesBreakNoRule(long seed) {
+        World w = world(seed);
+        Random r = new Random(seed * 7);
+        w.loss = 0.02;
+        w.late = 0.02;
+        for (int step = 0; step < 40; step++) {
+            w.run(5_000);
+            int what = r.nextInt(10);
+            if (what == 0) {
+                w.crash(r.nextInt(3), 2_000 + r.nextInt(20_000));
+            } else if (what == 1) {
+                w.store.outage(true, w.now);
+                w.run(r.nextInt(15_000));
+                w.store.outage(false, w.now);
+            } else if (what <= 3 && !w.workers.isEmpty()) {
+                FakeWorker m = w.workers.values().stream().skip(r.nextInt(w.workers.size())).findFirst().orElseThrow();
+                m.hungUntil = w.now + r.nextInt(25_000);
+            } else if (what == 4) {
+                int a = r.nextInt(3);
+                w.cutMesh(a, (a + 1) % 3, r.nextBoolean());
+            } else if (what == 5) {
+                String id = "wk-x" + step;
+                w.submit(id, r.nextBoolean() ? "sweep" : "gang", 1 + r.nextInt(4), "standard", false, r.nextBoolean());
+                if (r.nextBoolean()) {
+                    w.run(8_000);
+                    w.cancel(id);
+                }
+            } else if (what == 6) {
+                String id = "wk-s" + step;
+                w.submit(id, "standing", 1 + r.nextInt(3), "production", true, false);
+                w.run(15_000);
+                w.cancel(id);
+            }
+        }
+        w.loss = 0;
+        w.late = 0;
+        w.cutMesh(0, 1, false);
+        w.cutMesh(1, 2, false);
+        w.cutMesh(0, 2, false);
+        w.run(120_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(w.state("wk-arr")).isEqualTo("done");
+        assertThat(w.state("wk-gang")).isEqualTo("done");
+        assertThat(w.state("wk-web")).isEqualTo("running");
+        assertThat(w.starts).isGreaterThan(18);
+    }
+}
--- /dev/null
+++ b/src/test/java/birchusher/sim/World.java
@@ -0,0 +1,552 @@
+package birchusher.sim;
+
+import birchusher.core.Effect;
+import birchusher.core.Fields;
+import birchusher.server.Core;
+import birchusher.settings.Settings;
+import birchusher.settings.SettingsReader;
+import birchusher.settings.Tuning;
+import birchusher.wire.Pack;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/**
+ * Three whole cores with stand-ins for everything around them, in simulated time. Messages get lost or arrive late,
+ * controllers crash, machines hang and the state service fails, all from one seed; the rules are checked at every step.
+ */
+final class World {
+    static final long LEASE_MS = 10_000;
+    static final long CANCEL_MS = 30_000;
+    private static final double TEAM_LIMIT = 10;
+    private static final String[] ZONES = {"east", "west"};
+
+    private record Timed(long at, long seq, Runnable run) { }
+
+    private static final class Node {
+        Core core;
+        int life;
+        long downUntil;
+    }
+
+    private static final class UserJob {
+        String id;
+        Map<String, Object> body;
+        boolean accepted;
+        String last;
+        boolean wantsCancel;
+        long cancelledAt = -1;
+        long askAt;
+        int tasks;
+    }
+
+    final Random random;
+    final List<String> broken = new ArrayList<>();
+    final FakeStore store = new FakeStore();
+    final Map<String, FakeWorker> workers = new LinkedHashMap<>();
+    private final Map<String, UserJob> jobs = new LinkedHashMap<>();
+    private final Map<String, Integer> finished = new HashMap<>();
+    private final Map<String, List<Object>> rentals = new HashMap<>();
+    private final PriorityQueue<Timed> queue = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+            : Long.compare(a.seq, b.seq));
+    private final Node[] nodes = new Node[3];
+    private final Map<Long, java.util.function.BiConsumer<Integer, Map<String, Object>>> exchanges = new HashMap<>();
+    private final boolean[][] cut = new boolean[3][3];
+    double loss;
+    double late;
+    long now = 1_000;
+    private long seq;
+    private long nextExchange = 1;
+    private int nextMachine;
+    int starts;
+
+    World(long seed) {
+        random = new Random(seed);
+        for (int i = 0; i < 3; i++) {
+            nodes[i] = new Node();
+            boot(i);
+            every(i);
+        }
+        at(now, this::everything);
+    }
+
+    // ---- what happens to it
+
+    void crash(int i, long ms) {
+        nodes[i].core = null;
+        nodes[i].life++;
+        nodes[i].downUntil = now + ms;
+        at(now + ms, () -> {
+            if (nodes[i].core == null && now >= nodes[i].downUntil) {
+                boot(i);
+            }
+        });
+    }
+
+    void cutMesh(int a, int b, boolean on) {
+        cut[a][b] = on;
+        cut[b][a] = on;
+    }
+
+    void submit(String id, String shape, int tasks, String rank, boolean spread, boolean oneZone) {
+        UserJob j = new UserJob();
+        j.id = id;
+        j.tasks = tasks;
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("name_id", id);
+        m.put("lane", "l-" + shape);
+        m.put("crew", "red");
+        m.put("shape", shape);
+        m.put("rank", rank);
+        m.put("pieces", tasks);
+        m.put("cores", 1.0);
+        m.put("cards", 1.0);
+        m.put("memory_gb", 1.0);
+        m.put("bundle", "img");
+        m.put("size_gb", 1.0);
+        m.put("one_zone", oneZone);
+        m.put("scatter", spread);
+        m.put("loaners", true);
+        m.put("expect_s", shape.equals("standing") ? 0.0 : 8.0);
+        m.put("mark_every_s", 0.0);
+        m.put("mark_take_s", 0.0);
+        j.body = m;
+        j.askAt = now;
+        jobs.put(id, j);
+    }
+
+    void cancel(String id) {
+        jobs.get(id).wantsCancel = true;
+    }
+
+    String state(String id) {
+        return jobs.get(id).last;
+    }
+
+    boolean cancelled(String id) {
+        return jobs.get(id).cancelledAt >= 0;
+    }
+
+    void run(long ms) {
+        long end = now + ms;
+        while (!queue.isEmpty() && queue.peek().at <= end) {
+            Timed t = queue.poll();
+            now = Math.max(now, t.at);
+            t.run.run();
+        }
+        now = end;
+    }
+
+    // ---- time
+
+    private void at(long when, Runnable r) {
+        queue.add(new Timed(when, seq++, r));
+    }
+
+    private void boot(int i) {
+        Settings s = SettingsReader.read(json(i).getBytes(StandardCharsets.UTF_8));
+        nodes[i].core = new Core(s, new Tuning(), now, wall());
+        nodes[i].life++;
+    }
+
+    private long wall() {
+        return 1_700_000_000_000L + now;
+    }
+
+    private void every(int i) {
+        if (nodes[i].core != null) {
+            act(i, nodes[i].core.tick(now, wall()));
+        }
+        at(now + 50, () -> every(i));
+    }
+
+    private void everything() {
+        store.tick(now);
+        for (FakeWorker w : List.copyOf(workers.values())) {
+            if (w.advance(now) && !w.reporting && now >= w.nextReport) {
+                hello(w);
+            }
+        }
+        jobs.values().forEach(this::gang);
+        jobs.values().forEach(this::user);
+        checks();
+        at(now + 100, this::everything);
+    }
+
+    private boolean lost() {
+        return random.nextDouble() < loss;
+    }
+
+    /** Mostly a few ms; now and then a message is held back for long and still arrives. */
+    private long delay() {
+        return random.nextDouble() < late ? 2_000 + random.nextInt(40_000) : 1 + random.nextInt(8);
+    }
+
+    // ---- the cores' effects
+
+    private void act(int i, List<Effect> effects) {
+        int life = nodes[i].life;
+        for (Effect e : effects) {
+            if (e instanceof Effect.Answer a) {
+                var x = exchanges.remove(a.exchange());
+                if (x != null) {
+                    at(now + 2, () -> x.accept(a.status(), plain(a.body())));
+                }
+            } else if (e instanceof Effect.Send s) {
+                int to = member(i, s.peer());
+                if (!cut[i][to] && !lost()) {
+                    at(now + 1 + random.nextInt(3), () -> {
+                        if (nodes[to].core != null) {
+                            act(to, nodes[to].core.peer(now, wall(), s.record()));
+                        }
+                    });
+                }
+            } else if (e instanceof Effect.Call c) {
+                call(i, life, c);
+            }
+        }
+    }
+
+    private static int member(int self, int peer) {
+        return peer <= self ? peer - 1 : peer;
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> plain(Object body) {
+        return body == null ? Map.of() : (Map<String, Object>) Pack.decode(Pack.encode(body));
+    }
+
+    private void call(int i, int life, Effect.Call c) {
+        Map<String, Object> body = c.body() == null ? Map.of() : plain(c.body());
+        boolean[] answered = new boolean[1];
+        java.util.function.BiConsumer<Integer, Map<String, Object>> back = (status, m) -> {
+            if (!answered[0] && nodes[i].life == life && nodes[i].core != null) {
+                answered[0] = true;
+                act(i, nodes[i].core.reply(now, wall(), c.id(), status, m.isEmpty() ? new byte[0] : Pack.encode(m)));
+            }
+        };
+        at(now + c.timeoutMs(), () -> back.accept(0, Map.of()));
+        if (lost()) {
+            return;
+        }
+        at(now + delay(), () -> serve(c, body, (status, m) -> {
+            if (!lost()) {
+                Map<String, Object> copy = plain(m);
+                at(now + 1 + random.nextInt(5), () -> back.accept(status, copy));
+            }
+        }));
+    }
+
+    private void serve(Effect.Call c, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
+        switch (c.target()) {
+            case STORE, WATCH -> store.handle(now, c.method(), c.path(), body, reply);
+            case CLOUD -> cloud(c.path(), body, reply);
+            default -> straight(c.address(), body, reply);
+        }
+    }
+
+    private void cloud(String path, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
+        if (path.equals("/machine_types")) {
+            reply.accept(200, Map.of("builds", List.of(Map.of("name", "g4", "cores", 4.0, "cards", 4.0, "memory_gb", 16.0,
+                    "cache_gb", 50.0, "fetch_gb_per_s", 1.0, "hourly", 4.0, "market_price", 1.0, "ready_s", 10.0))
+                    .stream().map(m -> {
+                        Map<String, Object> x = new HashMap<>(m);
+                        x.put("groves", List.of(ZONES));
+                        return (Object) x;
+                    }).toList()));
+        } else if (path.equals("/rentals")) {
+            List<Object> hosts = rentals.computeIfAbsent((String) body.get("ask"), k -> {
+                List<Object> l = new ArrayList<>();
+                for (long n = (Long) body.get("how_many"); n > 0 && workers.size() < 40; n--) {
+                    String name = String.format("n-%06d", nextMachine++);
+                    l.add(name);
+                    workers.put(name, new FakeWorker(this, name, (String) body.get("grove"),
+                            (Boolean) body.get("loaners"), now + 4_000 + random.nextInt(9_000)));
+                }
+                return l;
+            });
+            reply.accept(200, Map.of("hosts", hosts));
+        } else if (path.equals("/rentals/delete")) {
+            Fields.list(body, "hosts").forEach(h -> {
+                FakeWorker w = workers.remove(h);
+                if (w != null) {
+                    w.deleted = true;
+                }
+            });
+            reply.accept(200, Map.of());
+        } else {
+            reply.accept(200, Map.of("hosts", List.of(), "has_next", false));
+        }
+    }
+
+    /** A command sent straight to a worker; one that hangs carries it out when it goes on. */
+    private void straight(String address, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
+        FakeWorker w = workers.get(address.substring(0, address.indexOf(':')));
+        if (w == null) {
+            return;
+        }
+        if (!w.advance(now)) {
+            if (!w.deleted) {
+                at(Math.max(now + 100, w.hungUntil), () -> straight(address, body, reply));
+            }
+            return;
+        }
+        long token = (Long) body.get("baton");
+        if (token < w.token || (Long) body.get("tenure") != w.session) {
+            reply.accept(409, w.report());
+            return;
+        }
+        w.token = token;
+        w.execute(list(body.get("orders")), now);
+        reply.accept(200, w.report());
+    }
+
+    @SuppressWarnings("unchecked")
+    private static List<Object> list(Object o) {
+        return (List<Object>) o;
+    }
+
+    // ---- workers
+
+    private void hello(FakeWorker w) {
+        w.reporting = true;
+        w.nextReport = now + 3_000;
+        long sent = now;
+        long session = w.session;
+        byte[] report = Pack.encode(w.report());
+        int to = w.node;
+        boolean[] over = new boolean[1];
+        java.util.function.BiConsumer<Integer, Map<String, Object>> back = (status, m) -> {
+            if (over[0]) {
+                return;
+            }
+            over[0] = true;
+            w.reporting = false;
+            if (!w.advance(now) || w.session != session) {
+                return;
+            }
+            if (status == 200) {
+                long token = m.get("baton") == null ? -1 : (Long) m.get("baton");
+                if (token >= w.token) {
+                    w.nextReport = token > w.token ? now + 500 : w.nextReport;
+                    w.token = token;
+                    w.leaseFrom = sent;
+                    w.execute(list(m.get("orders")), now);
+                    w.nextReport = Math.max(w.nextReport, sent + 500);
+                }
+            } else if (status == 421 && m.get("usher") != null) {
+                w.node = Integer.parseInt(((String) m.get("usher")).substring(6));
+                w.nextReport = now + 200;
+            } else {
+                w.node = (w.node + 1) % 3;
+                w.nextReport = now + 1_000;
+            }
+        };
+        at(now + 4_000, () -> back.accept(0, Map.of()));
+        if (!lost()) {
+            at(now + delay(), () -> ask(to, "POST", "/hello", report, (s, m) -> {
+                if (!lost()) {
+                    at(now + 2, () -> back.accept(s, m));
+                }
+            }));
+        }
+    }
+
+    private void ask(int node, String method, String path, byte[] body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
+        if (nodes[node].core != null) {
+            long x = nextExchange++;
+            exchanges.put(x, reply);
+            act(node, nodes[node].core.request(now, wall(), x, method, path, body));
+        }
+    }
+
+    // ---- users
+
+    private void user(UserJob j) {
+        if (now < j.askAt) {
+            return;
+        }
+        j.askAt = now + 1_500;
+        int node = random.nextInt(3);
+        if (!j.accepted) {
+            ask(node, "POST", "/v2/runs", Pack.encode(j.body), (s, m) -> {
+                if (s == 201 || s == 200) {
+                    j.accepted = true;
+                    heard(j, m);
+                } else if (s != 503 && s != 429) {
+                    broken.add(j.id + " refused with " + s);
+                }
+            });
+        } else if (j.wantsCancel && j.cancelledAt < 0) {
+            ask(node, "POST", "/v2/runs/" + j.id + "/withdraw", new byte[0], (s, m) -> {
+                if (s == 200) {
+                    heard(j, m);
+                    if ("cancelled".equals(m.get("stage")) && j.cancelledAt < 0) {
+                        j.cancelledAt = now;
+                    }
+                } else if (s == 404) {
+                    broken.add("forgotten: " + j.id);
+                }
+            });
+        } else {
+            ask(node, "GET", "/v2/runs/" + j.id, new byte[0], (s, m) -> {
+                if (s == 200) {
+                    heard(j, m);
+                } else if (s == 404) {
+                    broken.add("forgotten: " + j.id);
+                }
+            });
+            ask(node, "GET", "/v2/runs/wk-nobody", new byte[0], (s, m) -> {
+                if (s == 200) {
+                    broken.add("invented");
+                }
+            });
+        }
+    }
+
+    private void heard(UserJob j, Map<String, Object> m) {
+        String stage = (String) m.get("stage");
+        boolean wasFinal = "done".equals(j.last) || "cancelled".equals(j.last);
+        if (wasFinal && !j.last.equals(stage)) {
+            broken.add("went_back: " + j.id + " from " + j.last + " to " + stage);
+        }
+        if ("cancelled".equals(stage) && !j.wantsCancel) {
+            broken.add("went_back: " + j.id + " cancelled by nobody");
+        }
+        if ("done".equals(stage) && finished.getOrDefault(j.id, 0) < j.tasks) {
+            broken.add("not_done: " + j.id);
+        }
+        j.last = stage;
+    }
+
+    // ---- gangs
+
+    boolean isGang(String key) {
+        return "gang".equals(jobs.get(key.substring(0, key.indexOf('/'))).body.get("shape"));
+    }
+
+    /** Tasks of one attempt start together, end together, and give up when one of them is gone. */
+    private void gang(UserJob j) {
+        if (!"gang".equals(j.body.get("shape"))) {
+            return;
+        }
+        Map<Long, List<FakeWorker.Task>> attempts = new HashMap<>();
+        for (FakeWorker w : workers.values()) {
+            for (FakeWorker.Task t : w.tasks.values()) {
+                if (w.alive(now) && now >= w.hungUntil && t.key.startsWith(j.id + "/")
+                        && (t.stage.equals("waiting") || t.stage.equals("running"))) {
+                    attempts.computeIfAbsent(t.attempt, k -> new ArrayList<>()).add(t);
+                }
+            }
+        }
+        attempts.values().forEach(l -> {
+            boolean running = l.stream().anyMatch(t -> t.stage.equals("running"));
+            if (running && l.size() < j.tasks) {
+                end(l, "mates_gone");
+            } else if (running && now >= l.get(0).until || !running && l.size() == j.tasks && done.contains(l.get(0).key)) {
+                l.forEach(t -> finished(t.key));
+                end(l, "done");
+            } else if (!running && l.size() == j.tasks) {
+                long until = now + 8_000;
+                l.forEach(t -> {
+                    t.stage = "running";
+                    t.until = until;
+                });
+            }
+        });
+    }
+
+    private static void end(List<FakeWorker.Task> tasks, String why) {
+        tasks.forEach(t -> {
+            t.stage = "exited";
+            t.why = why;
+        });
+    }
+
+    // ---- the rules
+
+    private final java.util.Set<String> done = new java.util.HashSet<>();
+
+    void finished(String key) {
+        if (done.add(key)) {
+            finished.merge(key.substring(0, key.indexOf('/')), 1, Integer::sum);
+        }
+    }
+
+    long runMs(String key) {
+        UserJob j = jobs.get(key.substring(0, key.indexOf('/')));
+        return "standing".equals(j.body.get("shape")) ? Long.MAX_VALUE / 4 : done.contains(key) ? 1 : 4_000 + random.nextInt(8_000);
+    }
+
+    void started(FakeWorker w, FakeWorker.Task t) {
+        starts++;
+        String id = t.key.substring(0, t.key.indexOf('/'));
+        UserJob j = jobs.get(id);
+        Map<String, Integer> zones = new HashMap<>();
+        for (FakeWorker o : workers.values()) {
+            o.advanceLeaseOnly(now);
+            for (FakeWorker.Task x : o.tasks.values()) {
+                if (!x.exited() && !x.stage.equals("fetching") && x.key.startsWith(id + "/")) {
+                    if (x != t && x.key.equals(t.key)) {
+                        broken.add("ran_twice: " + t.key + " on " + w.name + " and " + o.name);
+                    }
+                    zones.merge(o.zone, 1, Integer::sum);
+                }
+            }
+        }
+        if (Boolean.TRUE.equals(j.body.get("scatter")) && zones.get(w.zone) > (j.tasks + 1) / 2) {
+            broken.add("wrong_place: too many of " + id + " in " + w.zone);
+        }
+        if (Boolean.TRUE.equals(j.body.get("one_zone")) && zones.size() > 1) {
+            broken.add("wrong_place: " + id + " in two zones");
+        }
+        if (j.cancelledAt >= 0 && now - j.cancelledAt > CANCEL_MS) {
+            broken.add("ran_cancelled: " + t.key + " started");
+        }
+    }
+
+    private void checks() {
+        double use = 0;
+        for (FakeWorker w : workers.values()) {
+            for (FakeWorker.Task t : w.tasks.values()) {
+                if (t.exited() || t.stage.equals("fetching") || !w.alive(now)) {
+                    continue;
+                }
+                use++;
+                UserJob j = jobs.get(t.key.substring(0, t.key.indexOf('/')));
+                if (j.cancelledAt >= 0 && now - j.cancelledAt > CANCEL_MS) {
+                    broken.add("ran_cancelled: " + t.key + " still on " + w.name);
+                }
+            }
+        }
+        if (use > TEAM_LIMIT) {
+            broken.add("quota: " + use);
+        }
+        if (broken.size() > 20) {
+            throw new AssertionError(broken.toString());
+        }
+    }
+
+    private static String json(int i) {
+        String[] area = {"east", "west", "east"};
+        StringBuilder peers = new StringBuilder();
+        for (int k = 0; k < 3; k++) {
+            if (k != i) {
+                peers.append(peers.isEmpty() ? "" : ",").append("{\"member\":\"perch-").append(k).append("\",\"area\":\"")
+                        .append(area[k]).append("\",\"peer_addr\":\"10.0.0.").append(k).append(":1\"}");
+            }
+        }
+        return "{\"member\":\"perch-" + i + "\",\"area\":\"" + area[i] + "\",\"listen\":\"10.0.0." + i
+                + ":2\",\"mesh_addr\":\"10.0.0." + i + ":1\",\"seeds\":[" + peers + "],"
+                + "\"external\":{\"cloud\":\"10.1.0.1:1\",\"state\":\"10.1.0.2:1\"},\"deployment\":{\"zones\":[\"east\",\"west\"],"
+                + "\"teams\":[{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0,\"gpus\":6,\"gpus_max\":" + TEAM_LIMIT + "}],"
+                + "\"workers\":{\"report_s\":3,\"lease_s\":" + LEASE_MS / 1000.0 + ",\"gang_wait_s\":20,\"gang_peer_s\":4,\"cancel_s\":"
+                + CANCEL_MS / 1000.0 + "},\"state\":{\"rps\":200,\"write_rps\":60,\"value_kb\":8,\"txn_ops\":12},"
+                + "\"cloud\":{\"rps\":5,\"list_lag_s\":5},\"resources\":{\"cores\":1,\"ram_mb\":200,\"max_connections\":500}}}";
+    }
+}
