--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -503,7 +503,8 @@
                 JobSpec v = c.job().spec;
                 boolean lower = v.priority().compareTo(j.spec.priority()) > 0
                         && !(plan.guaranteed().contains(v.id()) && !guaranteed);
-                boolean beyond = guaranteed && v.team() != j.spec.team() && !plan.guaranteed().contains(v.id());
+                // Stopping one replica for another gains nothing and once went on for minutes.
+                boolean beyond = guaranteed && v.priority() != Priority.PRODUCTION && v.team() != j.spec.team() && !plan.guaranteed().contains(v.id());
                 if ((lower || beyond) && !preempting.containsKey(c.key() + "#" + c.attempt())
                         && (!v.gang() || v.tasks() == 1)) {
                     candidates.add(c);
