--- a/src/main/java/birchusher/store/View.java
+++ b/src/main/java/birchusher/store/View.java
@@ -197,7 +197,7 @@
         Job.State state = Job.State.valueOf(Fields.text(value, "s"));
         Job j = old != null
                 ? new Job(old.spec, old.chunkSize, old.acceptedAt, state, old.age)
-                : new Job(codec.read(Fields.map(value.get("j"), "j")), (int) Math.max(1, Fields.count(value, "k")),
+                : new Job(codec.readRow(Fields.map(value.get("j"), "j")), (int) Math.max(1, Fields.count(value, "k")),
                         Fields.count(value, "t"), state, version);
         jobs.put(id, j);
         catalog.imageSize(j.spec.image(), j.spec.imageGb());
--- a/src/main/java/birchusher/wire/JobCodec.java
+++ b/src/main/java/birchusher/wire/JobCodec.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 
 /** Submissions to specs and back; the store keeps the same form. */
 public final class JobCodec {
@@ -42,7 +43,20 @@
         return true;
     }
 
+    /** A submission: machine types nobody rents are left out, so that users can't fill the name table. */
     public JobSpec read(Map<String, Object> m) {
+        return read(m, catalog.typeNames::find);
+    }
+
+    /**
+     * A row of the store. A starting controller reads rows before it knows the machine types, so their names are taken as
+     * they come: left out, a job that names its types would fit no machine for as long as this process lives.
+     */
+    public JobSpec readRow(Map<String, Object> m) {
+        return read(m, catalog.typeNames::add);
+    }
+
+    private JobSpec read(Map<String, Object> m, ToIntFunction<String> typeIndex) {
         String id = Fields.text(m, Wire.ID);
         if (!isId(id)) {
             throw new Bad(Wire.ID + ": not a job id");
@@ -91,7 +105,7 @@
         }
         int[] typeIdx = null;
         if (types != null) {
-            typeIdx = types.stream().mapToInt(catalog.typeNames::find).filter(i -> i != Names.NONE).toArray();
+            typeIdx = types.stream().mapToInt(typeIndex).filter(i -> i != Names.NONE).toArray();
         }
         return new JobSpec(id, catalog.classes.add(cls), team, shape, priority, (int) tasks, cpus, gpus, mem,
                 catalog.images.add(image), imageGb, typeIdx, zone, oneZone, spread, spot, estimate, checkpoint, save,
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -109,6 +109,7 @@
         m.put("memory_gb", 1.0);
         m.put("bundle", "img");
         m.put("size_gb", 1.0);
+        m.put("builds", List.of("g4"));
         m.put("one_zone", oneZone);
         m.put("scatter", spread);
         m.put("loaners", true);
