--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -126,7 +126,7 @@
         List<Slot> slots = slots(pictures);
         slots.addAll(coming);
         Planner.Plan plan = planner.plan(slots, held::containsKey, (m, j) -> refusals.containsKey(m + " " + j),
-                this::paused, underway());
+                this::paused, underway(), fx.wall());
         last = plan;
         counters.speedLimited += plan.speedLimited();
         if (seats.holding() && store.healthy()) {
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -4,10 +4,12 @@
 import birchusher.lease.Speeds;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
+import birchusher.settings.Settings;
 import birchusher.store.Chunk;
 import birchusher.store.Claim;
 import birchusher.store.Job;
 import birchusher.store.View;
+import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -35,13 +37,21 @@
     private final Catalog catalog;
     private final View view;
     private final Speeds speeds;
+    private static final double DEFAULT_DUE_S = 600;
     private final LeaseTerms terms;
+    private final Int2DoubleOpenHashMap dueByClass = new Int2DoubleOpenHashMap();
 
-    public Planner(Catalog catalog, View view, Speeds speeds, LeaseTerms terms) {
+    public Planner(Catalog catalog, View view, Speeds speeds, LeaseTerms terms,
+            List<Settings.Objective> objectives) {
         this.catalog = catalog;
         this.view = view;
         this.speeds = speeds;
         this.terms = terms;
+        for (Settings.Objective o : objectives) {
+            if (o.kind().equals("finished") && o.cls() != null) {
+                dueByClass.put(catalog.classes.add(o.cls()), o.withinS());
+            }
+        }
     }
 
     public double expectedS(JobSpec j) {
@@ -69,7 +79,18 @@
         return in;
     }
 
-    private List<Job> order(Set<String> guaranteed) {
+    /** When a job should be complete, by its own deadline or its class's objective; by its age if it has neither. */
+    private long due(Job j) {
+        double s = j.spec.deadlineS() > 0 ? j.spec.deadlineS() : dueByClass.get(j.spec.cls());
+        return j.acceptedAt + Math.round((s > 0 ? s : DEFAULT_DUE_S) * 1000);
+    }
+
+    /** Too late whatever is done: such a job makes way for those that can still be in time. */
+    private boolean late(Job j, long wall) {
+        return !j.spec.service() && wall + expectedS(j.spec) * 800 > due(j);
+    }
+
+    private List<Job> order(Set<String> guaranteed, long wall) {
         List<Job> jobs = new ArrayList<>();
         for (Job j : view.jobs()) {
             if (j.state == Job.State.OPEN && j.doneCount() + j.claimCount() < j.spec.tasks()) {
@@ -83,7 +104,17 @@
                 return ga ? -1 : 1;
             }
             int p = a.spec.priority().compareTo(b.spec.priority());
-            return p != 0 ? p : Long.compare(a.age, b.age);
+            if (p != 0) {
+                return p;
+            }
+            boolean la = late(a, wall);
+            boolean lb = late(b, wall);
+            if (la != lb) {
+                return la ? 1 : -1;
+            }
+            long da = due(a);
+            long db = due(b);
+            return da != db ? Long.compare(da, db) : Long.compare(a.age, b.age);
         });
         return jobs;
     }
@@ -92,10 +123,11 @@
      * @param held tasks already offered or being claimed by this controller, or backing off
      * @param refused machines that lately refused a job
      * @param paused jobs that back off
+     * @param wall time of day, for due times
      * @param underway tasks offered or being claimed, with their machines
      */
     public Plan plan(List<Slot> slots, Predicate<String> held, BiPredicate<String, String> refused,
-            Predicate<Job> paused, List<Choice> underway) {
+            Predicate<Job> paused, List<Choice> underway, long wall) {
         Set<String> guaranteed = guaranteed();
         List<Choice> choices = new ArrayList<>();
         List<Unplaced> unplaced = new ArrayList<>();
@@ -105,7 +137,7 @@
             use[t][0] = view.cpusOf(t);
             use[t][1] = view.gpusOf(t);
         }
-        for (Job j : order(guaranteed)) {
+        for (Job j : order(guaranteed, wall)) {
             if (paused.test(j)) {
                 continue;
             }
--- a/src/main/java/birchusher/server/Core.java
+++ b/src/main/java/birchusher/server/Core.java
@@ -76,7 +76,7 @@
         Driver[] later = new Driver[1];
         yard = new Yard(fx, s, catalog, view, store, seats, speeds, t, counters,
                 (job, grace, reason) -> later[0].stopGang(job, grace, reason));
-        planner = new Planner(catalog, view, speeds, LeaseTerms.from(t));
+        planner = new Planner(catalog, view, speeds, LeaseTerms.from(t), s.objectives());
         driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send);
         later[0] = driver;
         desk = new Desk(fx, s, catalog, codec, view, store, seats);
