--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -11,6 +11,7 @@
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
 import birchusher.store.Change;
+import birchusher.store.Claim;
 import birchusher.store.Keys;
 import birchusher.store.StoreLink;
 import birchusher.store.Tx;
@@ -25,7 +26,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.ToLongFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -49,7 +53,11 @@
     private final CloudLink cloud;
     private final Counters counters;
     private final Settings settings;
-    private final Consumer<String> retire;
+    private final BiConsumer<String, Boolean> retire;
+    private final Function<Map<String, Picture>, List<Slot>> free;
+    private final ToLongFunction<Claim> runningFor;
+    private final Map<String, Long> sparse = new HashMap<>();
+    private long nextMove;
     private final Consumer<String> gone;
     private final Map<Kind, Long> refusedUntil = new HashMap<>();
     private final Set<String> busyAsks = new HashSet<>();
@@ -59,6 +67,7 @@
     private final Map<String, Long> strangers = new HashMap<>();
     private final Map<String, Long> recentlyGone = new LinkedHashMap<>();
     private final List<String> toDelete = new ArrayList<>();
+    private final long moveAfterMs;
     private final double lingerBoot;
     private final double lingerFetch;
     private final double giveUp;
@@ -75,7 +84,8 @@
     private long lostAt = -1_000_000;
 
     public Buyer(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, CloudLink cloud,
-            Counters counters, Tuning t, Consumer<String> retire, Consumer<String> gone) {
+            Counters counters, Tuning t, BiConsumer<String, Boolean> retire, Consumer<String> gone,
+            Function<Map<String, Picture>, List<Slot>> free, ToLongFunction<Claim> runningFor) {
         this.fx = fx;
         this.settings = s;
         this.catalog = catalog;
@@ -86,6 +96,9 @@
         this.counters = counters;
         this.retire = retire;
         this.gone = gone;
+        this.free = free;
+        this.runningFor = runningFor;
+        moveAfterMs = t.ms("fleet.move-after-s");
         lingerBoot = t.num("fleet.linger-boots");
         lingerFetch = t.num("fleet.linger-fetches");
         giveUp = t.num("fleet.give-up-boots");
@@ -134,6 +147,10 @@
         if (catalog.typesKnown() && !reserving && now - buyerSince > 1_500) {
             buy(plan, pictures, now);
         }
+        if (now >= nextMove) {
+            nextMove = now + 2_000;
+            merge(plan, pictures, now);
+        }
         deleteNow();
     }
 
@@ -488,9 +505,9 @@
             if (silent) {
                 LOG.info("machine {} silent for {} ms, deleted to free its tasks", p.machine(), p.silentMs());
                 delete(p.machine());
-            } else if (idle || p.condemned()) {
+            } else if (idle || p.condemned() || p.leaving() && view.claims(p.machine()).isEmpty()) {
                 retiring.put(p.machine(), now + 5_000);
-                retire.accept(p.machine());
+                retire.accept(p.machine(), false);
             }
         }
     }
@@ -514,6 +531,63 @@
         return 1000 * (lingerBoot * t.bootS() + lingerFetch * fetch);
     }
 
+    /**
+     * Replicas spread thinly keep whole machines rented. One whose few replicas all find room and their images elsewhere,
+     * and have for a while, is emptied; a move costs a replica about a second.
+     */
+    private void merge(Planner.Plan plan, Map<String, Picture> pictures, long now) {
+        if (!plan.unplaced().isEmpty() || !plan.choices().isEmpty()) {
+            sparse.clear();
+            return;
+        }
+        Picture best = null;
+        double bestWorth = 0;
+        for (Picture p : pictures.values()) {
+            Catalog.Type t = catalog.type(p.type());
+            Map<String, Claim> claims = view.claims(p.machine());
+            if (p.leaving()) {
+                return;
+            }
+            if (!p.usable() || t == null || claims.isEmpty() || !fitsElsewhere(p, claims, pictures)) {
+                sparse.remove(p.machine());
+                continue;
+            }
+            long since = sparse.computeIfAbsent(p.machine(), k -> now);
+            double worth = (p.spot() ? t.spotPrice() : t.price()) / claims.size();
+            if (now - since > Math.max(moveAfterMs, linger(p)) && worth > bestWorth) {
+                best = p;
+                bestWorth = worth;
+            }
+        }
+        sparse.keySet().retainAll(pictures.keySet());
+        if (best != null) {
+            LOG.info("machine {} is emptied, its {} replicas fit elsewhere", best.machine(), view.claims(best.machine()).size());
+            sparse.clear();
+            retire.accept(best.machine(), true);
+        }
+    }
+
+    private boolean fitsElsewhere(Picture p, Map<String, Claim> claims, Map<String, Picture> pictures) {
+        List<Slot> slots = free.apply(pictures);
+        slots.removeIf(s -> s.machine().equals(p.machine()) || view.claims(s.machine()).isEmpty());
+        for (Claim c : claims.values()) {
+            JobSpec j = c.job().spec;
+            // A job spread over zones stays in its zone, so that its rule still holds after the move.
+            Slot to = null;
+            for (Slot s : slots) {
+                if (s.fits(j) && s.allows(j) && s.startDelay(j) <= 0 && (s.zone() == p.zone() || j.tasks() == 1)) {
+                    to = s;
+                    break;
+                }
+            }
+            if (!j.service() || runningFor.applyAsLong(c) < moveAfterMs || to == null) {
+                return false;
+            }
+            to.take(j);
+        }
+        return true;
+    }
+
     /** A machine that says nothing is mostly lost; deleting it is the quickest proof that its tasks are gone. */
     private boolean silent(Picture p) {
         double s = p.silentMs() / 1000.0;
--- a/src/main/java/birchusher/mesh/PeerCodec.java
+++ b/src/main/java/birchusher/mesh/PeerCodec.java
@@ -72,6 +72,7 @@
             } else if (r instanceof Retire x) {
                 out.writeByte(5);
                 out.writeUTF(x.machine());
+                out.writeBoolean(x.withTasks());
             } else if (r instanceof Retired x) {
                 out.writeByte(6);
                 out.writeUTF(x.machine());
@@ -98,7 +99,7 @@
                 case 3 -> new Verdict(in.readLong(), list(in, d -> d.readUTF()),
                         list(in, d -> d.readLong()));
                 case 4 -> new Stop(in.readUTF(), in.readInt(), in.readLong(), in.readDouble(), in.readUTF());
-                case 5 -> new Retire(in.readUTF());
+                case 5 -> new Retire(in.readUTF(), in.readBoolean());
                 case 6 -> new Retired(in.readUTF(), in.readBoolean());
                 default -> throw new Bad("peer record of unknown kind");
             };
--- a/src/main/java/birchusher/mesh/PeerRecord.java
+++ b/src/main/java/birchusher/mesh/PeerRecord.java
@@ -27,7 +27,8 @@
     /** Task -1: every task of the attempt. */
     record Stop(String job, int task, long attempt, double graceS, String reason) implements PeerRecord { }
 
-    record Retire(String machine) implements PeerRecord { }
+    /** {@code withTasks}: even if replicas run there, which then move elsewhere. */
+    record Retire(String machine, boolean withTasks) implements PeerRecord { }
 
     record Retired(String machine, boolean agreed) implements PeerRecord { }
 }
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -149,6 +149,12 @@
         claimSeen.values().removeIf(l -> l[1] < now);
     }
 
+    /** For how long this controller has seen a claim stand, in ms. */
+    public long runningFor(Claim c) {
+        long[] seen = claimSeen.get(c.key() + "#" + c.attempt());
+        return seen == null ? 0 : fx.now() - seen[0];
+    }
+
     /** Expected end of a claim by what this controller has seen of it, in steady ms. */
     public long expectedEnd(Claim c) {
         long[] seen = claimSeen.get(c.key() + "#" + c.attempt());
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -42,15 +42,15 @@
         this.mem = mem;
     }
 
-    boolean allows(JobSpec j) {
+    public boolean allows(JobSpec j) {
         return j.allows(type.index()) && (j.zone() < 0 || j.zone() == zone) && (!spot || j.spot());
     }
 
-    boolean fits(JobSpec j) {
+    public boolean fits(JobSpec j) {
         return j.cpus() <= cpus + Catalog.EPS && j.gpus() <= gpus + Catalog.EPS && j.mem() <= mem + Catalog.EPS;
     }
 
-    void take(JobSpec j) {
+    public void take(JobSpec j) {
         cpus -= j.cpus();
         gpus -= j.gpus();
         mem -= j.mem();
@@ -66,6 +66,14 @@
         mem += j.mem();
     }
 
+    public String machine() {
+        return machine;
+    }
+
+    public int zone() {
+        return zone;
+    }
+
     boolean has(int image) {
         for (int i : images) {
             if (i == image) {
@@ -92,7 +100,7 @@
     }
 
     /** Expected ms until a task with this image could run here. */
-    double startDelay(JobSpec j) {
+    public double startDelay(JobSpec j) {
         if (has(j.image())) {
             return etaMs;
         }
--- a/src/main/java/birchusher/server/Core.java
+++ b/src/main/java/birchusher/server/Core.java
@@ -80,7 +80,8 @@
         driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send);
         later[0] = driver;
         desk = new Desk(fx, s, catalog, codec, view, store, seats);
-        buyer = new Buyer(fx, s, catalog, view, store, seats, new CloudLink(fx, s), counters, t, this::retire, yard::gone);
+        buyer = new Buyer(fx, s, catalog, view, store, seats, new CloudLink(fx, s), counters, t, this::retire, yard::gone,
+                driver::slots, driver::runningFor);
     }
 
     // ---- inputs
@@ -278,21 +279,21 @@
         } else if (r instanceof PeerRecord.Stop s) {
             driver.stopAsked(s);
         } else if (r instanceof PeerRecord.Retire x) {
-            send(from, new PeerRecord.Retired(x.machine(), yard.retire(x.machine())));
+            send(from, new PeerRecord.Retired(x.machine(), yard.retire(x.machine(), x.withTasks())));
         } else if (r instanceof PeerRecord.Retired x) {
             buyer.retired(x.machine(), x.agreed());
         }
     }
 
-    private void retire(String machine) {
+    private void retire(String machine, boolean withTasks) {
         Picture p = pictures.get(machine);
         if (p == null) {
             return;
         }
         if (seats.owns(p.shard())) {
-            buyer.retired(machine, yard.retire(machine));
+            buyer.retired(machine, yard.retire(machine, withTasks));
         } else if (seats.liveOwner(p.shard()) > 0) {
-            send(seats.liveOwner(p.shard()), new PeerRecord.Retire(machine));
+            send(seats.liveOwner(p.shard()), new PeerRecord.Retire(machine, withTasks));
         }
     }
 
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -710,7 +710,7 @@
     }
 
     /** The buyer wants to return a machine: agreed only if nothing is or may come to be on it. */
-    public boolean retire(String machine) {
+    public boolean retire(String machine, boolean withTasks) {
         Machine m = machines.get(machine);
         if (m == null || !seats.owns(m.shard)) {
             return false;
@@ -721,6 +721,9 @@
             m.leaving = true;
             return true;
         }
+        if (withTasks && m.reserved.isEmpty()) {
+            m.leaving = true;
+        }
         return false;
     }
 
@@ -776,12 +779,30 @@
             if (m.noticeAt >= 0) {
                 drain(m, now);
             }
+            if (m.leaving) {
+                move(m);
+            }
             if (!m.stops.isEmpty() || hasUnstarted(m)) {
                 push(m);
             }
         }
     }
 
+    /** Replicas leave a machine that is to be returned one at a time, so that only one is down at any moment. */
+    private void move(Machine m) {
+        for (Claim c : view.claims(m.name).values()) {
+            if (m.stops.containsKey(c.key() + "#" + c.attempt())) {
+                return;
+            }
+        }
+        for (Claim c : view.claims(m.name).values()) {
+            if (c.job().spec.service() && m.entries.containsKey(c.key() + "#" + c.attempt())) {
+                wishStop(c, 0, "moves");
+                return;
+            }
+        }
+    }
+
     private boolean hasUnstarted(Machine m) {
         for (Claim c : view.claims(m.name).values()) {
             if (!m.entries.containsKey(c.key() + "#" + c.attempt())) {
