--- a/src/main/java/birchusher/lease/Speeds.java
+++ b/src/main/java/birchusher/lease/Speeds.java
@@ -9,13 +9,16 @@
 public final class Speeds {
     private final Int2ObjectOpenHashMap<double[]> byClass = new Int2ObjectOpenHashMap<>();
 
-    /** A task of this class took this long on a machine of this speed. */
-    public void observe(int cls, double estimateS, double observedS, double speed) {
+    /**
+     * A task of this class took this long. The machine's speed is left out on purpose: corrected by it, a wrong estimate
+     * would be shared between class and machines, and every machine would look slow.
+     */
+    public void observe(int cls, double estimateS, double observedS) {
         if (estimateS <= 0 || observedS <= 0) {
             return;
         }
         double[] s = byClass.computeIfAbsent(cls, c -> new double[] {2, 2});
-        double ratio = Math.min(5, Math.max(0.2, observedS * speed / estimateS));
+        double ratio = Math.min(5, Math.max(0.2, observedS / estimateS));
         s[0] = s[0] * 0.98 + ratio;
         s[1] = s[1] * 0.98 + 1;
     }
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -311,9 +311,8 @@
                 if (run.lease.runningSince() >= 0 && c.attempt() == 1 && !run.countedAtCap && j.estimateS() > 0
                         && !m.outcomes.contains(e.attemptKey())) {
                     double took = (now - run.lease.runningSince()) / 1000.0;
-                    double speed = m.speed.value();
+                    speeds.observe(j.cls(), j.estimateS(), took);
                     m.speed.observe(j.estimateS() * speeds.bias(j.cls()), took);
-                    speeds.observe(j.cls(), j.estimateS(), took, speed);
                 }
                 m.errorJobs.clear();
                 release(c, Outcome.DONE, "done");
--- /dev/null
+++ b/src/test/java/birchusher/PeerCodecTest.java
@@ -0,0 +1,58 @@
+package birchusher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import birchusher.core.Fields.Bad;
+import birchusher.mesh.PeerCodec;
+import birchusher.mesh.PeerRecord;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class PeerCodecTest {
+    private static final List<PeerRecord> ALL = List.of(
+            new PeerRecord.Heartbeat(7, true, List.of(1L, 0L), List.of(new PeerRecord.Machine("n-1", "g8", "a", true, 3, 1,
+                    PeerRecord.Machine.USABLE, 10, -1, 20, 0.9, 1, 2, 3, List.of("i"), List.of(500), List.of("j", "k"))),
+                    List.of("n-2")),
+            new PeerRecord.Offer(5, List.of(new PeerRecord.Item("wk-1", 4, "n-1", 2))),
+            new PeerRecord.Verdict(5, List.of("", "no room"), List.of(9L, 0L)),
+            new PeerRecord.Stop("wk-1", -1, 3, 6.5, "notice"), new PeerRecord.Retire("n-1", true),
+            new PeerRecord.Retired("n-1", false));
+
+    @Test
+    void recordsComeBackAsTheyWent() {
+        for (PeerRecord r : ALL) {
+            assertThat(PeerCodec.decode(PeerCodec.encode("perch-1", r))).isEqualTo(new PeerCodec.From("perch-1", r));
+        }
+    }
+
+    @Test
+    void aRecordCutOffAnywhereIsRefused() {
+        for (PeerRecord r : ALL) {
+            byte[] whole = PeerCodec.encode("perch-1", r);
+            for (int n = 0; n < whole.length; n++) {
+                byte[] part = Arrays.copyOf(whole, n);
+                assertThatThrownBy(() -> PeerCodec.decode(part)).isInstanceOf(Bad.class);
+            }
+        }
+    }
+
+    @Test
+    void bytesAtRandomNeverDoMoreThanBeRefused() {
+        Random random = new Random(5);
+        int refused = 0;
+        for (int i = 0; i < 5_000; i++) {
+            byte[] b = PeerCodec.encode("perch-1", ALL.get(i % ALL.size()));
+            b[random.nextInt(b.length)] = (byte) random.nextInt();
+            b[random.nextInt(b.length)] = (byte) random.nextInt();
+            try {
+                PeerCodec.decode(b);
+            } catch (Bad e) {
+                refused++;
+            }
+        }
+        assertThat(refused).isGreaterThan(500);
+    }
+}
--- /dev/null
+++ b/src/test/java/birchusher/SettingsTest.java
@@ -0,0 +1,44 @@
+package birchusher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import birchusher.core.Fields.Bad;
+import birchusher.settings.SettingsReader;
+import birchusher.settings.Tuning;
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+class SettingsTest {
+    private static void read(String json) {
+        SettingsReader.read(json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void unknownFieldsAreIgnored() {
+        read(RowBeforeTypesTest.SETTINGS.replaceFirst("\\{", "{\"new_field\":[1,{\"x\":null}],"));
+    }
+
+    @Test
+    void theFieldAtFaultIsNamed() {
+        String good = RowBeforeTypesTest.SETTINGS;
+        assertThatThrownBy(() -> read(good.replace("\"lease_s\":10", "\"lease_s\":0"))).isInstanceOf(Bad.class)
+                .hasMessageContaining("lease_s");
+        assertThatThrownBy(() -> read(good.replace("1.1.1.1:4", "nowhere"))).hasMessageContaining("state");
+        assertThatThrownBy(() -> read(good.replace("\"member\":\"a\",", ""))).hasMessageContaining("member");
+        assertThatThrownBy(() -> read("{")).isInstanceOf(Bad.class);
+    }
+
+    @Test
+    void operatorsPropertiesOverrideDefaultsAndUnknownKeysAreRefused() throws IOException {
+        Tuning t = new Tuning().with(new StringReader("lease.base-s=120\n"));
+        assertThat(t.ms("lease.base-s")).isEqualTo(120_000);
+        assertThat(t.ms("lease.renew-s")).isEqualTo(30_000);
+        assertThatThrownBy(() -> new Tuning().with(new StringReader("lease.bass-s=1\n"))).isInstanceOf(Bad.class)
+                .hasMessageContaining("lease.bass-s");
+        assertThatThrownBy(() -> new Tuning().with(new StringReader("lease.base-s=soon\n"))).isInstanceOf(Bad.class)
+                .hasMessageContaining("lease.base-s");
+    }
+}
