--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -158,9 +158,13 @@
     /** Expected end of a claim by what this controller has seen of it, in steady ms. */
     public long expectedEnd(Claim c) {
         long[] seen = claimSeen.get(c.key() + "#" + c.attempt());
-        long since = seen == null ? fx.now() : seen[0];
-        return c.job().spec.service() ? Long.MAX_VALUE
-                : since + Math.round(planner.expectedS(c.job().spec) * 1000) + 3_000;
+        if (c.job().spec.service()) {
+            return Long.MAX_VALUE;
+        }
+        long ran = seen == null ? 0 : fx.now() - seen[0];
+        double left = planner.expectedS(c.job().spec) * 1000 + 3_000 - ran;
+        // The longer a task is overdue, the less its end is near: "any moment now" kept others waiting for minutes.
+        return fx.now() + Math.round(Math.max(left, 0.4 * ran));
     }
 
     /** A job whose tasks keep failing waits longer and longer, so that it does not wear out machines. */
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -287,6 +287,10 @@
     private double score(Job j, Slot s, Map<Integer, Integer> zones) {
         JobSpec spec = j.spec;
         double score = s.startDelay(spec) + s.harm(spec);
+        if (!s.real) {
+            // Room that is only expected may come late or go to somebody else.
+            score += 2_000 + 0.5 * s.etaMs;
+        }
         double expected = expectedS(spec);
         score += expected * 1000 * (1 / Math.max(0.05, s.speed) - 1);
         if (!terms.fits(spec, expected, s.speed)) {
