--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -512,7 +512,7 @@
             for (Claim c : view.claims(slot.machine).values()) {
                 JobSpec v = c.job().spec;
                 boolean lower = v.priority().compareTo(j.spec.priority()) > 0
-                        && !(plan.guaranteed().contains(v.id()) && !guaranteed);
+                        && (j.spec.priority() == Priority.PRODUCTION || guaranteed || !plan.guaranteed().contains(v.id()));
                 // Stopping one replica for another gains nothing and once went on for minutes.
                 boolean beyond = guaranteed && v.priority() != Priority.PRODUCTION && v.team() != j.spec.team() && !plan.guaranteed().contains(v.id());
                 if ((lower || beyond) && !preempting.containsKey(c.key() + "#" + c.attempt())
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -4,6 +4,7 @@
 import birchusher.lease.Speeds;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
+import birchusher.model.Priority;
 import birchusher.settings.Settings;
 import birchusher.store.Chunk;
 import birchusher.store.Claim;
@@ -38,6 +39,8 @@
     private final View view;
     private final Speeds speeds;
     private static final double DEFAULT_DUE_S = 600;
+    /** Batch work that slows down fetches mostly holds up several tasks, often replicas. */
+    private static final double HARM = 1.5;
     private final LeaseTerms terms;
     private final Int2DoubleOpenHashMap dueByClass = new Int2DoubleOpenHashMap();
 
@@ -98,6 +101,12 @@
             }
         }
         jobs.sort((a, b) -> {
+            // Production goes before guarantees: a replica beyond its team's guarantee must not starve behind batch work.
+            boolean pa = a.spec.priority() == Priority.PRODUCTION;
+            boolean pb = b.spec.priority() == Priority.PRODUCTION;
+            if (pa != pb) {
+                return pa ? -1 : 1;
+            }
             boolean ga = guaranteed.contains(a.spec.id());
             boolean gb = guaranteed.contains(b.spec.id());
             if (ga != gb) {
@@ -286,7 +295,7 @@
     /** Lower is better, in ms of expected delay; ties go to full machines, so that others become empty. */
     private double score(Job j, Slot s, Map<Integer, Integer> zones) {
         JobSpec spec = j.spec;
-        double score = s.startDelay(spec) + s.harm(spec);
+        double score = s.startDelay(spec) + (spec.priority() == Priority.PRODUCTION ? 1 : HARM) * s.harm(spec);
         if (!s.real) {
             // Room that is only expected may come late or go to somebody else.
             score += 2_000 + 0.5 * s.etaMs;
