--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -528,7 +528,9 @@
             n++;
         }
         double fetch = n == 0 ? 0 : gb / n / t.fetchGbPerS();
-        return 1000 * (lingerBoot * t.bootS() + lingerFetch * fetch);
+        // Waiting is dear on dear machines: cheap ones stay longer, dear ones go sooner.
+        double cheapness = t.spotPrice() > 0 ? Math.sqrt(t.price() / t.spotPrice()) : 1;
+        return 1000 * (lingerBoot * t.bootS() + lingerFetch * fetch) * (p.spot() ? cheapness : 1 / cheapness);
     }
 
     /**
