The simulation audits conditions of transactions and answers given without a seat

Guards were broken one by one to see a test fail: no gate, no job condition, no term on outcomes, answering without a seat, a lease counted short, no limit in the claim. Not caught by a test yet: releasing without the fence after a takeover, reaping a loose attempt, zones of the same transaction.

--- a/src/test/java/birchusher/sim/FakeStore.java
+++ b/src/test/java/birchusher/sim/FakeStore.java
@@ -105,6 +105,35 @@
         return q;
     }
 
+    /** Transactions that lack a condition the safety argument rests on; luck with timing must not hide one. */
+    final List<String> unsafe = new ArrayList<>();
+
+    @SuppressWarnings("unchecked")
+    private void audit(Map<String, Object> body) {
+        java.util.Set<String> on = new java.util.HashSet<>();
+        ((List<Object>) body.get("if")).forEach(c -> on.add((String) ((Map<String, Object>) c).get("path")));
+        for (Object o : (List<Object>) body.get("writes")) {
+            Map<String, Object> w = (Map<String, Object>) o;
+            String key = (String) (w.get("set") != null ? w.get("set") : w.get("remove"));
+            if (!on.contains(key)) {
+                unsafe.add("unconditional write of " + key);
+            }
+            if (!key.startsWith("b/live/place/") || w.get("set") == null) {
+                continue;
+            }
+            if (on.stream().noneMatch(k -> k.startsWith("b/live/shard/"))) {
+                unsafe.add("placement without an owner's term: " + key);
+            }
+            Row old = rows.get(key);
+            long before = old == null ? 0 : (Long) ((Map<String, Object>) old.value).get("a");
+            boolean claims = (Long) ((Map<String, Object>) w.get("value")).get("a") > before;
+            String job = key.substring("b/live/place/".length(), key.lastIndexOf('/'));
+            if (claims && !(on.contains("b/live/job/" + job) && on.contains("b/live/gate/red"))) {
+                unsafe.add("claim without its job or its team's gate: " + key);
+            }
+        }
+    }
+
     @SuppressWarnings("unchecked")
     void handle(long now, String method, String target, Map<String, Object> body,
             BiConsumer<Integer, Map<String, Object>> reply) {
@@ -144,6 +173,7 @@
                 reply.accept(409, Map.of("failed", failed, "epoch", epoch));
                 return;
             }
+            audit(body);
             epoch++;
             for (Object o : (List<Object>) body.get("writes")) {
                 Map<String, Object> w = (Map<String, Object>) o;
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -23,6 +23,8 @@
 final class World {
     static final long LEASE_MS = 10_000;
     static final long CANCEL_MS = 30_000;
+    /** The default of seats.lease-s. */
+    private static final long SEAT_MS = 45_000;
     private static final double TEAM_LIMIT = 10;
     private static final String[] ZONES = {"east", "west"};
 
@@ -57,6 +59,7 @@
     private final Node[] nodes = new Node[3];
     private final Map<Long, java.util.function.BiConsumer<Integer, Map<String, Object>>> exchanges = new HashMap<>();
     private final boolean[][] cut = new boolean[3][3];
+    private final long[] seatSince = new long[3];
     double loss;
     double late;
     long now = 1_000;
@@ -225,9 +228,13 @@
     private void call(int i, int life, Effect.Call c) {
         Map<String, Object> body = c.body() == null ? Map.of() : plain(c.body());
         boolean[] answered = new boolean[1];
+        long sentAt = now;
         java.util.function.BiConsumer<Integer, Map<String, Object>> back = (status, m) -> {
             if (!answered[0] && nodes[i].life == life && nodes[i].core != null) {
                 answered[0] = true;
+                if (status == 200 && c.path().startsWith("/leases")) {
+                    seatSince[i] = Math.max(seatSince[i], sentAt);
+                }
                 act(i, nodes[i].core.reply(now, wall(), c.id(), status, m.isEmpty() ? new byte[0] : Pack.encode(m)));
             }
         };
@@ -322,6 +329,7 @@
         byte[] report = Pack.encode(w.report());
         int to = w.node;
         boolean[] over = new boolean[1];
+        long[] answeredAt = {now};
         java.util.function.BiConsumer<Integer, Map<String, Object>> back = (status, m) -> {
             if (over[0]) {
                 return;
@@ -331,6 +339,9 @@
             if (!w.advance(now) || w.session != session) {
                 return;
             }
+            if (status == 200 && answeredAt[0] - seatSince[to] > SEAT_MS) {
+                broken.add("answered a worker without a seat: perch-" + to);
+            }
             if (status == 200) {
                 long token = m.get("baton") == null ? -1 : (Long) m.get("baton");
                 if (token >= w.token) {
@@ -351,6 +362,7 @@
         at(now + 4_000, () -> back.accept(0, Map.of()));
         if (!lost()) {
             at(now + delay(), () -> ask(to, "POST", "/hello", report, (s, m) -> {
+                answeredAt[0] = now;
                 if (!lost()) {
                     at(now + 2, () -> back.accept(s, m));
                 }
@@ -528,6 +540,8 @@
         if (use > TEAM_LIMIT) {
             broken.add("quota: " + use);
         }
+        broken.addAll(store.unsafe);
+        store.unsafe.clear();
         if (broken.size() > 20) {
             throw new AssertionError(broken.toString());
         }
