--- a/src/main/java/birchusher/jobs/Desk.java
+++ b/src/main/java/birchusher/jobs/Desk.java
@@ -381,8 +381,6 @@
                 for (Chunk c : j.chunks) {
                     if (c != null) {
                         tx.remove(Keys.place(id, c.index));
-                    } else {
-                        continue;
                     }
                 }
                 tx.remove(Keys.JOB + id);
--- a/src/main/java/birchusher/server/HttpServer.java
+++ b/src/main/java/birchusher/server/HttpServer.java
@@ -50,7 +50,7 @@
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         listener.bind(new InetSocketAddress(settings.listen().host(), settings.listen().port()), 256);
         LOG.info("serving on {}", settings.listen());
-        accept();
+        new Acceptor(loop, listener, this::accepted).accept();
     }
 
     void close() throws IOException {
@@ -60,27 +60,12 @@
         }
     }
 
-    private void accept() {
-        listener.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
-            @Override
-            public void completed(AsynchronousSocketChannel ch, Void a) {
-                loop.post(() -> {
-                    if (connections.size() >= maxConnections) {
-                        quietly(ch);
-                    } else {
-                        new Connection(ch).read();
-                    }
-                });
-                accept();
-            }
-
-            @Override
-            public void failed(Throwable e, Void a) {
-                if (listener.isOpen()) {
-                    loop.post(() -> accept());
-                }
-            }
-        });
+    private void accepted(AsynchronousSocketChannel ch) {
+        if (connections.size() >= maxConnections) {
+            Acceptor.close(ch);
+        } else {
+            new Connection(ch).read();
+        }
     }
 
     void answer(Effect.Answer a) {
@@ -104,14 +89,6 @@
         }
     }
 
-    private static void quietly(AsynchronousSocketChannel ch) {
-        try {
-            ch.close();
-        } catch (IOException e) {
-            LOG.debug("close failed: {}", e.getMessage());
-        }
-    }
-
     private final class Connection {
         private final AsynchronousSocketChannel channel;
         private final HttpParser parser = new HttpParser(true, MAX_BODY);
@@ -209,7 +186,7 @@
         void close() {
             if (connections.remove(this)) {
                 exchanges.remove(exchange);
-                quietly(channel);
+                Acceptor.close(channel);
             }
         }
     }
--- a/src/main/java/birchusher/server/MeshLinks.java
+++ b/src/main/java/birchusher/server/MeshLinks.java
@@ -43,7 +43,7 @@
         listener = AsynchronousServerSocketChannel.open(group);
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         listener.bind(new InetSocketAddress(settings.mesh().host(), settings.mesh().port()), 32);
-        accept();
+        new Acceptor(loop, listener, this::accepted).accept();
     }
 
     void close() throws IOException {
@@ -60,37 +60,12 @@
         links.forEach(Link::tick);
     }
 
-    private void accept() {
-        listener.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
-            @Override
-            public void completed(AsynchronousSocketChannel ch, Void a) {
-                loop.post(() -> {
-                    if (incoming >= MAX_INCOMING) {
-                        quietly(ch);
-                    } else {
-                        incoming++;
-                        new Incoming(ch).read();
-                    }
-                });
-                accept();
-            }
-
-            @Override
-            public void failed(Throwable e, Void a) {
-                if (listener.isOpen()) {
-                    loop.post(() -> accept());
-                }
-            }
-        });
-    }
-
-    private static void quietly(AsynchronousSocketChannel ch) {
-        try {
-            if (ch != null) {
-                ch.close();
-            }
-        } catch (IOException e) {
-            LOG.debug("close failed: {}", e.getMessage());
+    private void accepted(AsynchronousSocketChannel ch) {
+        if (incoming >= MAX_INCOMING) {
+            Acceptor.close(ch);
+        } else {
+            incoming++;
+            new Incoming(ch).read();
         }
     }
 
@@ -146,7 +121,7 @@
 
         private void end() {
             incoming--;
-            quietly(channel);
+            Acceptor.close(channel);
         }
     }
 
@@ -256,7 +231,7 @@
         }
 
         void drop() {
-            quietly(channel);
+            Acceptor.close(channel);
             channel = null;
             connected = false;
             writing = false;
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -313,7 +313,6 @@
         }
         Tx tx = new Tx(view);
         List<Queued> batch = new ArrayList<>();
-        List<Queued> kept = new ArrayList<>();
         List<Change> done = new ArrayList<>();
         while (!queue.isEmpty()) {
             Queued q = queue.peek();
@@ -330,7 +329,6 @@
                 done.add(q.change);
             }
         }
-        queue.addAll(kept);
         done.forEach(Change::dropped);
         if (batch.isEmpty()) {
             return;
--- a/src/main/java/birchusher/workers/Machine.java
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -52,7 +52,6 @@
     /** When the last answered report came in, or the moment our ownership began to count. */
     long answeredAt = -1;
     long heardAt = -1;
-    final long knownSince;
     long noticeAt = -1;
     Map<String, Entry> entries = new LinkedHashMap<>();
     final Map<String, Run> runs = new HashMap<>();
@@ -72,12 +71,10 @@
     long quarantineUntil;
     long idleSince = -1;
     long deadSession = -1;
-    int lapses;
 
-    Machine(String name, int shard, long now) {
+    Machine(String name, int shard) {
         this.name = name;
         this.shard = shard;
-        this.knownSince = now;
     }
 
     /** An image was used; the least recently used ones beyond the cache's size are forgotten, as the worker does. */
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -139,7 +139,7 @@
 
     private Machine machine(String name, int shard) {
         return machines.computeIfAbsent(name, n -> {
-            Machine m = new Machine(n, shard, fx.now());
+            Machine m = new Machine(n, shard);
             Picture p = inherited.get(n);
             if (p != null) {
                 m.speed = new birchusher.lease.MachineSpeed(p.speed());
@@ -288,7 +288,6 @@
         if (!run.ended) {
             run.ended = true;
             counters.lapsed++;
-            m.lapses++;
             m.speed.observe(1, 4);
             LOG.info("lease of task {} attempt {} on {} lapsed", c.key(), c.attempt(), m.name);
             stopJobTask(c, 0, "lapsed");
