--- /dev/null
+++ b/src/test/java/birchusher/LoopbackTest.java
@@ -0,0 +1,83 @@
+package birchusher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import birchusher.server.Loop;
+import birchusher.settings.SettingsReader;
+import birchusher.settings.Tuning;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A controller over real sockets on loopback, with no state service: what it can't take it refuses at once. */
+class LoopbackTest {
+    private int port;
+    private Loop loop;
+    private Thread thread;
+
+    private static int free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return s.getLocalPort();
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        port = free();
+        String json = RowBeforeTypesTest.SETTINGS.replace("1.1.1.1:1", "127.0.0.1:" + port)
+                .replace("1.1.1.1:2", "127.0.0.1:" + free()).replace("1.1.1.1:3", "127.0.0.1:" + free())
+                .replace("1.1.1.1:4", "127.0.0.1:" + free());
+        loop = new Loop(SettingsReader.read(json.getBytes(StandardCharsets.UTF_8)), new Tuning());
+        thread = new Thread(() -> {
+            try {
+                loop.run();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        thread.start();
+    }
+
+    @AfterEach
+    void stop() throws InterruptedException {
+        loop.stop();
+        thread.join();
+    }
+
+    /** The first line of the answer to these bytes. */
+    private String ask(String bytes) throws IOException {
+        while (true) {
+            try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                s.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+                StringBuilder sb = new StringBuilder();
+                InputStream in = s.getInputStream();
+                for (int b = in.read(); b >= 0 && b != '\r'; b = in.read()) {
+                    sb.append((char) b);
+                }
+                return sb.toString();
+            } catch (ConnectException e) {
+                // Not listening yet.
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    @Test
+    void badAndUntimelyRequestsAreAnsweredAtOnce() throws IOException {
+        assertThat(ask("GET /ready HTTP/1.1\r\n\r\n")).contains("503");
+        assertThat(ask("nonsense\r\n\r\n")).contains("400");
+        assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n")).contains("413");
+        assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 1\r\n\r\nx")).contains("400");
+        assertThat(ask("GET /nowhere HTTP/1.1\r\n\r\n")).contains("404");
+        assertThat(ask("DELETE /v2/runs HTTP/1.1\r\n\r\n")).contains("405");
+        assertThat(ask("GET /v2/runs/wk-1 HTTP/1.1\r\n\r\n")).contains("503");
+        assertThat(ask("GET /v2/runs/what HTTP/1.1\r\n\r\n")).contains("404");
+    }
+}
--- /dev/null
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -0,0 +1,120 @@
+package birchusher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import birchusher.lease.LeaseTerms;
+import birchusher.lease.Speeds;
+import birchusher.model.Catalog;
+import birchusher.placement.Planner;
+import birchusher.placement.Slot;
+import birchusher.settings.SettingsReader;
+import birchusher.store.Chunk;
+import birchusher.store.Claim;
+import birchusher.store.Job;
+import birchusher.store.Keys;
+import birchusher.store.Tx;
+import birchusher.store.View;
+import birchusher.wire.JobCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What the planner does with jobs and machines; each case is a fault that was seen, or a line of the design. */
+class PlannerTest {
+    private static final long NOW = 1_000_000;
+    private final Catalog catalog = new Catalog(SettingsReader.read(RowBeforeTypesTest.SETTINGS
+            .replace("\"zones\":[\"z\"]", "\"zones\":[\"z\",\"y\"]").replace("\"gpus\":4,\"gpus_max\":8", "\"gpus\":2,\"gpus_max\":8")
+            .getBytes(StandardCharsets.UTF_8)));
+    private final View view = new View(catalog, new JobCodec(catalog));
+    private final Planner planner = new Planner(catalog, view, new Speeds(), new LeaseTerms(90_000, 30_000, 4, 5_000), List.of());
+    private final Catalog.Type type = new Catalog.Type(catalog.typeNames.add("g4"), "g4", 8, 4, 64, 50, 1, 4, 1, 40, new int[] {0, 1});
+    private long revision;
+
+    PlannerTest() {
+        catalog.learn(List.of(type));
+    }
+
+    private Job job(String id, Map<String, Object> changes) {
+        Map<String, Object> m = RowBeforeTypesTest.job();
+        m.put("name_id", id);
+        m.put("pieces", 1L);
+        m.putAll(changes);
+        view.put(Keys.JOB + id, new HashMap<>(Map.of("s", "OPEN", "k", 100L, "t", NOW, "j", m)), ++revision);
+        return view.job(id);
+    }
+
+    private Slot slot(String name, int zone, double gpus, double speed, int... images) {
+        return new Slot(name, type, zone, false, 1, zone, speed, new int[0], images, 0, true, 8, gpus, 64);
+    }
+
+    private List<String> plan(long wall, List<Planner.Choice> underway, Slot... slots) {
+        Planner.Plan p = planner.plan(new ArrayList<>(List.of(slots)), t -> false, (m, j) -> false, j -> false, underway, wall);
+        return p.choices().stream().map(c -> c.job().spec.id() + "/" + c.task() + " on " + c.slot().machine()).toList();
+    }
+
+    @Test
+    void aReplicaBeyondTheGuaranteeGoesBeforeGuaranteedBatchWork() {
+        job("wk-batch", Map.of("pieces", 2L));
+        job("wk-web", Map.of("shape", "standing", "rank", "production", "expect_s", 0.0));
+        assertThat(planner.guaranteed()).containsExactly("wk-batch");
+        assertThat(plan(NOW, List.of(), slot("m", 0, 1, 1))).containsExactly("wk-web/0 on m");
+    }
+
+    @Test
+    void aJobThatIsTooLateAnywayMakesWayForOneThatCanBeInTime() {
+        job("wk-late", Map.of("pieces", 3L, "due_s", 20.0, "expect_s", 50.0));
+        job("wk-fine", Map.of("pieces", 3L, "due_s", 90.0, "expect_s", 50.0));
+        assertThat(plan(NOW, List.of(), slot("m", 0, 1, 1))).containsExactly("wk-fine/0 on m");
+    }
+
+    @Test
+    void aLongTaskGoesToASlowMachineOnlyWhenNoCapableOneHasRoom() {
+        job("wk-long", Map.of("expect_s", 100.0));
+        Slot slow = slot("slow", 0, 4, 0.1, catalog.images.find("i"));
+        assertThat(plan(NOW, List.of(), slow, slot("fast", 0, 4, 1))).containsExactly("wk-long/0 on fast");
+        assertThat(plan(NOW, List.of(), slot("slow", 0, 4, 0.1))).containsExactly("wk-long/0 on slow");
+    }
+
+    @Test
+    void aMachineThatHasTheImageIsPreferred() {
+        job("wk-a", Map.of("size_gb", 10.0));
+        assertThat(plan(NOW, List.of(), slot("bare", 0, 1, 1), slot("has", 0, 4, 1, catalog.images.find("i"))))
+                .containsExactly("wk-a/0 on has");
+    }
+
+    @Test
+    void tasksOnTheirWayCountInTheirZones() {
+        Job web = job("wk-web", Map.of("shape", "standing", "pieces", 2L, "scatter", true, "expect_s", 0.0));
+        Planner.Choice first = new Planner.Choice(web, 0, slot("a", 0, 4, 1), 0);
+        Planner.Plan p = planner.plan(new ArrayList<>(List.of(slot("b", 0, 4, 1), slot("c", 1, 4, 1))), "wk-web/0"::equals,
+                (m, j) -> false, j -> false, List.of(first), NOW);
+        assertThat(p.choices()).singleElement().satisfies(c -> assertThat(c.slot().machine()).isEqualTo("c"));
+    }
+
+    @Test
+    void claimsEarlierInTheSameTransactionCountInTheirZones() {
+        Job web = job("wk-web", Map.of("shape", "standing", "pieces", 2L, "scatter", true, "expect_s", 0.0));
+        Tx tx = new Tx(view);
+        Chunk chunk = tx.chunk(web, 0);
+        chunk.claims.put(0, new Claim(web, 0, 1, "a", 1, 0));
+        assertThat(Planner.zones(web, s -> s, web.chunks::get)).isEmpty();
+        assertThat(Planner.zones(web, s -> s, i -> tx.peek(web, i))).containsEntry(0, 1);
+    }
+
+    @Test
+    void aGangInOneZoneGetsAllOfItOrNothing() {
+        job("wk-gang", Map.of("shape", "gang", "pieces", 3L, "one_zone", true));
+        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 1, 2, 1))).isEmpty();
+        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 1, 2, 1), slot("c", 1, 1, 1))).hasSize(3)
+                .allMatch(s -> s.endsWith("b") || s.endsWith("c"));
+    }
+
+    @Test
+    void theTeamsLimitBoundsThePlan() {
+        job("wk-many", Map.of("pieces", 20L));
+        assertThat(plan(NOW, List.of(), slot("a", 0, 4, 1), slot("b", 0, 4, 1), slot("c", 1, 4, 1))).hasSize(8);
+    }
+}
