--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -167,22 +167,30 @@
             }
             Map<Integer, Integer> zones = zones(j, underway);
             int missing = 0;
-            boolean full = false;
+            int placed = 0;
             for (int task = 0; task < s.tasks(); task++) {
-                if (j.isDone(task) || j.claim(task) != null || held.test(s.id() + "/" + task)) {
+                if (j.isDone(task) || j.claim(task) != null) {
+                    continue;
+                }
+                if (held.test(s.id() + "/" + task)) {
+                    // On its way already: not to be bought for.
+                    placed++;
                     continue;
                 }
                 if (overLimit(s, use[s.team()], 1)) {
                     break;
                 }
-                Slot slot = full ? null : best(j, slots, zones, -1, refused);
-                use[s.team()][0] += s.cpus();
-                use[s.team()][1] += s.gpus();
+                Slot slot = best(j, slots, zones, -1, refused);
                 if (slot == null) {
-                    full = true;
-                    missing++;
-                    continue;
+                    // Its tasks are all alike: the rest finds no room either, and need not be looked at one by one.
+                    missing = withinLimit(s, use[s.team()], s.tasks() - j.doneCount() - j.claimCount() - placed);
+                    use[s.team()][0] += missing * s.cpus();
+                    use[s.team()][1] += missing * s.gpus();
+                    break;
                 }
+                placed++;
+                use[s.team()][0] += s.cpus();
+                use[s.team()][1] += s.gpus();
                 if (!terms.fits(s, expectedS(s), slot.speed)) {
                     limited++;
                 }
@@ -198,6 +206,20 @@
         return new Plan(choices, unplaced, guaranteed, limited);
     }
 
+    /** How many of n more tasks a team's limit allows. */
+    private int withinLimit(JobSpec s, double[] use, int n) {
+        double most = n;
+        double cpusMax = catalog.team(s.team()).cpusMax();
+        double gpusMax = catalog.team(s.team()).gpusMax();
+        if (cpusMax > 0 && s.cpus() > 0) {
+            most = Math.min(most, (cpusMax - use[0] + Catalog.EPS) / s.cpus());
+        }
+        if (gpusMax > 0 && s.gpus() > 0) {
+            most = Math.min(most, (gpusMax - use[1] + Catalog.EPS) / s.gpus());
+        }
+        return (int) Math.max(0, most);
+    }
+
     private boolean overLimit(JobSpec s, double[] use, int n) {
         return Catalog.over(catalog.team(s.team()).cpusMax(), use[0] + n * s.cpus())
                 || Catalog.over(catalog.team(s.team()).gpusMax(), use[1] + n * s.gpus());
--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -116,5 +116,7 @@
     void theTeamsLimitBoundsThePlan() {
         job("wk-many", Map.of("pieces", 20L));
         assertThat(plan(NOW, List.of(), slot("a", 0, 4, 1), slot("b", 0, 4, 1), slot("c", 1, 4, 1))).hasSize(8);
+        Planner.Plan none = planner.plan(new ArrayList<>(), t -> false, (m, j) -> false, j -> false, List.of(), NOW);
+        assertThat(none.unplaced()).singleElement().satisfies(u -> assertThat(u.tasks()).isEqualTo(8));
     }
 }
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -33,6 +33,15 @@
         assertThat(w.state("wk-web")).isEqualTo("running");
     }
 
+    @Test
+    void anArrayOfSeveralRowsIsWorkedOffAndEnds() {
+        World w = new World(5);
+        w.submit("wk-big", "sweep", 220, "standard", false, false);
+        w.run(400_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(w.state("wk-big")).as(w.store.dump()).isEqualTo("done");
+    }
+
     @Test
     void aCancelledServiceStopsThoughItsMachineHangs() {
         World w = world(2);
