--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -129,7 +129,8 @@
             return;
         }
         long now = fx.now();
-        Long before = redirected.put(machine, now);
+        // Per owner: having been sent to one that died since says nothing about the one that took its place.
+        Long before = redirected.put(machine + "@" + owner, now);
         if (before != null && now - before > 3_000 && now - before < 15_000) {
             // Sent away, it could not report there, and is back.
             seats.pressed(shard);
