--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -38,7 +38,7 @@
     }
 
     private Job job(String id, Map<String, Object> changes) {
-        Map<String, Object> m = RowBeforeTypesTest.job();
+        Map<String, Object> m = TestJobs.job();
         m.put("name_id", id);
         m.put("pieces", 1L);
         m.putAll(changes);
--- a/src/test/java/birchusher/RowBeforeTypesTest.java
+++ b/src/test/java/birchusher/RowBeforeTypesTest.java
@@ -6,7 +6,6 @@
 import birchusher.settings.SettingsReader;
 import birchusher.wire.JobCodec;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -22,18 +21,10 @@
               "resources":{"cores":0.3,"ram_mb":260,"max_connections":500}}}
             """;
 
-    static Map<String, Object> job() {
-        Map<String, Object> m = new HashMap<>(Map.of("name_id", "wk-1", "lane", "l", "crew", "red", "shape", "sweep",
-                "rank", "standard", "pieces", 2L, "cores", 1.0, "cards", 1.0, "memory_gb", 1.0));
-        m.putAll(Map.of("bundle", "i", "size_gb", 1.0, "one_zone", false, "scatter", false, "loaners", false,
-                "expect_s", 5.0, "mark_every_s", 0.0, "mark_take_s", 0.0));
-        return m;
-    }
-
     @Test
     void aRowReadBeforeTheTypesAreKnownStillFitsItsMachines() {
         Catalog catalog = new Catalog(SettingsReader.read(SETTINGS.getBytes(StandardCharsets.UTF_8)));
-        Map<String, Object> row = job();
+        Map<String, Object> row = TestJobs.job();
         row.put("builds", List.of("g8"));
         var spec = new JobCodec(catalog).readRow(row);
         catalog.learn(List.of(new Catalog.Type(catalog.typeNames.add("g8"), "g8", 8, 4, 64, 50, 1, 2, 1, 30, new int[] {0})));
--- /dev/null
+++ b/src/test/java/birchusher/sim/CoreTraceTest.java
@@ -0,0 +1,107 @@
+package birchusher.sim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/** Plays the kept traces of whole cores, one world for each; the file says what each one shows. */
+class CoreTraceTest {
+    @TestFactory
+    List<DynamicTest> traces() throws IOException {
+        String text;
+        try (InputStream in = getClass().getResourceAsStream("/traces/core.txt")) {
+            text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+        List<DynamicTest> tests = new ArrayList<>();
+        for (String trace : text.split("(?m)^== ")) {
+            if (!trace.startsWith("#")) {
+                String[] lines = trace.split("\n");
+                tests.add(DynamicTest.dynamicTest(lines[0], () -> play(lines)));
+            }
+        }
+        assertThat(tests).hasSizeGreaterThan(5);
+        return tests;
+    }
+
+    private static void play(String[] lines) {
+        World w = new World(9);
+        for (String line : Arrays.copyOfRange(lines, 1, lines.length)) {
+            if (line.isBlank()) {
+                continue;
+            }
+            String[] halves = line.split(" -> ");
+            String[] c = halves[0].split(" ");
+            String got = switch (c[0]) {
+                case "run" -> {
+                    w.run(Long.parseLong(c[1]));
+                    yield "";
+                }
+                case "outage" -> {
+                    w.store.outage(c[1].equals("on"), w.now);
+                    yield "";
+                }
+                case "crash" -> {
+                    w.crash(Integer.parseInt(c[1]), Long.parseLong(c[2]));
+                    yield "";
+                }
+                case "post" -> w.tell(Integer.parseInt(c[1]), "POST", "/v2/runs",
+                        World.body(c[2], c[3], Integer.parseInt(c[4]), c[5])).split(" ")[0];
+                case "get" -> w.tell(Integer.parseInt(c[1]), "GET", "/v2/runs/" + c[2], null);
+                case "withdraw" -> w.tell(Integer.parseInt(c[1]), "POST", "/v2/runs/" + c[2] + "/withdraw", null);
+                case "hello" -> hello(w, c);
+                default -> throw new IllegalArgumentException(line);
+            };
+            if (halves.length > 1) {
+                if (c[0].equals("hello")) {
+                    assertThat(got).as(line).isEqualTo(halves[1]);
+                } else {
+                    assertThat(got).as(line).startsWith(halves[1]);
+                }
+            }
+            assertThat(w.broken).as(line).isEmpty();
+        }
+    }
+
+    /** Reports to each controller until one does not send the worker on. */
+    private static String hello(World w, String[] c) {
+        List<Object> pieces = new ArrayList<>();
+        for (int i = 6; i < c.length; i++) {
+            String[] p = c[i].split("[#:]");
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("piece", p[0]);
+            m.put("try", Long.parseLong(p[1]));
+            m.put("stage", p[2]);
+            if (p.length > 3) {
+                m.put("cause", p[3]);
+            }
+            pieces.add(m);
+        }
+        Map<String, Object> r = new LinkedHashMap<>();
+        r.put("host", c[1]);
+        r.put("address", c[1] + ":1");
+        r.put("build", "g4");
+        r.put("grove", c[2]);
+        r.put("loaners", false);
+        r.put("tenure", Long.parseLong(c[3]));
+        r.put("tick", Long.parseLong(c[4]));
+        r.put("baton", Long.parseLong(c[5]));
+        r.put("pieces", pieces);
+        String got = "";
+        for (int node = 0; node < 3; node++) {
+            got = w.tell(node, "POST", "/hello", r);
+            if (!got.startsWith("421")) {
+                return got;
+            }
+        }
+        return got;
+    }
+}
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -124,6 +124,38 @@
         jobs.put(id, j);
     }
 
+    /** A submission as a user would write it. */
+    static Map<String, Object> body(String id, String shape, int tasks, String team) {
+        Map<String, Object> m = birchusher.TestJobs.job();
+        m.put("name_id", id);
+        m.put("shape", shape);
+        m.put("pieces", tasks);
+        m.put("crew", team);
+        return m;
+    }
+
+    /** Sends one request and waits for its answer: the status, then the stage or the orders. */
+    String tell(int node, String method, String path, Map<String, Object> body) {
+        String[] got = new String[1];
+        ask(node, method, path, body == null ? new byte[0] : Pack.encode(body), (status, m) -> {
+            StringBuilder sb = new StringBuilder().append(status);
+            if (m.get("stage") != null) {
+                sb.append(' ').append(m.get("stage"));
+            }
+            if (m.get("orders") != null) {
+                for (Object o : list(m.get("orders"))) {
+                    Map<String, Object> x = Fields.map(o, "order");
+                    sb.append(' ').append(x.get("verb")).append(' ').append(x.get("piece"));
+                }
+            }
+            got[0] = sb.toString();
+        });
+        for (int i = 0; i < 100 && got[0] == null; i++) {
+            run(50);
+        }
+        return got[0];
+    }
+
     void cancel(String id) {
         jobs.get(id).wantsCancel = true;
     }
