--- a/src/test/java/birchusher/sim/CoreTraceTest.java
+++ b/src/test/java/birchusher/sim/CoreTraceTest.java
@@ -85,14 +85,8 @@
             }
             pieces.add(m);
         }
-        Map<String, Object> r = new LinkedHashMap<>();
-        r.put("host", c[1]);
-        r.put("address", c[1] + ":1");
-        r.put("build", "g4");
-        r.put("grove", c[2]);
-        r.put("loaners", false);
+        Map<String, Object> r = report(c[1], c[2], Long.parseLong(c[4]));
         r.put("tenure", Long.parseLong(c[3]));
-        r.put("tick", Long.parseLong(c[4]));
         r.put("baton", Long.parseLong(c[5]));
         r.put("pieces", pieces);
         String got = "";
@@ -104,4 +98,19 @@
         }
         return got;
     }
+
+    /** A report of a worker without tasks that has seen no token. */
+    static Map<String, Object> report(String host, String zone, long tick) {
+        Map<String, Object> r = new LinkedHashMap<>();
+        r.put("host", host);
+        r.put("address", host + ":1");
+        r.put("build", "g4");
+        r.put("grove", zone);
+        r.put("loaners", false);
+        r.put("tenure", 1L);
+        r.put("tick", tick);
+        r.put("baton", 0L);
+        r.put("pieces", List.of());
+        return r;
+    }
 }
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Random;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -79,6 +81,35 @@
         assertThat(w.state("wk-web")).isEqualTo("running");
     }
 
+    /** The old owner may have answered a silent worker until its seat ended, so the worker's lease counts from there. */
+    @Test
+    void aSilentWorkersLeaseIsNotCountedBeforeTheDeadOwnersSeatHasEnded() {
+        World w = world(6);
+        w.run(40_000);
+        Matcher claim = Pattern.compile("b/live/place/wk-web/0 = .*c=0:(\\d+):(n-\\d+):\\d+:(\\d+)").matcher(w.store.dump());
+        assertThat(claim.find()).as(w.store.dump()).isTrue();
+        String held = "0:" + claim.group(1) + ":" + claim.group(2) + ":";
+        int shard = Integer.parseInt(claim.group(3));
+        String zone = shard < 2 ? "east" : "west";
+        Matcher owner = Pattern.compile("b/live/shard/" + zone + "/" + shard % 2 + " = .*m=perch-(\\d)").matcher(w.store.dump());
+        assertThat(owner.find()).isTrue();
+        int dead = Integer.parseInt(owner.group(1));
+        w.workers.get(claim.group(2)).hungUntil = w.now + 500_000;
+        w.crash(dead, 500_000);
+        for (int i = 0; i < 12; i++) {
+            w.run(2_500);
+            for (int x = 0; x < 6; x++) {
+                // Workers that have lost their owner: they make another controller take the shard.
+                w.tell((dead + 1) % 3, "POST", "/hello", CoreTraceTest.report("x-" + x, zone, i + 1));
+                w.tell((dead + 2) % 3, "POST", "/hello", CoreTraceTest.report("x-" + x, zone, 100 + i));
+            }
+        }
+        assertThat(w.store.dump()).doesNotContain("m=perch-" + dead + ", o=").contains(held);
+        w.run(60_000);
+        assertThat(w.store.dump()).doesNotContain(held);
+        assertThat(w.broken).isEmpty();
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
     void lossesLateMessagesCrashesHangsCutsAndOutagesBreakNoRule(long seed) {
