Clean-up: one look-up of a claim's age, one fetch time, the mean image size once a tick

Read over: the age of a claim was looked up in three places, the fetch time worked out twice, and the mean image size summed over all jobs for every machine four times a second; merging built all slots before asking whether a machine had only replicas. The test's report is made in one place.

--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -68,6 +68,8 @@
     private final Map<String, Long> recentlyGone = new LinkedHashMap<>();
     private final List<String> toDelete = new ArrayList<>();
     private final long moveAfterMs;
+    /** Over the present jobs, once a tick: every machine's linger needs it. */
+    private double meanImageGb;
     private final double lingerBoot;
     private final double lingerFetch;
     private final double giveUp;
@@ -139,6 +141,7 @@
             become();
             return;
         }
+        meanImageGb = view.jobs().stream().mapToDouble(j -> j.spec.imageGb()).average().orElse(0);
         settleAsks(pictures, now);
         if (now >= nextList && !listing) {
             list(pictures);
@@ -521,13 +524,7 @@
         if (t == null) {
             return 60_000;
         }
-        double gb = 0;
-        int n = 0;
-        for (birchusher.store.Job j : view.jobs()) {
-            gb += j.spec.imageGb();
-            n++;
-        }
-        double fetch = n == 0 ? 0 : gb / n / t.fetchGbPerS();
+        double fetch = meanImageGb / t.fetchGbPerS();
         // Waiting is dear on dear machines: cheap ones stay longer, dear ones go sooner.
         double cheapness = t.spotPrice() > 0 ? Math.sqrt(t.price() / t.spotPrice()) : 1;
         return 1000 * (lingerBoot * t.bootS() + lingerFetch * fetch) * (p.spot() ? cheapness : 1 / cheapness);
@@ -570,6 +567,11 @@
     }
 
     private boolean fitsElsewhere(Picture p, Map<String, Claim> claims, Map<String, Picture> pictures) {
+        for (Claim c : claims.values()) {
+            if (!c.job().spec.service() || runningFor.applyAsLong(c) < moveAfterMs) {
+                return false;
+            }
+        }
         List<Slot> slots = free.apply(pictures);
         slots.removeIf(s -> s.machine().equals(p.machine()) || view.claims(s.machine()).isEmpty());
         for (Claim c : claims.values()) {
@@ -582,7 +584,7 @@
                     break;
                 }
             }
-            if (!j.service() || runningFor.applyAsLong(c) < moveAfterMs || to == null) {
+            if (to == null) {
                 return false;
             }
             to.take(j);
--- a/src/main/java/birchusher/model/Catalog.java
+++ b/src/main/java/birchusher/model/Catalog.java
@@ -2,6 +2,7 @@
 
 import birchusher.core.Names;
 import birchusher.settings.Settings;
+import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -37,7 +38,7 @@
     private final List<Settings.Team> teamList;
     private Type[] types = new Type[0];
     private boolean known;
-    private final it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap imageGb = new it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap();
+    private final Int2DoubleOpenHashMap imageGb = new Int2DoubleOpenHashMap();
 
     public Catalog(Settings s) {
         zones = new Names(s.zones());
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -157,11 +157,10 @@
 
     /** Expected end of a claim by what this controller has seen of it, in steady ms. */
     public long expectedEnd(Claim c) {
-        long[] seen = claimSeen.get(c.key() + "#" + c.attempt());
         if (c.job().spec.service()) {
             return Long.MAX_VALUE;
         }
-        long ran = seen == null ? 0 : fx.now() - seen[0];
+        long ran = runningFor(c);
         double left = planner.expectedS(c.job().spec) * 1000 + 3_000 - ran;
         // The longer a task is overdue, the less its end is near: "any moment now" kept others waiting for minutes.
         return fx.now() + Math.round(Math.max(left, 0.4 * ran));
@@ -541,8 +540,7 @@
 
     /** What stopping a task loses, roughly in seconds of work. */
     private double cost(Claim c) {
-        long[] seen = claimSeen.get(c.key() + "#" + c.attempt());
-        double ran = seen == null ? 0 : (fx.now() - seen[0]) / 1000.0;
+        double ran = runningFor(c) / 1000.0;
         return c.job().spec.resumes() ? 3 + c.job().spec.saveS() : 3 + ran * 0.5;
     }
 
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -83,12 +83,17 @@
         return planned == image;
     }
 
+    /** Ms that a job's image takes to fetch here by itself. */
+    private double fetchMs(JobSpec j) {
+        return j.imageGb() / type.fetchGbPerS() * 1000;
+    }
+
     /** Ms by which one more image would slow down the fetches already going on here. */
     double harm(JobSpec j) {
         if (has(j.image())) {
             return 0;
         }
-        double own = j.imageGb() / type.fetchGbPerS() * 1000;
+        double own = fetchMs(j);
         double harm = own * Math.max(0, plannedFetches);
         for (int i = 0; i < fetching.length; i += 2) {
             if (fetching[i] == j.image()) {
@@ -112,7 +117,7 @@
             }
             others += fetching[i + 1];
         }
-        double own = j.imageGb() / type.fetchGbPerS() * 1000;
+        double own = fetchMs(j);
         return etaMs + own * (1 + plannedFetches) + Math.min(others, own * (fetching.length / 2));
     }
 }
--- a/src/test/java/birchusher/sim/CoreTraceTest.java
+++ b/src/test/java/birchusher/sim/CoreTraceTest.java
@@ -85,7 +85,7 @@
             }
             pieces.add(m);
         }
-        Map<String, Object> r = report(c[1], c[2], Long.parseLong(c[4]));
+        Map<String, Object> r = FakeWorker.report(c[1], c[2], Long.parseLong(c[4]));
         r.put("tenure", Long.parseLong(c[3]));
         r.put("baton", Long.parseLong(c[5]));
         r.put("pieces", pieces);
@@ -98,19 +98,4 @@
         }
         return got;
     }
-
-    /** A report of a worker without tasks that has seen no token. */
-    static Map<String, Object> report(String host, String zone, long tick) {
-        Map<String, Object> r = new LinkedHashMap<>();
-        r.put("host", host);
-        r.put("address", host + ":1");
-        r.put("build", "g4");
-        r.put("grove", zone);
-        r.put("loaners", false);
-        r.put("tenure", 1L);
-        r.put("tick", tick);
-        r.put("baton", 0L);
-        r.put("pieces", List.of());
-        return r;
-    }
 }
--- a/src/test/java/birchusher/sim/FakeWorker.java
+++ b/src/test/java/birchusher/sim/FakeWorker.java
@@ -64,19 +64,29 @@
             }
             pieces.add(m);
         }
-        Map<String, Object> r = new LinkedHashMap<>();
-        r.put("host", name);
-        r.put("address", name + ":1");
-        r.put("build", "g4");
-        r.put("grove", zone);
+        Map<String, Object> r = report(name, zone, ++tick);
         r.put("loaners", spot);
         r.put("tenure", session);
-        r.put("tick", ++tick);
         r.put("baton", token);
         r.put("pieces", pieces);
         return r;
     }
 
+    /** The report of an ordinary machine in its first session, without tasks, that has seen no token. */
+    static Map<String, Object> report(String host, String zone, long tick) {
+        Map<String, Object> r = new LinkedHashMap<>();
+        r.put("host", host);
+        r.put("address", host + ":1");
+        r.put("build", "g4");
+        r.put("grove", zone);
+        r.put("loaners", false);
+        r.put("tenure", 1L);
+        r.put("tick", tick);
+        r.put("baton", 0L);
+        r.put("pieces", List.of());
+        return r;
+    }
+
     /** Runs time forward; false while the machine hangs. */
     boolean advance(long now) {
         if (deleted || now < upAt || now < hungUntil) {
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -100,8 +100,8 @@
             w.run(2_500);
             for (int x = 0; x < 6; x++) {
                 // Workers that have lost their owner: they make another controller take the shard.
-                w.tell((dead + 1) % 3, "POST", "/hello", CoreTraceTest.report("x-" + x, zone, i + 1));
-                w.tell((dead + 2) % 3, "POST", "/hello", CoreTraceTest.report("x-" + x, zone, 100 + i));
+                w.tell((dead + 1) % 3, "POST", "/hello", FakeWorker.report("x-" + x, zone, i + 1));
+                w.tell((dead + 2) % 3, "POST", "/hello", FakeWorker.report("x-" + x, zone, 100 + i));
             }
         }
         assertThat(w.store.dump()).doesNotContain("m=perch-" + dead + ", o=").contains(held);
