--- a/src/main/java/birchusher/cloud/CloudLink.java
+++ b/src/main/java/birchusher/cloud/CloudLink.java
@@ -25,7 +25,7 @@
         }
         fx.call(Target.CLOUD, address, method, path, body, TIMEOUT_MS, (status, m) -> {
             if (status == 429 || status == 503 && "trouble".equals(m.get("error"))) {
-                bucket.block(fx.now() + 700);
+                bucket.block(fx.now(), fx.now() + 700);
             }
             reply.got(status, m);
         });
--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -234,12 +234,19 @@
 
     // ---- rentals
 
+    private List<Ask> asks = List.of();
+    private Set<String> askedHosts = Set.of();
+    private long asksAt = -1;
+
+    /** The rental rows, read again only when one of them has changed. */
     public List<Ask> asks() {
+        if (asksAt == view.askChanges()) {
+            return asks;
+        }
         List<Ask> l = new ArrayList<>();
-        for (Map.Entry<String, Map<String, Object>> e : view.rows().entrySet()) {
-            if (!e.getKey().startsWith(Keys.ASK)) {
-                continue;
-            }
+        Set<String> all = new HashSet<>();
+        boolean whole = true;
+        for (Map.Entry<String, Map<String, Object>> e : view.rowsUnder(Keys.ASK).entrySet()) {
             Map<String, Object> m = e.getValue();
             int type = catalog.typeNames.find(Fields.text(m, "y"));
             int zone = catalog.zones.find(Fields.text(m, "z"));
@@ -249,12 +256,19 @@
                 for (Object o : h) {
                     hosts.add(String.valueOf(o));
                 }
+                all.addAll(hosts);
             }
             if (zone >= 0 && catalog.type(type) != null) {
                 l.add(new Ask(e.getKey().substring(Keys.ASK.length()), type, zone, Boolean.TRUE.equals(m.get("s")),
                         (int) Fields.count(m, "n"), Fields.count(m, "t"), hosts));
+            } else {
+                whole = false;
             }
         }
+        asks = l;
+        askedHosts = all;
+        // A type that is not known yet will be: such rows are looked at again.
+        asksAt = whole ? view.askChanges() : -1;
         return l;
     }
 
@@ -503,7 +517,7 @@
             if (deleting.contains(p.machine()) || recentlyGone.containsKey(p.machine()) || retiring.containsKey(p.machine())) {
                 continue;
             }
-            boolean idle = p.idleMs() > linger(p) && view.claims(p.machine()).isEmpty();
+            boolean idle = p.idleSince() >= 0 && now - p.idleSince() > linger(p) && view.claims(p.machine()).isEmpty();
             boolean silent = silent(p);
             if (silent) {
                 LOG.info("machine {} silent for {} ms, deleted to free its tasks", p.machine(), p.silentMs());
@@ -541,13 +555,15 @@
         }
         Picture best = null;
         double bestWorth = 0;
+        List<Slot> slots = free.apply(pictures);
+        slots.removeIf(s -> view.claims(s.machine()).isEmpty());
         for (Picture p : pictures.values()) {
             Catalog.Type t = catalog.type(p.type());
             Map<String, Claim> claims = view.claims(p.machine());
             if (p.leaving()) {
                 return;
             }
-            if (!p.usable() || t == null || claims.isEmpty() || !fitsElsewhere(p, claims, pictures)) {
+            if (!p.usable() || t == null || claims.isEmpty() || !fitsElsewhere(p, claims, slots)) {
                 sparse.remove(p.machine());
                 continue;
             }
@@ -566,30 +582,34 @@
         }
     }
 
-    private boolean fitsElsewhere(Picture p, Map<String, Claim> claims, Map<String, Picture> pictures) {
+    private boolean fitsElsewhere(Picture p, Map<String, Claim> claims, List<Slot> slots) {
         for (Claim c : claims.values()) {
             if (!c.job().spec.service() || runningFor.applyAsLong(c) < moveAfterMs) {
                 return false;
             }
         }
-        List<Slot> slots = free.apply(pictures);
-        slots.removeIf(s -> s.machine().equals(p.machine()) || view.claims(s.machine()).isEmpty());
+        Map<Slot, Slot.Mark> tried = new LinkedHashMap<>();
+        boolean all = true;
         for (Claim c : claims.values()) {
             JobSpec j = c.job().spec;
             // A job spread over zones stays in its zone, so that its rule still holds after the move.
             Slot to = null;
             for (Slot s : slots) {
-                if (s.fits(j) && s.allows(j) && s.startDelay(j) <= 0 && (s.zone() == p.zone() || j.tasks() == 1)) {
+                if (s.fits(j) && s.allows(j) && s.startDelay(j) <= 0 && (s.zone() == p.zone() || j.tasks() == 1)
+                        && !s.machine().equals(p.machine())) {
                     to = s;
                     break;
                 }
             }
             if (to == null) {
-                return false;
+                all = false;
+                break;
             }
+            tried.putIfAbsent(to, to.mark());
             to.take(j);
         }
-        return true;
+        tried.forEach(Slot::reset);
+        return all;
     }
 
     /** A machine that says nothing is mostly lost; deleting it is the quickest proof that its tasks are gone. */
@@ -694,10 +714,13 @@
             return;
         }
         for (Ask a : asks()) {
-            if (a.hosts() == null || a.hosts().contains(machine)) {
+            if (a.hosts() == null) {
                 return;
             }
         }
+        if (askedHosts.contains(machine)) {
+            return;
+        }
         for (int i = 1; i < seats.memberCount(); i++) {
             if (!seats.live(i)) {
                 // It may well report to a controller that we can't hear.
--- a/src/main/java/birchusher/jobs/Desk.java
+++ b/src/main/java/birchusher/jobs/Desk.java
@@ -72,10 +72,11 @@
             return ended(id, e);
         }
         Job j = view.job(id);
-        if (j != null && j.state == Job.State.DONE) {
+        // Done sets never shrink, so a job whose tasks are all recorded as done is done before its row says so.
+        if (j != null && (j.state() == Job.State.DONE || j.state() == Job.State.OPEN && j.allDone())) {
             return answer(id, Wire.DONE, j.spec.tasks(), 0);
         }
-        return j != null && j.state == Job.State.CANCELLED ? answer(id, Wire.CANCELLED, 0, 0) : null;
+        return j != null && j.state() == Job.State.CANCELLED ? answer(id, Wire.CANCELLED, 0, 0) : null;
     }
 
     private static Map<String, Object> open(Job j) {
@@ -189,7 +190,7 @@
 
         @Override
         public int rank() {
-            return 3;
+            return 2;
         }
 
         @Override
@@ -296,9 +297,18 @@
         @Override
         public boolean build(Tx tx) {
             Job j = view.job(id);
-            if (j == null || j.state != Job.State.OPEN || tx.writes(Keys.JOB + id) || fx.now() > until) {
+            if (j == null || j.state() != Job.State.OPEN || j.allDone() || tx.writes(Keys.JOB + id) || fx.now() > until) {
                 return false;
             }
+            // Another controller may be about to see, and to tell, that the last task is done: then this must fail.
+            int open = 0;
+            while (j.chunks.get(open) != null && j.chunks.get(open).full()) {
+                open++;
+            }
+            if (tx.hasChunk(id, open)) {
+                return false;
+            }
+            tx.require(Keys.place(id, open));
             tx.put(Keys.JOB + id, row(j.spec, j.chunkSize, j.acceptedAt, Job.State.CANCELLED));
             return true;
         }
@@ -331,9 +341,8 @@
         }
         nextSweep = now + 200;
         for (Job j : view.jobs()) {
-            boolean allDone = j.state == Job.State.OPEN && j.allDone();
-            boolean over = j.state != Job.State.OPEN && j.claimCount() == 0;
-            if ((allDone || over) && seats.drives(j.spec.id()) && ending.size() < 100 && ending.add(j.spec.id())) {
+            boolean over = (j.state() != Job.State.OPEN || j.allDone()) && j.claimCount() == 0;
+            if (over && seats.drives(j.spec.id()) && ending.size() < 100 && ending.add(j.spec.id())) {
                 if (!store.offer(new End(j.spec.id(), Math.min(txnOps, j.chunks.size() + 2)))) {
                     ending.remove(j.spec.id());
                 }
@@ -354,7 +363,13 @@
 
         @Override
         public int rank() {
-            return 3;
+            return 9;
+        }
+
+        /** Polls are answered from the done set; the row is only put away. */
+        @Override
+        public long patienceMs() {
+            return 1_000;
         }
 
         @Override
@@ -368,8 +383,8 @@
             if (j == null || tx.writes(Keys.JOB + id)) {
                 return false;
             }
-            done = j.state == Job.State.DONE || j.state == Job.State.OPEN && j.allDone();
-            if (!done && j.state != Job.State.CANCELLED) {
+            done = j.state() == Job.State.DONE || j.state() == Job.State.OPEN && j.allDone();
+            if (!done && j.state() != Job.State.CANCELLED) {
                 return false;
             }
             int places = 0;
@@ -387,7 +402,7 @@
                 tx.put(Keys.END + id, View.endedRow(done, j.spec.tasks()));
                 return true;
             }
-            if (j.state == Job.State.OPEN) {
+            if (j.state() == Job.State.OPEN) {
                 for (Chunk c : j.chunks) {
                     tx.require(Keys.place(id, c.index));
                     if (tx.conditionCount() > 3 * txnOps) {
--- a/src/main/java/birchusher/mesh/PeerCodec.java
+++ b/src/main/java/birchusher/mesh/PeerCodec.java
@@ -1,10 +1,12 @@
 package birchusher.mesh;
 
 import birchusher.core.Fields.Bad;
+import birchusher.mesh.PeerRecord.Ended;
 import birchusher.mesh.PeerRecord.Heartbeat;
 import birchusher.mesh.PeerRecord.Item;
 import birchusher.mesh.PeerRecord.Machine;
 import birchusher.mesh.PeerRecord.Offer;
+import birchusher.mesh.PeerRecord.Outcomes;
 import birchusher.mesh.PeerRecord.Retire;
 import birchusher.mesh.PeerRecord.Retired;
 import birchusher.mesh.PeerRecord.Stop;
@@ -19,7 +21,7 @@
 
 /** Records between controllers: a version, the sender, a kind, then the fields. The frame's length goes before. */
 public final class PeerCodec {
-    public static final int VERSION = 1;
+    public static final int VERSION = 2;
     public static final int MAX_BYTES = 512 * 1024;
     private static final int MAX_LIST = 20_000;
 
@@ -47,6 +49,7 @@
                 out.writeBoolean(h.storeOk());
                 list(out, h.terms(), DataOutputStream::writeLong);
                 list(out, h.machines(), PeerCodec::machine);
+                list(out, h.left(), DataOutputStream::writeUTF);
                 list(out, h.gone(), DataOutputStream::writeUTF);
             } else if (r instanceof Offer o) {
                 out.writeByte(2);
@@ -77,6 +80,17 @@
                 out.writeByte(6);
                 out.writeUTF(x.machine());
                 out.writeBoolean(x.agreed());
+            } else if (r instanceof Outcomes o) {
+                out.writeByte(7);
+                list(out, o.items(), (d, e) -> {
+                    d.writeUTF(e.job());
+                    d.writeInt(e.task());
+                    d.writeLong(e.attempt());
+                    d.writeUTF(e.machine());
+                    d.writeInt(e.shard());
+                    d.writeLong(e.term());
+                    d.writeByte(e.kind());
+                });
             }
         } catch (IOException e) {
             throw new IllegalStateException(e);
@@ -93,7 +107,7 @@
             String member = in.readUTF();
             PeerRecord r = switch (in.readByte()) {
                 case 1 -> new Heartbeat(in.readLong(), in.readBoolean(), list(in, d -> d.readLong()),
-                        list(in, PeerCodec::machine), list(in, d -> d.readUTF()));
+                        list(in, PeerCodec::machine), list(in, d -> d.readUTF()), list(in, d -> d.readUTF()));
                 case 2 -> new Offer(in.readLong(),
                         list(in, d -> new Item(d.readUTF(), d.readInt(), d.readUTF(), d.readLong())));
                 case 3 -> new Verdict(in.readLong(), list(in, d -> d.readUTF()),
@@ -101,6 +115,8 @@
                 case 4 -> new Stop(in.readUTF(), in.readInt(), in.readLong(), in.readDouble(), in.readUTF());
                 case 5 -> new Retire(in.readUTF(), in.readBoolean());
                 case 6 -> new Retired(in.readUTF(), in.readBoolean());
+                case 7 -> new Outcomes(list(in, d -> new Ended(d.readUTF(), d.readInt(), d.readLong(), d.readUTF(),
+                        d.readInt(), d.readLong(), d.readByte())));
                 default -> throw new Bad("peer record of unknown kind");
             };
             if (in.available() > 0) {
@@ -121,7 +137,6 @@
         out.writeInt(m.shard());
         out.writeInt(m.flags());
         out.writeInt(m.silentMs());
-        out.writeInt(m.noticeMs());
         out.writeInt(m.idleMs());
         out.writeDouble(m.speed());
         out.writeDouble(m.strayCpus());
@@ -134,7 +149,7 @@
 
     private static Machine machine(DataInputStream in) throws IOException {
         return new Machine(in.readUTF(), in.readUTF(), in.readUTF(), in.readBoolean(), in.readLong(), in.readInt(),
-                in.readInt(), in.readInt(), in.readInt(), in.readInt(), in.readDouble(), in.readDouble(),
+                in.readInt(), in.readInt(), in.readInt(), in.readDouble(), in.readDouble(),
                 in.readDouble(), in.readDouble(), list(in, d -> d.readUTF()), list(in, d -> d.readInt()),
                 list(in, d -> d.readUTF()));
     }
--- a/src/main/java/birchusher/mesh/PeerRecord.java
+++ b/src/main/java/birchusher/mesh/PeerRecord.java
@@ -6,15 +6,26 @@
 public sealed interface PeerRecord {
     /** One machine as its owner sees it; names, as indices are each process's own. */
     record Machine(String name, String type, String zone, boolean spot, long session, int shard, int flags, int silentMs,
-            int noticeMs, int idleMs, double speed, double strayCpus, double strayGpus, double strayMem,
+            int idleMs, double speed, double strayCpus, double strayGpus, double strayMem,
             List<String> fetching, List<Integer> fetchMs, List<String> images) {
         public static final int USABLE = 1;
         public static final int CONDEMNED = 2;
         public static final int LEAVING = 4;
+
+        /** Whether another record of the machine would tell a listener nothing new; times that just pass are not news. */
+        public boolean like(Machine o) {
+            return type.equals(o.type) && zone.equals(o.zone) && spot == o.spot && session == o.session && shard == o.shard
+                    && flags == o.flags && silentMs == o.silentMs && idleMs < 0 == o.idleMs < 0 && speed == o.speed
+                    && strayCpus == o.strayCpus && strayGpus == o.strayGpus && strayMem == o.strayMem
+                    && fetching.equals(o.fetching) && images.equals(o.images);
+        }
     }
 
-    /** {@code terms}: per shard the highest term that the sender has seen, 0 where it owns the shard itself. */
-    record Heartbeat(long incarnation, boolean storeOk, List<Long> terms, List<Machine> machines,
+    /**
+     * {@code terms}: per shard the highest term that the sender has seen, 0 where it owns the shard itself. {@code machines}:
+     * those with news. {@code left}: those that it speaks of no more. {@code gone}: deletions confirmed lately.
+     */
+    record Heartbeat(long incarnation, boolean storeOk, List<Long> terms, List<Machine> machines, List<String> left,
             List<String> gone) implements PeerRecord { }
 
     record Item(String job, int task, String machine, long session) { }
@@ -31,4 +42,9 @@
     record Retire(String machine, boolean withTasks) implements PeerRecord { }
 
     record Retired(String machine, boolean agreed) implements PeerRecord { }
+
+    /** The end of an attempt, proven under the sender's term; the kind as its ordinal. */
+    record Ended(String job, int task, long attempt, String machine, int shard, long term, int kind) { }
+
+    record Outcomes(List<Ended> items) implements PeerRecord { }
 }
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -6,6 +6,7 @@
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
 import birchusher.model.Priority;
+import birchusher.model.Shape;
 import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
@@ -25,7 +26,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.IntPredicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,6 +36,8 @@
 public final class Driver {
     private static final Logger LOG = LoggerFactory.getLogger(Driver.class);
     private static final int MAX_OFFERED = 400;
+    /** Waiting jobs for which one plan looks for work to stop. */
+    private static final int MAX_WISHES = 12;
 
     /** Sends a record to a member; index 0 is ourselves. */
     public interface Mesh {
@@ -68,21 +73,27 @@
     private final Seats seats;
     private final Yard yard;
     private final Planner planner;
+    private final Gates gates;
     private final Counters counters;
     private final Mesh mesh;
-    private final Map<String, Long> held = new HashMap<>();
-    private final Map<String, Long> refusals = new LinkedHashMap<>();
+    /** Per job and task: until when it is on its way and must not be planned again. */
+    private final Map<String, Map<Integer, Long>> held = new HashMap<>();
+    private int heldCount;
+    /** Per job and machine: until when an offer there is not repeated. */
+    private final Map<String, Map<String, Long>> refusals = new HashMap<>();
     private final Map<Long, Asked> asked = new HashMap<>();
     private final Map<String, Long> preempting = new HashMap<>();
-    private final Map<String, long[]> claimSeen = new HashMap<>();
     private final Map<String, long[]> errorSeen = new HashMap<>();
     private final long offerMs;
     private final long planGap;
+    private final double slotsPerMs;
     private final double preemptDelay;
     private long nextPlan;
     private long plannedChanges = -1;
+    private long plannedAt = -1_000_000;
+    private long nextForget;
     private long nextId = 1;
-    private Planner.Plan last = new Planner.Plan(List.of(), List.of(), java.util.Set.of(), 0);
+    private Planner.Plan last = new Planner.Plan(List.of(), List.of(), Set.of(), 0, 0);
 
     public Driver(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Yard yard,
             Planner planner, Counters counters, Tuning t, Mesh mesh) {
@@ -94,11 +105,13 @@
         this.seats = seats;
         this.yard = yard;
         this.planner = planner;
+        gates = new Gates(catalog, view, 1 + s.peers().size());
         this.counters = counters;
         this.mesh = mesh;
         offerMs = t.ms("placement.offer-s");
         preemptDelay = t.num("placement.preempt-delay-s") * 1000;
         planGap = t.ms("placement.plan-gap-s");
+        slotsPerMs = t.num("placement.slots-per-s") / 1000;
         planner.zoneOfShard(seats::zoneOf);
     }
 
@@ -106,28 +119,26 @@
         return last;
     }
 
+    /** Whether a plan is due; the pictures need to be drawn only then. */
+    public boolean due() {
+        long now = fx.now();
+        return store.loaded() && catalog.typesKnown() && now >= nextPlan
+                && (plannedChanges != view.changes() || now - plannedAt >= 1_000);
+    }
+
     public void tick(Map<String, Picture> pictures, List<Slot> coming) {
         long now = fx.now();
-        if (!store.loaded() || !catalog.typesKnown() || now < nextPlan) {
-            return;
-        }
-        nextPlan = now + planGap;
-        if (plannedChanges == view.changes() && now % 1_000 >= planGap) {
-            return;
-        }
+        plannedAt = now;
         plannedChanges = view.changes();
-        held.values().removeIf(until -> now > until);
-        refusals.values().removeIf(until -> now > until);
-        preempting.values().removeIf(until -> now > until);
-        // An owner that died answers no offer: forgetting it only with the next offer once left a replica waiting for good,
-        // as its own old offer took the one place its zone rule allowed.
-        asked.values().removeIf(a -> now - a.group.since > offerMs);
-        noteClaims(now);
+        forget(now);
         List<Slot> slots = slots(pictures);
         slots.addAll(coming);
-        Planner.Plan plan = planner.plan(slots, held::containsKey, (m, j) -> refusals.containsKey(m + " " + j),
-                this::paused, underway(), fx.wall());
+        Planner.Plan plan = planner.plan(slots, marks, underway(), fx.wall());
         last = plan;
+        // Large fleets and long queues make plans dear: they are then made less often, not at the cost of the reports.
+        nextPlan = now + Math.max(planGap, Math.round(plan.work() / slotsPerMs));
+        counters.plans++;
+        counters.planned += plan.work();
         counters.speedLimited += plan.speedLimited();
         if (seats.holding() && store.healthy()) {
             act(plan, now);
@@ -135,24 +146,61 @@
         }
     }
 
-    /** Remembers since when claims stand, to guess when they end. */
-    private void noteClaims(long now) {
-        for (Job j : view.jobs()) {
-            for (Chunk c : j.chunks) {
-                if (c != null) {
-                    for (Claim x : c.claims.values()) {
-                        claimSeen.computeIfAbsent(x.key() + "#" + x.attempt(), k -> new long[] {now, now})[1] = now;
-                    }
-                }
-            }
+    private void forget(long now) {
+        if (now >= nextForget) {
+            nextForget = now + 100;
+            held.values().removeIf(m -> {
+                m.values().removeIf(until -> now > until);
+                return m.isEmpty();
+            });
+            heldCount = held.values().stream().mapToInt(Map::size).sum();
+            refusals.values().removeIf(m -> {
+                m.values().removeIf(until -> now > until);
+                return m.isEmpty();
+            });
+            preempting.values().removeIf(until -> now > until);
+            // An owner that died answers no offer: forgetting it only with the next offer once left a replica waiting for
+            // good, as its own old offer took the one place its zone rule allowed.
+            asked.values().removeIf(a -> now - a.group.since > offerMs);
+            errorSeen.keySet().removeIf(id -> view.job(id) == null);
         }
-        claimSeen.values().removeIf(l -> l[1] < now);
     }
 
+    private void hold(Planner.Choice c, long until) {
+        if (held.computeIfAbsent(c.job().spec.id(), k -> new HashMap<>()).put(c.task(), until) == null) {
+            heldCount++;
+        }
+    }
+
+    private void letGo(Planner.Choice c) {
+        Map<Integer, Long> m = held.get(c.job().spec.id());
+        if (m != null && m.remove(c.task()) != null) {
+            heldCount--;
+        }
+    }
+
+    private final Planner.Marks marks = new Planner.Marks() {
+        @Override
+        public IntPredicate held(String job) {
+            Map<Integer, Long> m = held.get(job);
+            return m == null || m.isEmpty() ? null : m::containsKey;
+        }
+
+        @Override
+        public Set<String> refused(String job) {
+            Map<String, Long> m = refusals.get(job);
+            return m == null || m.isEmpty() ? null : m.keySet();
+        }
+
+        @Override
+        public boolean paused(Job j) {
+            return Driver.this.paused(j);
+        }
+    };
+
     /** For how long this controller has seen a claim stand, in ms. */
     public long runningFor(Claim c) {
-        long[] seen = claimSeen.get(c.key() + "#" + c.attempt());
-        return seen == null ? 0 : fx.now() - seen[0];
+        return c.seenAt() < 0 ? 0 : fx.now() - c.seenAt();
     }
 
     /** Expected end of a claim by what this controller has seen of it, in steady ms. */
@@ -192,20 +240,22 @@
 
     /** Free room on every machine in the pictures, less what the store records. */
     public List<Slot> slots(Map<String, Picture> pictures) {
-        List<Slot> slots = new ArrayList<>();
-        List<Planner.Choice> underway = underway();
+        List<Slot> slots = new ArrayList<>(pictures.size());
+        Map<String, List<Planner.Choice>> underway = new HashMap<>();
+        for (Planner.Choice c : underway()) {
+            underway.computeIfAbsent(c.slot().machine, k -> new ArrayList<>()).add(c);
+        }
         for (Picture p : pictures.values()) {
             Catalog.Type t = catalog.type(p.type());
             if (!p.usable() || t == null) {
                 continue;
             }
-            double[] f = {t.cpus() - p.strayUse()[0], t.gpus() - p.strayUse()[1], t.mem() - p.strayUse()[2]};
-            Map<String, Claim> claims = view.claims(p.machine());
-            for (Claim c : claims.values()) {
-                minus(f, c.job().spec);
-            }
-            for (Planner.Choice c : underway) {
-                if (c.slot().machine.equals(p.machine()) && !claims.containsKey(c.job().spec.id() + "/" + c.task())) {
+            double[] used = view.useOf(p.machine());
+            double[] f = {t.cpus() - p.strayUse()[0] - used[0], t.gpus() - p.strayUse()[1] - used[1],
+                t.mem() - p.strayUse()[2] - used[2]};
+            for (Planner.Choice c : underway.getOrDefault(p.machine(), List.of())) {
+                Claim stands = c.job().claim(c.task());
+                if (stands == null || !stands.machine().equals(p.machine())) {
                     minus(f, c.job().spec);
                 }
             }
@@ -234,7 +284,7 @@
                 whole.put(s.id(), false);
                 continue;
             }
-            if (held.size() + groups.size() > MAX_OFFERED || !seats.drives(s.id())) {
+            if (heldCount + groups.size() > MAX_OFFERED || !seats.drives(s.id())) {
                 continue;
             }
             String key = s.gang() ? s.id() : s.id() + "/" + c.task() / c.job().chunkSize;
@@ -263,7 +313,7 @@
             return;
         }
         for (Planner.Choice c : g.choices) {
-            held.put(key(c), fx.now() + offerMs);
+            hold(c, fx.now() + offerMs);
         }
         g.waiting = byOwner.size();
         byOwner.forEach((owner, items) -> {
@@ -314,16 +364,15 @@
                 g.refused = true;
                 counters.refused++;
                 LOG.debug("offer of {} to {} refused: {}", key(c), c.slot().machine, no);
-                held.remove(key(c));
-                refusals.put(c.slot().machine + " " + c.job().spec.id(),
-                        fx.now() + (no.equals("failed here") ? 60_000 : 1_500));
+                letGo(c);
+                refusals.computeIfAbsent(c.job().spec.id(), k -> new HashMap<>()).put(c.slot().machine, fx.now() + (no.equals("failed here") ? 60_000 : 1_500));
             }
         }
         if (--g.waiting > 0) {
             return;
         }
         if (g.job.spec.gang() && g.refused || g.accepted.isEmpty()) {
-            g.choices.forEach(c -> held.remove(key(c)));
+            g.choices.forEach(this::letGo);
             return;
         }
         claim(g);
@@ -338,7 +387,7 @@
             if (g.accepted.containsKey(c.task())) {
                 list.add(c);
                 claiming.put(key(c), c);
-                held.put(key(c), fx.now() + 30_000);
+                hold(c, fx.now() + 30_000);
             }
         }
         boolean queued = store.offer(new Change() {
@@ -354,6 +403,22 @@
                 return s.gang() ? g.job.chunks.size() + 1 : 2;
             }
 
+            /** Of an array more tasks may find room in a moment; the reservations do not last long, though. */
+            @Override
+            public long patienceMs() {
+                return s.shape() == Shape.ARRAY ? offerMs / 4 : 0;
+            }
+
+            @Override
+            public boolean rides(Tx tx) {
+                for (Planner.Choice c : list) {
+                    if (!tx.hasChunk(s.id(), c.task() / g.job.chunkSize)) {
+                        return false;
+                    }
+                }
+                return true;
+            }
+
             @Override
             public long expires() {
                 return g.since + offerMs;
@@ -361,8 +426,18 @@
 
             @Override
             public boolean build(Tx tx) {
-                made = fx.now() > expires() ? List.of() : write(tx, g, list);
-                return !made.isEmpty();
+                made = fx.now() > expires() ? List.of() : allowed(tx, g, list);
+                if (made.isEmpty()) {
+                    return false;
+                }
+                double n = made.size();
+                Gates.Pass pass = gates.pass(tx, s.team(), made.size(), n * s.cpus(), n * s.gpus());
+                if (pass == Gates.Pass.YES) {
+                    record(tx, s, made);
+                } else {
+                    made = List.of();
+                }
+                return pass != Gates.Pass.NO;
             }
 
             @Override
@@ -382,24 +457,23 @@
             private void over() {
                 for (Planner.Choice c : list) {
                     claiming.remove(key(c));
-                    held.remove(key(c));
+                    letGo(c);
                 }
-                nextPlan = 0;
             }
         });
         if (!queued) {
             list.forEach(c -> {
                 claiming.remove(key(c));
-                held.remove(key(c));
+                letGo(c);
             });
         }
     }
 
     /** Checks everything that the rules need against the records that the transaction conditions on. */
-    private List<Planner.Choice> write(Tx tx, Group g, List<Planner.Choice> list) {
+    private List<Planner.Choice> allowed(Tx tx, Group g, List<Planner.Choice> list) {
         JobSpec s = g.job.spec;
         Job j = view.job(s.id());
-        if (j == null || j.state != Job.State.OPEN || s.gang() && j.claimCount() > 0 || tx.writes(Keys.JOB + s.id())) {
+        if (j == null || j.state() != Job.State.OPEN || s.gang() && j.claimCount() > 0 || tx.writes(Keys.JOB + s.id())) {
             return List.of();
         }
         Settings.Team team = catalog.team(s.team());
@@ -432,13 +506,12 @@
             zones.merge(zone, 1, Integer::sum);
             ok.add(c);
         }
-        if (ok.isEmpty()) {
-            return ok;
-        }
+        return ok;
+    }
+
+    private void record(Tx tx, JobSpec s, List<Planner.Choice> ok) {
+        Job j = view.job(s.id());
         tx.require(Keys.JOB + s.id());
-        // The gate serialises a team's claims: its use can't have grown since this view.
-        String gate = Keys.GATE + team.name();
-        tx.put(gate, Map.of("v", tx.view().version(gate)));
         long attempt = j.attempts();
         for (Planner.Choice c : ok) {
             attempt = Math.max(attempt, tx.chunk(j, c.task() / j.chunkSize).attempts);
@@ -451,9 +524,9 @@
             chunk.attempts = attempt;
             chunk.claims.put(c.task(), new Claim(j, c.task(), attempt, slot.machine, slot.session, slot.shard));
         }
+        double[] extra = tx.claimed(s.team());
         extra[0] += ok.size() * s.cpus();
         extra[1] += ok.size() * s.gpus();
-        return ok;
     }
 
     // ---- preemption
@@ -474,6 +547,8 @@
             wishes.add(new Wish(u.job(), u.guaranteed(), Double.MAX_VALUE));
         }
         wishes.addAll(slow.values());
+        List<Slot> slots = null;
+        int looks = MAX_WISHES;
         for (Wish u : wishes) {
             Job j = u.job();
             if (!seats.drives(j.spec.id()) || budget <= 0 || j.spec.gang() && j.spec.tasks() > 1) {
@@ -482,14 +557,18 @@
             if (preempting.size() > 16 || preempting.containsKey("for " + j.spec.id())) {
                 continue;
             }
-            List<Claim> victims = victims(j, u.guaranteed(), u.delayS(), plan, pictures);
+            if (looks-- <= 0) {
+                break;
+            }
+            slots = slots == null ? slots(pictures) : slots;
+            List<Claim> victims = victims(j, u.guaranteed(), u.delayS(), plan, slots);
             if (victims.isEmpty()) {
                 continue;
             }
             budget--;
             preempting.put("for " + j.spec.id(), now + 8_000);
             for (Claim v : victims) {
-                preempting.put(v.key() + "#" + v.attempt(), now + 15_000);
+                preempting.put(v.attemptKey(), now + 15_000);
                 LOG.info("task {} makes room for {}", v.key(), j.spec.id());
                 double grace = v.job().spec.resumes() ? v.job().spec.saveS() + 1 : 0;
                 stop(v, grace, "preempted");
@@ -497,12 +576,12 @@
         }
     }
 
-    private List<Claim> victims(Job j, boolean guaranteed, double delayS, Planner.Plan plan, Map<String, Picture> pictures) {
+    private List<Claim> victims(Job j, boolean guaranteed, double delayS, Planner.Plan plan, List<Slot> slots) {
         List<Claim> best = List.of();
         // Stopping somebody must be clearly better than the delay without it.
         double bestCost = delayS == Double.MAX_VALUE ? delayS : delayS * 0.7 - 2;
         Map<Integer, Integer> zones = planner.zones(j, underway());
-        for (Slot slot : slots(pictures)) {
+        for (Slot slot : slots) {
             if (!slot.allows(j.spec) || j.spec.spread() && zones.getOrDefault(slot.zone, 0) >= j.spec.zoneLimit()
                     || j.spec.oneZone() && !zones.isEmpty() && !zones.containsKey(slot.zone)) {
                 continue;
@@ -514,13 +593,17 @@
                         && (j.spec.priority() == Priority.PRODUCTION || guaranteed || !plan.guaranteed().contains(v.id()));
                 // Stopping one replica for another gains nothing and once went on for minutes.
                 boolean beyond = guaranteed && v.priority() != Priority.PRODUCTION && v.team() != j.spec.team() && !plan.guaranteed().contains(v.id());
-                if ((lower || beyond) && !preempting.containsKey(c.key() + "#" + c.attempt())
+                if ((lower || beyond) && !preempting.containsKey(c.attemptKey())
                         && (!v.gang() || v.tasks() == 1)) {
                     candidates.add(c);
                 }
             }
             candidates.sort((a, b) -> Double.compare(cost(a), cost(b)));
+            if (candidates.isEmpty()) {
+                continue;
+            }
             List<Claim> taken = new ArrayList<>();
+            Slot.Mark before = slot.mark();
             double cost = slot.startDelay(j.spec) / 1000;
             for (Claim c : candidates) {
                 if (slot.fits(j.spec)) {
@@ -534,6 +617,7 @@
                 best = taken;
                 bestCost = cost;
             }
+            slot.reset(before);
         }
         return best;
     }
@@ -554,7 +638,7 @@
     }
 
     public void stopGang(Job job, double graceS, String reason) {
-        java.util.Set<Integer> owners = new java.util.TreeSet<>();
+        Set<Integer> owners = new java.util.TreeSet<>();
         for (Chunk ch : job.chunks) {
             if (ch != null) {
                 for (Claim c : ch.claims.values()) {
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -12,15 +12,15 @@
 import birchusher.store.View;
 import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BiPredicate;
 import java.util.function.IntFunction;
+import java.util.function.IntPredicate;
 import java.util.function.IntUnaryOperator;
-import java.util.function.Predicate;
 
 /**
  * Works out, for all jobs in one global order, where each waiting task would go. Every controller computes the same
@@ -33,7 +33,28 @@
     /** Tasks of a job that found no room, not even soon. */
     public record Unplaced(Job job, int tasks, boolean guaranteed) { }
 
-    public record Plan(List<Choice> choices, List<Unplaced> unplaced, Set<String> guaranteed, long speedLimited) { }
+    /** {@code work} counts the slots looked at, so that planning can be paced by what it costs. */
+    public record Plan(List<Choice> choices, List<Unplaced> unplaced, Set<String> guaranteed, long speedLimited, long work) { }
+
+    /** What this controller has under way, asked for once per job. */
+    public interface Marks {
+        /** Which tasks of a job are offered or being claimed already; null: none. */
+        IntPredicate held(String job);
+
+        /** Machines that lately refused a job; null: none. */
+        Set<String> refused(String job);
+
+        /** Whether a job backs off. */
+        boolean paused(Job j);
+    }
+
+    /** A need that found no room; whatever needs as much and is allowed no more finds none either. */
+    private record Misfit(JobSpec j) {
+        boolean covers(JobSpec o) {
+            return o.cpus() >= j.cpus() && o.gpus() >= j.gpus() && o.mem() >= j.mem() && (j.spot() || !o.spot())
+                    && (j.zone() < 0 || j.zone() == o.zone()) && (j.types() == null || Arrays.equals(j.types(), o.types()));
+        }
+    }
 
     private final Catalog catalog;
     private final View view;
@@ -68,7 +89,7 @@
         byAge.sort((a, b) -> Long.compare(a.age, b.age));
         Set<String> in = new HashSet<>();
         for (Job j : byAge) {
-            if (j.state != Job.State.OPEN) {
+            if (j.state() != Job.State.OPEN) {
                 continue;
             }
             int left = j.spec.tasks() - j.doneCount();
@@ -93,86 +114,93 @@
         return !j.spec.service() && wall + expectedS(j.spec) * 800 > due(j);
     }
 
-    private List<Job> order(Set<String> guaranteed, long wall) {
+    private List<Ranked> order(Set<String> guaranteed, long wall) {
         List<Job> jobs = new ArrayList<>();
         for (Job j : view.jobs()) {
-            if (j.state == Job.State.OPEN && j.doneCount() + j.claimCount() < j.spec.tasks()) {
+            if (j.state() == Job.State.OPEN && j.doneCount() + j.claimCount() < j.spec.tasks()) {
                 jobs.add(j);
             }
         }
-        jobs.sort((a, b) -> {
-            // Production goes before guarantees: a replica beyond its team's guarantee must not starve behind batch work.
-            boolean pa = a.spec.priority() == Priority.PRODUCTION;
-            boolean pb = b.spec.priority() == Priority.PRODUCTION;
-            if (pa != pb) {
-                return pa ? -1 : 1;
-            }
-            boolean ga = guaranteed.contains(a.spec.id());
-            boolean gb = guaranteed.contains(b.spec.id());
-            if (ga != gb) {
-                return ga ? -1 : 1;
-            }
-            int p = a.spec.priority().compareTo(b.spec.priority());
-            if (p != 0) {
-                return p;
-            }
-            boolean la = late(a, wall);
-            boolean lb = late(b, wall);
-            if (la != lb) {
-                return la ? 1 : -1;
-            }
-            long da = due(a);
-            long db = due(b);
-            return da != db ? Long.compare(da, db) : Long.compare(a.age, b.age);
-        });
-        return jobs;
+        List<Ranked> ranked = new ArrayList<>(jobs.size());
+        for (Job j : jobs) {
+            ranked.add(new Ranked(j, j.spec.priority() == Priority.PRODUCTION, guaranteed.contains(j.spec.id()), late(j, wall),
+                    due(j)));
+        }
+        ranked.sort(Planner::compare);
+        return ranked;
+    }
+
+    private record Ranked(Job job, boolean production, boolean guaranteed, boolean late, long due) { }
+
+    private static int compare(Ranked a, Ranked b) {
+        // Production goes before guarantees: a replica beyond its team's guarantee must not starve behind batch work.
+        if (a.production != b.production) {
+            return a.production ? -1 : 1;
+        }
+        if (a.guaranteed != b.guaranteed) {
+            return a.guaranteed ? -1 : 1;
+        }
+        int p = a.job.spec.priority().compareTo(b.job.spec.priority());
+        if (p != 0) {
+            return p;
+        }
+        if (a.late != b.late) {
+            return a.late ? 1 : -1;
+        }
+        return a.due != b.due ? Long.compare(a.due, b.due) : Long.compare(a.job.age, b.job.age);
     }
 
     /**
-     * @param held tasks already offered or being claimed by this controller, or backing off
-     * @param refused machines that lately refused a job
-     * @param paused jobs that back off
      * @param wall time of day, for due times
      * @param underway tasks offered or being claimed, with their machines
      */
-    public Plan plan(List<Slot> slots, Predicate<String> held, BiPredicate<String, String> refused,
-            Predicate<Job> paused, List<Choice> underway, long wall) {
+    public Plan plan(List<Slot> all, Marks marks, List<Choice> underway, long wall) {
         Set<String> guaranteed = guaranteed();
         List<Choice> choices = new ArrayList<>();
         List<Unplaced> unplaced = new ArrayList<>();
+        List<Misfit> misfits = new ArrayList<>();
         double[][] use = new double[catalog.teams.size()][2];
         long limited = 0;
         for (int t = 0; t < use.length; t++) {
             use[t][0] = view.cpusOf(t);
             use[t][1] = view.gpusOf(t);
         }
-        for (Job j : order(guaranteed, wall)) {
-            if (paused.test(j)) {
+        List<Ranked> order = order(guaranteed, wall);
+        Slot[] slots = withRoom(all, order);
+        Map<String, List<Choice>> underwayOf = new HashMap<>();
+        underway.forEach(c -> underwayOf.computeIfAbsent(c.job().spec.id(), k -> new ArrayList<>()).add(c));
+        work = all.size();
+        for (Ranked r : order) {
+            Job j = r.job;
+            JobSpec s = j.spec;
+            if (marks.paused(j)) {
                 continue;
             }
-            JobSpec s = j.spec;
+            IntPredicate held = marks.held(s.id());
+            Set<String> refused = marks.refused(s.id());
             if (s.gang()) {
-                if (j.claimCount() > 0 || held.test(s.id() + "/0")) {
+                if (j.claimCount() > 0 || held != null && held.test(0)) {
                     continue;
                 }
-                List<Choice> gang = gang(j, slots, refused, use[s.team()]);
+                List<Choice> gang = hopeless(s, misfits) ? null : gang(j, slots, refused, use[s.team()]);
                 if (gang != null) {
                     choices.addAll(gang);
                     use[s.team()][0] += s.tasks() * s.cpus();
                     use[s.team()][1] += s.tasks() * s.gpus();
                 } else if (!overLimit(s, use[s.team()], s.tasks())) {
-                    unplaced.add(new Unplaced(j, s.tasks(), guaranteed.contains(s.id())));
+                    unplaced.add(new Unplaced(j, s.tasks(), r.guaranteed));
                 }
                 continue;
             }
-            Map<Integer, Integer> zones = zones(j, underway);
+            Map<Integer, Integer> zones = zones(j, underwayOf.getOrDefault(s.id(), List.of()));
+            Candidates candidates = null;
             int missing = 0;
             int placed = 0;
             for (int task = 0; task < s.tasks(); task++) {
                 if (j.isDone(task) || j.claim(task) != null) {
                     continue;
                 }
-                if (held.test(s.id() + "/" + task)) {
+                if (held != null && held.test(task)) {
                     // On its way already: not to be bought for.
                     placed++;
                     continue;
@@ -180,7 +208,18 @@
                 if (overLimit(s, use[s.team()], 1)) {
                     break;
                 }
-                Slot slot = best(j, slots, zones, -1, refused);
+                Slot slot = null;
+                if (s.spread() || s.oneZone()) {
+                    slot = hopeless(s, misfits) ? null : best(j, slots, zones, -1, refused);
+                } else {
+                    if (candidates == null && !hopeless(s, misfits)) {
+                        candidates = new Candidates(j, slots, zones, refused);
+                    }
+                    slot = candidates == null ? null : candidates.best();
+                    if (slot == null && refused == null) {
+                        misfits.add(new Misfit(s));
+                    }
+                }
                 if (slot == null) {
                     // Its tasks are all alike: the rest finds no room either, and need not be looked at one by one.
                     missing = withinLimit(s, use[s.team()], s.tasks() - j.doneCount() - j.claimCount() - placed);
@@ -197,13 +236,108 @@
                 double delay = slot.startDelay(s);
                 slot.take(s);
                 zones.merge(slot.zone, 1, Integer::sum);
+                if (candidates != null) {
+                    candidates.taken();
+                }
                 choices.add(new Choice(j, task, slot, delay));
             }
             if (missing > 0) {
-                unplaced.add(new Unplaced(j, missing, guaranteed.contains(s.id())));
+                unplaced.add(new Unplaced(j, missing, r.guaranteed));
+            }
+        }
+        return new Plan(choices, unplaced, guaranteed, limited, work);
+    }
+
+    private long work;
+
+    private static boolean hopeless(JobSpec s, List<Misfit> misfits) {
+        for (Misfit m : misfits) {
+            if (m.covers(s)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Only slots that could take the smallest waiting task: full machines are most of a busy fleet. */
+    private static Slot[] withRoom(List<Slot> all, List<Ranked> order) {
+        double cpus = Double.MAX_VALUE;
+        double gpus = Double.MAX_VALUE;
+        double mem = Double.MAX_VALUE;
+        for (Ranked r : order) {
+            cpus = Math.min(cpus, r.job.spec.cpus());
+            gpus = Math.min(gpus, r.job.spec.gpus());
+            mem = Math.min(mem, r.job.spec.mem());
+        }
+        List<Slot> l = new ArrayList<>();
+        for (Slot s : all) {
+            if (s.cpus + Catalog.EPS >= cpus && s.gpus + Catalog.EPS >= gpus && s.mem + Catalog.EPS >= mem) {
+                l.add(s);
+            }
+        }
+        return l.toArray(new Slot[0]);
+    }
+
+    /** The slots one job may use, best first. Taking a task changes only its own slot's score, so a heap serves all tasks. */
+    private final class Candidates {
+        private final Job job;
+        private final Map<Integer, Integer> zones;
+        private final Slot[] slots;
+        private final double[] scores;
+        private int n;
+
+        Candidates(Job j, Slot[] all, Map<Integer, Integer> zones, Set<String> refused) {
+            job = j;
+            this.zones = zones;
+            slots = new Slot[all.length];
+            scores = new double[all.length];
+            work += all.length;
+            for (Slot s : all) {
+                if (s.fits(j.spec) && s.allows(j.spec) && (refused == null || !refused.contains(s.machine))) {
+                    slots[n] = s;
+                    scores[n++] = score(j, s, zones);
+                }
+            }
+            for (int i = n / 2 - 1; i >= 0; i--) {
+                down(i);
+            }
+        }
+
+        Slot best() {
+            return n == 0 ? null : slots[0];
+        }
+
+        void taken() {
+            work++;
+            if (slots[0].fits(job.spec)) {
+                scores[0] = score(job, slots[0], zones);
+            } else {
+                n--;
+                slots[0] = slots[n];
+                scores[0] = scores[n];
+            }
+            down(0);
+        }
+
+        private void down(int from) {
+            int i = from;
+            while (2 * i + 1 < n) {
+                int c = 2 * i + 1;
+                if (c + 1 < n && scores[c + 1] < scores[c]) {
+                    c++;
+                }
+                if (scores[i] <= scores[c]) {
+                    return;
+                }
+                Slot s = slots[i];
+                double d = scores[i];
+                slots[i] = slots[c];
+                scores[i] = scores[c];
+                slots[c] = s;
+                scores[c] = d;
+                i = c;
             }
         }
-        return new Plan(choices, unplaced, guaranteed, limited);
     }
 
     /** How many of n more tasks a team's limit allows. */
@@ -256,7 +390,7 @@
         return n;
     }
 
-    private List<Choice> gang(Job j, List<Slot> slots, BiPredicate<String, String> refused, double[] use) {
+    private List<Choice> gang(Job j, Slot[] slots, Set<String> refused, double[] use) {
         if (overLimit(j.spec, use, j.spec.tasks())) {
             return null;
         }
@@ -266,6 +400,7 @@
         int to = j.spec.oneZone() ? catalog.zones.size() : 0;
         for (int zone = from; zone < to; zone++) {
             List<Choice> got = new ArrayList<>();
+            List<Slot.Mark> marks = new ArrayList<>();
             Map<Integer, Integer> zones = new HashMap<>();
             double worst = 0;
             for (int task = 0; task < j.spec.tasks(); task++) {
@@ -275,11 +410,15 @@
                 }
                 worst = Math.max(worst, score(j, slot, zones));
                 double delay = slot.startDelay(j.spec);
+                marks.add(slot.mark());
                 slot.take(j.spec);
                 zones.merge(slot.zone, 1, Integer::sum);
                 got.add(new Choice(j, task, slot, delay));
             }
-            got.forEach(c -> c.slot().giveBack(j.spec));
+            // Backwards, so that a slot taken twice ends as it was; a trial must not leave fetches that nobody plans.
+            for (int i = marks.size() - 1; i >= 0; i--) {
+                got.get(i).slot().reset(marks.get(i));
+            }
             if (got.size() == j.spec.tasks() && worst < bestScore) {
                 best = got;
                 bestScore = worst;
@@ -291,12 +430,13 @@
         return best;
     }
 
-    private Slot best(Job j, List<Slot> slots, Map<Integer, Integer> zones, int zone, BiPredicate<String, String> refused) {
+    private Slot best(Job j, Slot[] slots, Map<Integer, Integer> zones, int zone, Set<String> refused) {
+        work += slots.length;
         Slot best = null;
         double bestScore = Double.MAX_VALUE;
         for (Slot s : slots) {
-            if (!s.fits(j.spec) || !s.allows(j.spec) || zone >= 0 && s.zone != zone
-                    || refused.test(s.machine, j.spec.id())) {
+            if (zone >= 0 && s.zone != zone || !s.fits(j.spec) || !s.allows(j.spec)
+                    || refused != null && refused.contains(s.machine)) {
                 continue;
             }
             if (j.spec.oneZone() && !zones.isEmpty() && !zones.containsKey(s.zone)) {
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -60,6 +60,21 @@
         }
     }
 
+    /** What a trial changes. */
+    public record Mark(double cpus, double gpus, double mem, int planned, int plannedFetches) { }
+
+    public Mark mark() {
+        return new Mark(cpus, gpus, mem, planned, plannedFetches);
+    }
+
+    public void reset(Mark m) {
+        cpus = m.cpus;
+        gpus = m.gpus;
+        mem = m.mem;
+        planned = m.planned;
+        plannedFetches = m.plannedFetches;
+    }
+
     void giveBack(JobSpec j) {
         cpus += j.cpus();
         gpus += j.gpus();
--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -67,7 +67,7 @@
         leaseMs = t.ms("seats.lease-s");
         suspectMs = t.ms("seats.suspect-s");
         settleMs = t.ms("seats.settle-s");
-        perZone = (int) Math.max(1, t.num("seats.shards-per-zone"));
+        perZone = shardsPerZone(s, (int) t.num("seats.shards-per-zone"));
         startedAt = fx.now();
         members.add(new Settings.Peer(s.member(), s.zone(), s.mesh()));
         members.addAll(s.peers());
@@ -91,6 +91,22 @@
         incarnation = fx.wall();
     }
 
+    /** As many as the fullest zone has controllers, so that all of them can own workers; the same for all controllers. */
+    private static int shardsPerZone(Settings s, int asked) {
+        if (asked > 0) {
+            return asked;
+        }
+        int most = 2;
+        for (String zone : s.zones()) {
+            int n = zone.equals(s.zone()) ? 1 : 0;
+            for (Settings.Peer p : s.peers()) {
+                n += zone.equals(p.zone()) ? 1 : 0;
+            }
+            most = Math.max(most, n);
+        }
+        return most;
+    }
+
     public int shardCount() {
         return giving.length;
     }
@@ -188,9 +204,10 @@
 
     /**
      * A heartbeat. The terms it has seen also settle who may still answer workers: a member that knows of our term does
-     * not answer under an older one any more.
+     * not answer under an older one any more. True if it was not heard of before, or not in this life.
      */
-    public void heard(int i, boolean itsStoreOk, long itsIncarnation, List<Long> terms) {
+    public boolean heard(int i, boolean itsStoreOk, long itsIncarnation, List<Long> terms) {
+        boolean news = !live(i) || seenIncarnation[i] != itsIncarnation;
         seenIncarnation[i] = itsIncarnation;
         if (terms.size() == giving.length) {
             for (int s = 0; s < giving.length; s++) {
@@ -208,6 +225,7 @@
         } else if (badStoreSince[i] < 0) {
             badStoreSince[i] = fx.now();
         }
+        return news;
     }
 
     /** Per shard the highest term we know of, 0 where we may still answer under one of our own. */
@@ -234,8 +252,12 @@
         return false;
     }
 
-    /** The member that drives this job, by rendezvous; disagreement is harmless. */
     public boolean drives(String job) {
+        return driver(job) == 0;
+    }
+
+    /** The member that drives this job, by rendezvous; disagreement is harmless. */
+    public int driver(String job) {
         int best = 0;
         int top = Integer.MIN_VALUE;
         for (int i = 0; i < members.size(); i++) {
@@ -247,7 +269,7 @@
                 }
             }
         }
-        return best == 0;
+        return best;
     }
 
     private static int mix(int h) {
--- a/src/main/java/birchusher/server/Core.java
+++ b/src/main/java/birchusher/server/Core.java
@@ -26,11 +26,11 @@
 import birchusher.wire.Pack;
 import birchusher.wire.Wire;
 import birchusher.workers.Counters;
+import birchusher.workers.Outcomes;
 import birchusher.workers.Picture;
+import birchusher.workers.PictureBook;
 import birchusher.workers.Yard;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -50,15 +50,14 @@
     private final View view;
     private final StoreLink store;
     private final Seats seats;
+    private final Outcomes outcomes;
     private final Yard yard;
     private final Desk desk;
     private final Planner planner;
     private final Driver driver;
     private final Buyer buyer;
     private final Counters counters = new Counters();
-    private final Map<String, Picture> theirs = new HashMap<>();
-    private final Map<String, Integer> theirOwner = new HashMap<>();
-    private Map<String, Picture> pictures = Map.of();
+    private final PictureBook book;
     private long nextHeartbeat;
     private long nextPictures;
     private long nextLine;
@@ -70,11 +69,14 @@
         catalog = new Catalog(s);
         JobCodec codec = new JobCodec(catalog);
         view = new View(catalog, codec);
+        view.clock(fx::now);
         store = new StoreLink(fx, view, s, t);
         seats = new Seats(fx, s, catalog, view, store, t);
         Speeds speeds = new Speeds();
         Driver[] later = new Driver[1];
-        yard = new Yard(fx, s, catalog, view, store, seats, speeds, t, counters,
+        book = new PictureBook(fx, catalog, seats);
+        outcomes = new Outcomes(fx, view, store, seats, counters, this::send);
+        yard = new Yard(fx, s, catalog, view, store, seats, speeds, t, counters, outcomes, book,
                 (job, grace, reason) -> later[0].stopGang(job, grace, reason));
         planner = new Planner(catalog, view, speeds, LeaseTerms.from(t), s.objectives());
         driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send);
@@ -143,21 +145,24 @@
         seats.tick();
         yard.tick();
         desk.tick();
-        if (now >= nextPictures) {
-            nextPictures = now + 100;
-            draw();
+        boolean plan = driver.due();
+        if (plan || now >= nextPictures) {
+            nextPictures = now + 250;
+            book.draw(yard.pictures());
+            buyer.known(book.pictures());
         }
-        driver.tick(pictures, coming());
-        buyer.known(pictures);
-        buyer.tick(pictures, driver.last());
+        if (plan) {
+            driver.tick(book.pictures(), coming());
+        }
+        buyer.tick(book.pictures(), driver.last());
         if (now >= nextHeartbeat) {
             nextHeartbeat = now + HEARTBEAT_MS;
             heartbeat();
         }
         if (now >= nextLine) {
             nextLine = now + 30_000;
-            LOG.info("counters takeovers={} jobs={} machines={} {}", seats.takeovers, view.jobs().size(),
-                    pictures.size(), counters.line());
+            LOG.info("counters takeovers={} jobs={} machines={} {} {}", seats.takeovers, view.jobs().size(),
+                    book.pictures().size(), counters.line(), store.line());
         }
         return done();
     }
@@ -222,55 +227,21 @@
     }
 
     private void heartbeat() {
-        List<PeerRecord.Machine> list = new ArrayList<>();
-        for (Picture p : yard.pictures()) {
-            List<String> images = new ArrayList<>();
-            for (int i : p.images()) {
-                images.add(catalog.images.name(i));
-            }
-            List<String> fetching = new ArrayList<>();
-            List<Integer> fetchMs = new ArrayList<>();
-            for (int i = 0; i < p.fetching().length; i += 2) {
-                fetching.add(catalog.images.name(p.fetching()[i]));
-                fetchMs.add(p.fetching()[i + 1]);
-            }
-            int flags = (p.usable() ? PeerRecord.Machine.USABLE : 0) | (p.condemned() ? PeerRecord.Machine.CONDEMNED : 0)
-                    | (p.leaving() ? PeerRecord.Machine.LEAVING : 0);
-            list.add(new PeerRecord.Machine(p.machine(), catalog.typeNames.name(p.type()), catalog.zones.name(p.zone()),
-                    p.spot(), p.session(), p.shard(), flags, p.silentMs(), p.noticeMs(), p.idleMs(), p.speed(),
-                    p.strayUse()[0], p.strayUse()[1], p.strayUse()[2], fetching, fetchMs,
-                    images));
-        }
-        PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(seats.incarnation(), store.healthy(), seats.termsSeen(), list,
-                buyer.recentlyGone());
+        List<PeerRecord.Machine> news = book.news(yard.pictures());
+        PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(seats.incarnation(), store.healthy(), seats.termsSeen(), news,
+                book.left(), buyer.recentlyGone());
+        byte[] record = PeerCodec.encode(settings.member(), h);
         for (int i = 1; i < seats.memberCount(); i++) {
-            send(i, h);
+            fx.send(i, record);
         }
     }
 
     private void heard(int from, PeerRecord r) {
         if (r instanceof PeerRecord.Heartbeat h) {
-            seats.heard(from, h.storeOk(), h.incarnation(), h.terms());
-            theirs.keySet().removeIf(m -> theirOwner.get(m) == from);
-            for (PeerRecord.Machine m : h.machines()) {
-                int zone = catalog.zones.find(m.zone());
-                if (zone < 0 || m.shard() < 0 || m.shard() >= seats.shardCount()) {
-                    continue;
-                }
-                int[] images = m.images().stream().mapToInt(catalog.images::add).toArray();
-                int n = Math.min(m.fetching().size(), m.fetchMs().size());
-                int[] fetching = new int[n * 2];
-                for (int i = 0; i < n; i++) {
-                    fetching[2 * i] = catalog.images.add(m.fetching().get(i));
-                    fetching[2 * i + 1] = m.fetchMs().get(i);
-                }
-                theirs.put(m.name(), new Picture(m.name(), catalog.typeNames.add(m.type()), zone, m.spot(), m.session(),
-                        m.shard(), (m.flags() & PeerRecord.Machine.USABLE) != 0,
-                        (m.flags() & PeerRecord.Machine.CONDEMNED) != 0, (m.flags() & PeerRecord.Machine.LEAVING) != 0,
-                        m.silentMs(), m.noticeMs(), m.idleMs(), m.speed(),
-                        new double[] {m.strayCpus(), m.strayGpus(), m.strayMem()}, fetching, images));
-                theirOwner.put(m.name(), from);
+            if (seats.heard(from, h.storeOk(), h.incarnation(), h.terms())) {
+                book.tellEverything();
             }
+            book.heard(from, h);
             h.gone().forEach(yard::gone);
         } else if (r instanceof PeerRecord.Offer o) {
             send(from, driver.judge(o));
@@ -280,13 +251,15 @@
             driver.stopAsked(s);
         } else if (r instanceof PeerRecord.Retire x) {
             send(from, new PeerRecord.Retired(x.machine(), yard.retire(x.machine(), x.withTasks())));
+        } else if (r instanceof PeerRecord.Outcomes o) {
+            outcomes.told(o);
         } else if (r instanceof PeerRecord.Retired x) {
             buyer.retired(x.machine(), x.agreed());
         }
     }
 
     private void retire(String machine, boolean withTasks) {
-        Picture p = pictures.get(machine);
+        Picture p = book.pictures().get(machine);
         if (p == null) {
             return;
         }
@@ -297,27 +270,11 @@
         }
     }
 
-    // ---- the picture of the fleet
-
-    private void draw() {
-        Map<String, Picture> all = new LinkedHashMap<>();
-        for (Picture p : yard.pictures()) {
-            all.put(p.machine(), p);
-        }
-        theirs.forEach((name, p) -> {
-            if (seats.live(theirOwner.get(name))) {
-                all.putIfAbsent(name, p);
-            }
-        });
-        pictures = all;
-        yard.inherit(theirs);
-    }
-
     /** Room that will be there before a machine bought now could be up. */
     private List<Slot> coming() {
-        List<Slot> l = buyer.coming(pictures);
+        List<Slot> l = buyer.coming(book.pictures());
         long now = fx.now();
-        for (Picture p : pictures.values()) {
+        for (Picture p : book.pictures().values()) {
             Catalog.Type t = catalog.type(p.type());
             if (!p.usable() || t == null) {
                 continue;
@@ -326,9 +283,10 @@
             double gpus = 0;
             double mem = 0;
             long eta = 0;
+            double soon = t.bootS() * 700;
             for (Claim c : view.claims(p.machine()).values()) {
                 long end = driver.expectedEnd(c);
-                if (end == Long.MAX_VALUE || end > now + t.bootS() * 700) {
+                if (end == Long.MAX_VALUE || end > now + soon) {
                     continue;
                 }
                 eta = Math.max(eta, Math.max(1_000, end - now));
--- a/src/main/java/birchusher/server/HttpClient.java
+++ b/src/main/java/birchusher/server/HttpClient.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -25,25 +26,38 @@
     private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
     private static final int MAX_BODY = 16 * 1024 * 1024;
     private static final long KEEP_MS = 25_000;
-    private static final int MAX_CONNECTIONS = 220;
     private static final byte[] NOTHING = new byte[0];
 
     private final Loop loop;
     private final AsynchronousChannelGroup group;
     private final Map<String, Deque<Connection>> idle = new HashMap<>();
     private final List<Connection> busy = new ArrayList<>();
+    /** Idle connections, longest idle first. */
+    private final LinkedHashSet<Connection> resting = new LinkedHashSet<>();
+    private final int maxOpen;
     private int open;
 
-    HttpClient(Loop loop, AsynchronousChannelGroup group) {
+    HttpClient(Loop loop, AsynchronousChannelGroup group, int maxOpen) {
         this.loop = loop;
         this.group = group;
+        this.maxOpen = maxOpen;
     }
 
     void call(Effect.Call c) {
         Deque<Connection> pool = idle.get(c.address());
         Connection conn = pool == null ? null : pool.pollLast();
-        if (conn == null) {
-            if (open >= MAX_CONNECTIONS) {
+        if (conn != null) {
+            resting.remove(conn);
+            if (pool.isEmpty()) {
+                idle.remove(c.address());
+            }
+        } else {
+            if (open >= maxOpen && !resting.isEmpty()) {
+                // With more workers than sockets, those not used for longest make room: a call that can't be sent would
+                // count as one that may still arrive.
+                resting.iterator().next().rest(false);
+            }
+            if (open >= maxOpen) {
                 // Nothing was sent, yet the core can only be told "no answer": it treats that as unclear, which is safe.
                 loop.post(() -> loop.reply(c.id(), 0, NOTHING));
                 return;
@@ -61,12 +75,9 @@
                 c.fail();
             }
         }
-        for (Deque<Connection> pool : idle.values()) {
-            while (!pool.isEmpty() && now - pool.peekFirst().idleSince > KEEP_MS) {
-                pool.pollFirst().close();
-            }
+        while (!resting.isEmpty() && now - resting.iterator().next().idleSince > KEEP_MS) {
+            resting.iterator().next().rest(false);
         }
-        idle.values().removeIf(Deque::isEmpty);
     }
 
     private final class Connection {
@@ -156,7 +167,7 @@
                     close();
                 } else {
                     idleSince = Loop.now();
-                    idle.computeIfAbsent(address, a -> new ArrayDeque<>()).addLast(this);
+                    rest(true);
                 }
                 loop.reply(c.id(), m.status(), m.body());
             } catch (HttpParser.Malformed e) {
@@ -186,16 +197,29 @@
             Effect.Call c = call;
             call = null;
             busy.remove(this);
-            Deque<Connection> pool = idle.get(address);
-            if (pool != null) {
-                pool.remove(this);
-            }
-            close();
+            rest(false);
             if (c != null) {
                 loop.reply(c.id(), 0, NOTHING);
             }
         }
 
+        /** Into the pool of idle connections, or out of it and closed. */
+        private void rest(boolean on) {
+            if (on) {
+                idle.computeIfAbsent(address, a -> new ArrayDeque<>()).addLast(this);
+                resting.add(this);
+                return;
+            }
+            if (resting.remove(this)) {
+                Deque<Connection> pool = idle.get(address);
+                pool.remove(this);
+                if (pool.isEmpty()) {
+                    idle.remove(address);
+                }
+            }
+            close();
+        }
+
         void close() {
             if (!closed) {
                 closed = true;
--- a/src/main/java/birchusher/server/HttpServer.java
+++ b/src/main/java/birchusher/server/HttpServer.java
@@ -41,8 +41,8 @@
         this.loop = loop;
         this.group = group;
         this.settings = s;
-        // Some sockets are kept for the state service, the cloud, workers and the other controllers.
-        this.maxConnections = Math.max(8, s.maxConnections() - 250);
+        // Some sockets are kept for our own calls and for the other controllers.
+        this.maxConnections = Math.max(8, s.maxConnections() - Loop.ownCalls(s) - 50);
     }
 
     void open() throws IOException {
--- a/src/main/java/birchusher/server/Loop.java
+++ b/src/main/java/birchusher/server/Loop.java
@@ -22,6 +22,10 @@
     private final HttpClient client;
     private final MeshLinks mesh;
     private volatile boolean stopped;
+    /** Nanoseconds in requests, replies, peers' records and ticks; with how late ticks come, what an operator sizes by. */
+    private final long[] spent = new long[4];
+    private long latest;
+    private long nextLine;
 
     public Loop(Settings s, Tuning t) throws IOException {
         AsynchronousChannelGroup group = AsynchronousChannelGroup.withFixedThreadPool(1, r -> {
@@ -31,10 +35,15 @@
         });
         core = new Core(s, t, now(), System.currentTimeMillis());
         server = new HttpServer(this, group, s);
-        client = new HttpClient(this, group);
+        client = new HttpClient(this, group, ownCalls(s));
         mesh = new MeshLinks(this, group, s);
     }
 
+    /** Sockets for our own calls: the state service, the cloud and, most of them, commands to workers. */
+    static int ownCalls(Settings s) {
+        return Math.max(16, s.maxConnections() / 4);
+    }
+
     static long now() {
         return System.nanoTime() / 1_000_000;
     }
@@ -44,15 +53,36 @@
     }
 
     void request(long exchange, String method, String target, byte[] body) {
+        long from = System.nanoTime();
         act(core.request(now(), System.currentTimeMillis(), exchange, method, target, body));
+        spent[0] += System.nanoTime() - from;
     }
 
     void reply(long id, int status, byte[] body) {
+        long from = System.nanoTime();
         act(core.reply(now(), System.currentTimeMillis(), id, status, body));
+        spent[1] += System.nanoTime() - from;
     }
 
     void peer(byte[] record) {
+        long from = System.nanoTime();
         act(core.peer(now(), System.currentTimeMillis(), record));
+        spent[2] += System.nanoTime() - from;
+    }
+
+    private void tick() {
+        long from = System.nanoTime();
+        act(core.tick(now(), System.currentTimeMillis()));
+        server.tick();
+        client.tick();
+        mesh.tick();
+        spent[3] += System.nanoTime() - from;
+        if (now() >= nextLine) {
+            nextLine = now() + 30_000;
+            LOG.info("time spent in ms: requests={} replies={} peers={} ticks={}, latest tick {} ms late", spent[0] / 1_000_000,
+                    spent[1] / 1_000_000, spent[2] / 1_000_000, spent[3] / 1_000_000, latest);
+            latest = 0;
+        }
     }
 
     private void act(List<Effect> effects) {
@@ -84,13 +114,9 @@
                 r = n++ < 200 ? queue.poll() : null;
             }
             if (now() >= nextTick) {
+                latest = Math.max(latest, now() - nextTick);
                 nextTick = now() + TICK_MS;
-                guarded(() -> {
-                    act(core.tick(now(), System.currentTimeMillis()));
-                    server.tick();
-                    client.tick();
-                    mesh.tick();
-                });
+                guarded(this::tick);
             }
         }
         server.close();
--- a/src/main/java/birchusher/store/Change.java
+++ b/src/main/java/birchusher/store/Change.java
@@ -26,6 +26,16 @@
         return false;
     }
 
+    /** For how long at most it may wait, when changes are scarce, for others that write the same rows. */
+    default long patienceMs() {
+        return 0;
+    }
+
+    /** Whether the transaction already writes all that this change would, so that taking it along costs nothing. */
+    default boolean rides(Tx tx) {
+        return false;
+    }
+
     /** Steady time after which it is not worth sending any more. */
     default long expires() {
         return Long.MAX_VALUE;
--- a/src/main/java/birchusher/store/Chunk.java
+++ b/src/main/java/birchusher/store/Chunk.java
@@ -64,9 +64,9 @@
         return m;
     }
 
-    public static Chunk read(Job job, int index, Map<String, Object> m) {
+    /** Reads a row. Claims that the row before it held already stay the same objects. */
+    public static Chunk read(Job job, int index, Map<String, Object> m, Chunk before) {
         Chunk c = new Chunk(job, index);
-        int base = index * job.chunkSize;
         c.attempts = Fields.count(m, "a");
         c.restarts = Fields.countOr(m, "r", 0);
         c.errors = Fields.countOr(m, "e", 0);
@@ -81,17 +81,39 @@
                 c.done.or(BitSet.valueOf(l));
             }
             String s = (String) m.get("c");
-            if (!s.isEmpty()) {
-                for (String one : s.split(";")) {
-                    String[] p = one.split(":");
-                    int task = base + Integer.parseInt(p[0]);
-                    c.claims.put(task, new Claim(job, task, Long.parseLong(p[1]), p[2], Long.parseLong(p[3]),
-                            Integer.parseInt(p[4])));
-                }
+            int[] at = {0};
+            while (at[0] < s.length()) {
+                c.readClaim(s, at, before);
             }
         } catch (RuntimeException e) {
             throw new Bad("placement row of " + job.spec.id() + ": unreadable");
         }
         return c;
     }
+
+    /** One claim, up to the next ";". */
+    private void readClaim(String s, int[] at, Chunk before) {
+        int task = index * job.chunkSize + (int) number(s, at);
+        long attempt = number(s, at);
+        int from = at[0];
+        int to = s.indexOf(':', from);
+        at[0] = to + 1;
+        long session = number(s, at);
+        int shard = (int) number(s, at);
+        Claim old = before == null ? null : before.claims.get(task);
+        boolean same = old != null && old.attempt() == attempt && old.session() == session && old.shard() == shard
+                && old.machine().length() == to - from && s.startsWith(old.machine(), from);
+        claims.put(task, same ? old : new Claim(job, task, attempt, s.substring(from, to), session, shard));
+    }
+
+    /** A number up to the next ":" or ";", or the end. */
+    private static long number(String s, int[] at) {
+        int i = at[0];
+        while (i < s.length() && s.charAt(i) != ':' && s.charAt(i) != ';') {
+            i++;
+        }
+        long n = Long.parseLong(s, at[0], i, 10);
+        at[0] = i + 1;
+        return n;
+    }
 }
--- a/src/main/java/birchusher/store/Job.java
+++ b/src/main/java/birchusher/store/Job.java
@@ -12,10 +12,13 @@
     public final int chunkSize;
     /** Time of day when it was accepted, in ms. */
     public final long acceptedAt;
-    public final State state;
+    private State state;
     /** The revision that accepted it orders jobs by age. */
     public final long age;
+    /** Read only outside of the view; a row that does not exist yet is null. */
     public final List<Chunk> chunks = new ArrayList<>();
+    private int done;
+    private int claims;
 
     public Job(JobSpec spec, int chunkSize, long acceptedAt, State state, long age) {
         this.spec = spec;
@@ -43,20 +46,27 @@
         return c == null ? null : c.claims.get(task);
     }
 
+    public State state() {
+        return state;
+    }
+
+    void state(State s) {
+        state = s;
+    }
+
+    /** Puts a row in its place; the counts are kept here, as every pass over the jobs asks for them. */
+    void chunk(int i, Chunk c) {
+        Chunk old = chunks.set(i, c);
+        done += (c == null ? 0 : c.done.cardinality()) - (old == null ? 0 : old.done.cardinality());
+        claims += (c == null ? 0 : c.claims.size()) - (old == null ? 0 : old.claims.size());
+    }
+
     public int doneCount() {
-        int n = 0;
-        for (Chunk c : chunks) {
-            n += c == null ? 0 : c.done.cardinality();
-        }
-        return n;
+        return done;
     }
 
     public int claimCount() {
-        int n = 0;
-        for (Chunk c : chunks) {
-            n += c == null ? 0 : c.claims.size();
-        }
-        return n;
+        return claims;
     }
 
     public long attempts() {
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -27,8 +27,10 @@
     private static final long WATCH_MS = 10_000;
     private static final long TXN_TIMEOUT_MS = 2_500;
     private static final int MAX_ROWS = 500;
+    private static final long PATIENCE_MS = 2_000;
+    private static final int MAX_BATCH = 64;
 
-    private record Queued(Change change, long seq) { }
+    private record Queued(Change change, long seq, long since) { }
 
     private record Waiting(long since, Consumer<Boolean> then) { }
 
@@ -54,21 +56,32 @@
     private long nextWatch;
     private long nextFresh;
     private long nextTxn;
+    /** When the first of the queued changes wants to be sent; the others then go with it. */
+    private long nextDue = Long.MAX_VALUE;
     private long lastOk = -1_000_000;
     private long failingSince = -1;
     /** After a conflict or an unclear answer, nothing is built before the view has come this far. */
     private long needRevision;
     private boolean needFresh;
     private long generation;
+    private long transactions;
+    private long rowsWritten;
+    private long conflicts;
+    private long tooMany;
 
     public StoreLink(Effects fx, View view, Settings s, Tuning t) {
         this.fx = fx;
         this.view = view;
         this.settings = s;
         this.address = s.store().toString();
+        // The published limits are for all controllers together: each begins near its part and finds out what is free.
         double share = Math.min(1, t.num("store.share"));
-        requests = new Bucket(s.stateRps() * share, s.stateRps() * share * 0.6);
-        writes = new Bucket(s.stateWriteRps() * share, Math.max(s.txnOps(), s.stateWriteRps() * share));
+        double fair = 1.0 / (1 + s.peers().size());
+        double start = Math.min(share, 1.5 * fair);
+        requests = new Bucket(s.stateRps() * start, s.stateRps() * Math.min(share, fair * 0.8), s.stateRps() * share,
+                s.stateRps() * start * 0.6);
+        writes = new Bucket(s.stateWriteRps() * start, s.stateWriteRps() * Math.min(share, fair * 0.8),
+                s.stateWriteRps() * share, Math.max(s.txnOps(), s.stateWriteRps() * start));
         watchGap = t.ms("store.watch-gap-s");
         freshGap = t.ms("store.fresh-gap-s");
         txnGap = t.ms("store.batch-gap-s");
@@ -87,7 +100,9 @@
         if (queue.size() >= MAX_WAITING) {
             return false;
         }
-        queue.add(new Queued(c, seq++));
+        Queued q = new Queued(c, seq++, fx.now());
+        queue.add(q);
+        nextDue = Math.min(nextDue, due(q));
         pump();
         return true;
     }
@@ -126,7 +141,8 @@
 
     private void note(int status) {
         if (status == 429) {
-            requests.block(fx.now() + 100 + (fx.now() * 31 + seq * 17) % 150);
+            tooMany++;
+            requests.block(fx.now(), fx.now() + 100 + (fx.now() * 31 + seq * 17) % 150);
         } else if (status == 0 || status == 503) {
             if (failingSince < 0) {
                 failingSince = fx.now();
@@ -161,13 +177,14 @@
         }
         long now = fx.now();
         expire(now);
+        boolean behind = !fresh.isEmpty() || needFresh || view.applied() < needRevision;
         if (!watching && now >= nextWatch && requests.take(now, 1)) {
-            watch();
-        }
-        if ((!fresh.isEmpty() || needFresh || view.applied() < needRevision)) {
+            // Sent after whoever waits for a fresh view came, an answer at once serves the watch and them.
+            watch(behind ? 0 : WATCH_MS);
+        } else if (watching && behind) {
             askFresh();
         }
-        if (!sending && !queue.isEmpty() && now >= nextTxn && !needFresh && view.applied() >= needRevision) {
+        if (!sending && !queue.isEmpty() && now >= nextTxn && now >= nextDue && !needFresh && view.applied() >= needRevision) {
             send(now);
         }
     }
@@ -234,16 +251,38 @@
         });
     }
 
-    private void watch() {
+    private void watch(long wait) {
         watching = true;
         long gen = generation;
-        fx.call(Target.WATCH, address, "GET", watchPath(WATCH_MS), null, (int) WATCH_MS + 3_000, (status, m) -> {
+        long sent = fx.now();
+        boolean clears = needFresh;
+        Effects.Reply reply = (status, m) -> {
             watching = false;
-            nextWatch = fx.now() + (status == 200 ? watchGap : 500);
+            // Every change wakes every controller's watch: the gap keeps that within each one's part of the requests.
+            nextWatch = fx.now() + (status == 200 ? Math.max(watchGap, Math.round(1_000 / (0.4 * requests.perSecond()))) : 500);
             if (gen == generation) {
-                events(status, m);
+                upToDate(status, m, sent, clears);
             }
-        });
+        };
+        if (wait > 0) {
+            fx.call(Target.WATCH, address, "GET", watchPath(wait), null, (int) wait + 3_000, reply);
+        } else {
+            call("GET", watchPath(0), null, 2_000, reply);
+        }
+    }
+
+    /** All changes up to the answer are in, so whoever came before the request was sent has its fresh view. */
+    private void upToDate(int status, Map<String, Object> m, long sent, boolean clears) {
+        events(status, m);
+        if (status != 200) {
+            return;
+        }
+        if (clears) {
+            needFresh = false;
+        }
+        List<Waiting> ready = new ArrayList<>();
+        fresh.removeIf(w -> w.since <= sent && ready.add(w));
+        ready.forEach(w -> w.then.accept(true));
     }
 
     private String watchPath(long wait) {
@@ -266,16 +305,8 @@
             if (gen != generation) {
                 return;
             }
-            if (status == 200) {
-                events(status, m);
-                if (clears) {
-                    needFresh = false;
-                }
-                List<Waiting> ready = new ArrayList<>();
-                fresh.removeIf(w -> w.since <= now && ready.add(w));
-                ready.forEach(w -> w.then.accept(true));
-            } else {
-                events(status, m);
+            upToDate(status, m, now, clears);
+            if (status != 200) {
                 nextFresh = Math.max(nextFresh, fx.now() + 250);
             }
             pump();
@@ -307,6 +338,26 @@
 
     // ---- writing
 
+    private void again(Queued q) {
+        queue.add(q);
+        nextDue = Math.min(nextDue, due(q));
+    }
+
+    /**
+     * From when on a change wants to be sent for its own sake. The scarcer changes are, the longer those that can wait do,
+     * so that more of them share the writing of a row.
+     */
+    private long due(Queued q) {
+        long patience = q.change.patienceMs();
+        return patience == 0 ? q.since : q.since + Math.min(patience, 50 + Math.round(PATIENCE_MS * writes.shortage(fx.now())));
+    }
+
+    /** How the state service was used: transactions, rows written, conflicts, refusals, queue, present rates. */
+    public String line() {
+        return "txns=" + transactions + " rows=" + rowsWritten + " conflicts=" + conflicts + " too_many=" + tooMany + " queue="
+                + queue.size() + " rps=" + Math.round(requests.perSecond()) + " write_rps=" + Math.round(writes.perSecond());
+    }
+
     private void send(long now) {
         if (!writes.has(now, Math.min(settings.txnOps(), queue.peek().change.cost())) || !requests.has(now, 1)) {
             return;
@@ -314,26 +365,43 @@
         Tx tx = new Tx(view);
         List<Queued> batch = new ArrayList<>();
         List<Change> done = new ArrayList<>();
+        List<Queued> waiting = new ArrayList<>();
+        boolean full = false;
         while (!queue.isEmpty()) {
-            Queued q = queue.peek();
+            Queued q = queue.poll();
             int writesAfter = tx.writeCount() + q.change.cost();
-            if (!batch.isEmpty() && (writesAfter > settings.txnOps()
+            full |= !batch.isEmpty() && (writesAfter > settings.txnOps()
                     || tx.conditionCount() + 4 * q.change.cost() + 4 > settings.txnOps() * 4
-                    || !writes.has(now, writesAfter) || batch.size() >= 64)) {
-                break;
-            }
-            queue.poll();
-            if (q.change.build(tx)) {
+                    || !writes.has(now, writesAfter) || batch.size() >= MAX_BATCH);
+            if (full || due(q) > now) {
+                waiting.add(q);
+            } else if (q.change.build(tx)) {
                 batch.add(q);
             } else {
                 done.add(q.change);
             }
         }
+        for (Queued q : waiting) {
+            boolean fits = batch.size() < MAX_BATCH && tx.conditionCount() + 8 <= settings.txnOps() * 4;
+            if (!batch.isEmpty() && fits && q.change.rides(tx)) {
+                if (q.change.build(tx)) {
+                    batch.add(q);
+                } else {
+                    done.add(q.change);
+                }
+            } else {
+                queue.add(q);
+            }
+        }
+        nextDue = Long.MAX_VALUE;
+        queue.forEach(q -> nextDue = Math.min(nextDue, due(q)));
         done.forEach(Change::dropped);
         if (batch.isEmpty()) {
             return;
         }
         sending = true;
+        transactions++;
+        rowsWritten += tx.writeCount();
         writes.force(now, tx.writeCount());
         requests.force(now, 1);
         long gen = generation;
@@ -343,7 +411,7 @@
             nextTxn = fx.now() + txnGap;
             if (gen != generation) {
                 needFresh = true;
-                batch.forEach(queue::add);
+                batch.forEach(this::again);
                 return;
             }
             switch (status) {
@@ -353,13 +421,14 @@
                     batch.forEach(q -> q.change.committed(rev));
                 }
                 case 409 -> {
+                    conflicts++;
                     Set<String> failed = new HashSet<>();
                     Fields.list(m, Wire.FAILED).forEach(k -> failed.add(String.valueOf(k)));
                     LOG.debug("conflict on {}", failed);
                     needRevision = Math.max(needRevision, Fields.countOr(m, Wire.REVISION, 0));
                     batch.forEach(q -> {
                         if (!q.change.refused(failed)) {
-                            queue.add(q);
+                            again(q);
                         }
                     });
                 }
@@ -368,18 +437,18 @@
                     batch.forEach(q -> q.change.dropped());
                 }
                 case 429 -> {
-                    writes.block(fx.now() + 150 + (fx.now() * 13) % 200);
-                    batch.forEach(queue::add);
+                    writes.block(fx.now(), fx.now() + 150 + (fx.now() * 13) % 200);
+                    batch.forEach(this::again);
                 }
                 case 503 -> {
                     nextTxn = fx.now() + 250;
-                    batch.forEach(queue::add);
+                    batch.forEach(this::again);
                 }
                 default -> {
                     // No answer: it may be applied later, so nothing is built before a fresh view.
                     needFresh = true;
                     nextTxn = fx.now() + 100;
-                    batch.forEach(queue::add);
+                    batch.forEach(this::again);
                 }
             }
             pump();
--- a/src/main/java/birchusher/store/Tx.java
+++ b/src/main/java/birchusher/store/Tx.java
@@ -65,6 +65,10 @@
         return c;
     }
 
+    public boolean hasChunk(String job, int index) {
+        return chunks.containsKey(Keys.place(job, index));
+    }
+
     /** A chunk as this transaction would leave it, without making it part of the transaction; may be null. */
     public Chunk peek(Job job, int index) {
         Chunk c = chunks.get(Keys.place(job.spec.id(), index));
--- a/src/main/java/birchusher/store/View.java
+++ b/src/main/java/birchusher/store/View.java
@@ -2,6 +2,7 @@
 
 import birchusher.core.Fields;
 import birchusher.model.Catalog;
+import birchusher.model.JobSpec;
 import birchusher.wire.JobCodec;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.Collection;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,8 +32,8 @@
     private final Object2LongOpenHashMap<String> versions = new Object2LongOpenHashMap<>();
     private final Object2LongOpenHashMap<String> removed = new Object2LongOpenHashMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
-    private final Map<String, Map<String, Object>> rows = new TreeMap<>();
-    private final Map<String, Map<String, Claim>> byMachine = new HashMap<>();
+    private final TreeMap<String, Map<String, Object>> rows = new TreeMap<>();
+    private final Map<String, OnMachine> byMachine = new HashMap<>();
     /** Placement rows that came before their job's row (listing order). */
     private final Map<String, Map<String, Object>> orphans = new HashMap<>();
     private final LinkedHashMap<String, Ended> ended = new LinkedHashMap<>(64, 0.75f, true) {
@@ -46,7 +48,29 @@
     private final double[] gpus;
     private long applied;
     private long changes;
+    private long asks;
     private Consumer<String> touched = m -> { };
+    private LongSupplier clock = () -> 0;
+
+    /** The claims on one machine and what they take; the sums are made anew with each change, so nothing drifts. */
+    private static final class OnMachine {
+        final Map<String, Claim> claims = new LinkedHashMap<>();
+        final double[] use = new double[3];
+
+        void sum() {
+            use[0] = 0;
+            use[1] = 0;
+            use[2] = 0;
+            for (Claim c : claims.values()) {
+                JobSpec j = c.job().spec;
+                use[0] += j.cpus();
+                use[1] += j.gpus();
+                use[2] += j.mem();
+            }
+        }
+    }
+
+    private static final double[] NO_USE = new double[3];
 
     public View(Catalog catalog, JobCodec codec) {
         this.catalog = catalog;
@@ -60,6 +84,11 @@
         touched = c;
     }
 
+    /** Where the time of a step comes from: claims remember when they were first seen. */
+    public void clock(LongSupplier steady) {
+        clock = steady;
+    }
+
     /** Every change up to this revision is in. */
     public long applied() {
         return applied;
@@ -88,8 +117,9 @@
         return rows.get(key);
     }
 
-    public Map<String, Map<String, Object>> rows() {
-        return rows;
+    /** The rows whose keys begin so. */
+    public Map<String, Map<String, Object>> rowsUnder(String prefix) {
+        return rows.subMap(prefix, prefix + '\uffff');
     }
 
     public Collection<Job> jobs() {
@@ -105,7 +135,19 @@
     }
 
     public Map<String, Claim> claims(String machine) {
-        return byMachine.getOrDefault(machine, Map.of());
+        OnMachine on = byMachine.get(machine);
+        return on == null ? Map.of() : on.claims;
+    }
+
+    /** Cpus, gpus and memory that the records on a machine take; not to be changed. */
+    public double[] useOf(String machine) {
+        OnMachine on = byMachine.get(machine);
+        return on == null ? NO_USE : on.use;
+    }
+
+    /** Counts changes of rental rows. */
+    public long askChanges() {
+        return asks;
     }
 
     public Collection<String> claimedMachines() {
@@ -142,6 +184,7 @@
                 putPlace(key, value);
             } else {
                 rows.put(key, value);
+                asks += key.startsWith(Keys.ASK) ? 1 : 0;
             }
         } catch (Fields.Bad | JobCodec.Never e) {
             LOG.error("row {} ignored: {}", key, e.getMessage());
@@ -162,7 +205,7 @@
         if (key.startsWith(Keys.JOB)) {
             Job j = jobs.remove(key.substring(Keys.JOB.length()));
             if (j != null) {
-                j.chunks.forEach(this::uncount);
+                j.chunks.forEach(c -> swap(c, null));
             }
         } else if (key.startsWith(Keys.PLACE)) {
             orphans.remove(key);
@@ -170,11 +213,12 @@
             Job j = jobs.get(key.substring(Keys.PLACE.length(), slash));
             if (j != null) {
                 int i = Integer.parseInt(key.substring(slash + 1));
-                uncount(j.chunks.get(i));
-                j.chunks.set(i, null);
+                swap(j.chunks.get(i), null);
+                j.chunk(i, null);
             }
         } else {
             rows.remove(key);
+            asks += key.startsWith(Keys.ASK) ? 1 : 0;
         }
     }
 
@@ -190,32 +234,29 @@
         java.util.Arrays.fill(gpus, 0);
         applied = 0;
         changes++;
+        asks++;
     }
 
     private void putJob(String id, Map<String, Object> value, long version) {
-        Job old = jobs.get(id);
+        Job j = jobs.get(id);
         Job.State state = Job.State.valueOf(Fields.text(value, "s"));
-        Job j = old != null
-                ? new Job(old.spec, old.chunkSize, old.acceptedAt, state, old.age)
-                : new Job(codec.readRow(Fields.map(value.get("j"), "j")), (int) Math.max(1, Fields.count(value, "k")),
-                        Fields.count(value, "t"), state, version);
-        jobs.put(id, j);
-        catalog.imageSize(j.spec.image(), j.spec.imageGb());
-        if (old != null) {
-            for (Chunk c : old.chunks) {
+        if (j != null) {
+            j.state(state);
+            for (Chunk c : j.chunks) {
                 if (c != null) {
-                    uncount(c);
-                    Chunk n = Chunk.read(j, c.index, c.write());
-                    j.chunks.set(c.index, n);
-                    count(n);
+                    c.claims.values().forEach(x -> touched.accept(x.machine()));
                 }
             }
-        } else {
-            for (int i = 0; i < j.chunks.size(); i++) {
-                Map<String, Object> waiting = orphans.remove(Keys.place(id, i));
-                if (waiting != null) {
-                    putPlace(Keys.place(id, i), waiting);
-                }
+            return;
+        }
+        j = new Job(codec.readRow(Fields.map(value.get("j"), "j")), (int) Math.max(1, Fields.count(value, "k")),
+                Fields.count(value, "t"), state, version);
+        jobs.put(id, j);
+        catalog.imageSize(j.spec.image(), j.spec.imageGb());
+        for (int i = 0; i < j.chunks.size(); i++) {
+            Map<String, Object> waiting = orphans.remove(Keys.place(id, i));
+            if (waiting != null) {
+                putPlace(Keys.place(id, i), waiting);
             }
         }
     }
@@ -228,37 +269,55 @@
             return;
         }
         int i = Integer.parseInt(key.substring(slash + 1));
-        Chunk next = Chunk.read(j, i, value);
-        uncount(j.chunks.get(i));
-        j.chunks.set(i, next);
-        count(next);
+        Chunk old = j.chunks.get(i);
+        Chunk next = Chunk.read(j, i, value, old);
+        swap(old, next);
+        j.chunk(i, next);
     }
 
-    private void count(Chunk c) {
-        for (Claim x : c.claims.values()) {
-            cpus[c.job.spec.team()] += c.job.spec.cpus();
-            gpus[c.job.spec.team()] += c.job.spec.gpus();
-            byMachine.computeIfAbsent(x.machine(), k -> new LinkedHashMap<>()).put(x.key(), x);
-            touched.accept(x.machine());
+    /** Counts what one row's place is taken by: only claims that came or went cost anything. */
+    private void swap(Chunk old, Chunk next) {
+        if (old != null) {
+            for (Claim x : old.claims.values()) {
+                if (next == null || next.claims.get(x.task()) != x) {
+                    uncount(x);
+                }
+            }
+        }
+        if (next != null) {
+            for (Claim x : next.claims.values()) {
+                if (old == null || old.claims.get(x.task()) != x) {
+                    count(x);
+                }
+            }
         }
     }
 
-    private void uncount(Chunk c) {
-        if (c == null) {
-            return;
-        }
-        for (Claim x : c.claims.values()) {
-            cpus[c.job.spec.team()] -= c.job.spec.cpus();
-            gpus[c.job.spec.team()] -= c.job.spec.gpus();
-            Map<String, Claim> on = byMachine.get(x.machine());
-            if (on != null) {
-                on.remove(x.key());
-                if (on.isEmpty()) {
-                    byMachine.remove(x.machine());
-                }
+    private void count(Claim x) {
+        JobSpec s = x.job().spec;
+        x.seen(clock.getAsLong());
+        cpus[s.team()] += s.cpus();
+        gpus[s.team()] += s.gpus();
+        OnMachine on = byMachine.computeIfAbsent(x.machine(), k -> new OnMachine());
+        on.claims.put(x.key(), x);
+        on.sum();
+        touched.accept(x.machine());
+    }
+
+    private void uncount(Claim x) {
+        JobSpec s = x.job().spec;
+        cpus[s.team()] -= s.cpus();
+        gpus[s.team()] -= s.gpus();
+        OnMachine on = byMachine.get(x.machine());
+        if (on != null) {
+            on.claims.remove(x.key(), x);
+            if (on.claims.isEmpty()) {
+                byMachine.remove(x.machine());
+            } else {
+                on.sum();
             }
-            touched.accept(x.machine());
         }
+        touched.accept(x.machine());
     }
 
     public Catalog catalog() {
--- a/src/main/java/birchusher/workers/Counters.java
+++ b/src/main/java/birchusher/workers/Counters.java
@@ -18,6 +18,9 @@
     public long claims;
     public long rentals;
     public long returns;
+    /** Plans made, and slots looked at for them. */
+    public long plans;
+    public long planned;
     private final Histogram waits = new Histogram(3_600_000L, 2);
 
     public void started(long waitMs) {
@@ -36,7 +39,7 @@
         return "renewed=" + renewed + " at_cap=" + atCap + " lapsed=" + lapsed + " speed_limited=" + speedLimited
                 + " refused=" + refused + " stops=" + stops + " errors=" + errors + " condemned=" + condemned
                 + " notices=" + notices + " done=" + done + " restarts=" + restarts + " claims=" + claims + " rentals="
-                + rentals + " returns=" + returns + " wait_p50_ms=" + waits.getValueAtPercentile(50) + " wait_p95_ms="
+                + rentals + " returns=" + returns + " plans=" + plans + " slots_looked_at=" + planned + " wait_p50_ms=" + waits.getValueAtPercentile(50) + " wait_p95_ms="
                 + waits.getValueAtPercentile(95);
     }
 }
--- a/src/main/java/birchusher/workers/Machine.java
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -59,7 +59,6 @@
     /** Starts sent straight to the worker and not answered: they may still arrive. Value: token they carried. */
     final Map<String, long[]> loose = new HashMap<>();
     final Map<String, Reservation> reserved = new HashMap<>();
-    final Set<String> outcomes = new HashSet<>();
     final Set<String> errorJobs = new HashSet<>();
     final ArrayDeque<Integer> images = new ArrayDeque<>();
     MachineSpeed speed = new MachineSpeed();
--- /dev/null
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -0,0 +1,234 @@
+package birchusher.workers;
+
+import birchusher.core.Effects;
+import birchusher.mesh.PeerRecord;
+import birchusher.model.Shape;
+import birchusher.seats.Seats;
+import birchusher.store.Change;
+import birchusher.store.Chunk;
+import birchusher.store.Claim;
+import birchusher.store.Job;
+import birchusher.store.StoreLink;
+import birchusher.store.Tx;
+import birchusher.store.View;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Brings the ends of attempts into the store. The owner of the machine has the proof; the controller that drives the job
+ * writes it, so that one writer gathers what happens to a job and its rows are not fought over. When that one does not
+ * get it done in time, the owner writes by itself: both conditions are the same, so it can happen only once.
+ */
+public final class Outcomes {
+    public enum Kind { DONE, LOST, ERROR, NOT_STARTED }
+
+    private static final long DRIVER_MS = 4_000;
+    private static final int MAX_ITEMS = 400;
+    /** A task of an array that is done is in no hurry: its worker keeps the result, and others of its job end as well. */
+    private static final long PATIENCE_MS = 2_000;
+    private static final long SHORT_PATIENCE_MS = 300;
+
+    private record Pending(Claim claim, Kind kind, long writeBy, boolean queued) { }
+
+    /** Sends a record to a member. */
+    public interface Mesh {
+        void send(int member, PeerRecord r);
+    }
+
+    private final Effects fx;
+    private final View view;
+    private final StoreLink store;
+    private final Seats seats;
+    private final Counters counters;
+    private final Mesh mesh;
+    private final Map<String, Pending> pending = new LinkedHashMap<>();
+    private final Map<Integer, List<PeerRecord.Ended>> outbox = new LinkedHashMap<>();
+
+    public Outcomes(Effects fx, View view, StoreLink store, Seats seats, Counters counters, Mesh mesh) {
+        this.fx = fx;
+        this.view = view;
+        this.store = store;
+        this.seats = seats;
+        this.counters = counters;
+        this.mesh = mesh;
+    }
+
+    /** Whether the end of this attempt is known here and not yet seen in the store: until then it must not be reaped. */
+    public boolean pending(String attemptKey) {
+        return pending.containsKey(attemptKey);
+    }
+
+    /** The caller has the proof that the attempt is over. False if that was said before. */
+    boolean add(Claim c, Kind kind) {
+        if (pending.containsKey(c.attemptKey())) {
+            return false;
+        }
+        int driver = seats.driver(c.job().spec.id());
+        if (driver > 0) {
+            pending.put(c.attemptKey(), new Pending(c, kind, fx.now() + DRIVER_MS, false));
+            outbox.computeIfAbsent(driver, k -> new ArrayList<>()).add(new PeerRecord.Ended(c.job().spec.id(), c.task(),
+                    c.attempt(), c.machine(), c.shard(), seats.term(c.shard()), kind.ordinal()));
+        } else {
+            write(c, kind);
+        }
+        return true;
+    }
+
+    private void write(Claim c, Kind kind) {
+        pending.put(c.attemptKey(), new Pending(c, kind, Long.MAX_VALUE, true));
+        boolean queued = store.offer(new Settle(c.job().spec.id(), c.task(), c.attempt(), c.machine(), c.shard(),
+                seats.term(c.shard()), kind, true));
+        if (!queued) {
+            pending.remove(c.attemptKey());
+        }
+    }
+
+    /** The record of an attempt has left the view, by whoever's hand. */
+    private void over(Pending p) {
+        counters.outcome(p.kind == Kind.DONE);
+    }
+
+    private boolean stands(Claim c) {
+        Job j = view.job(c.job().spec.id());
+        Claim now = j == null ? null : j.claim(c.task());
+        return now != null && now.attempt() == c.attempt() && now.machine().equals(c.machine());
+    }
+
+    /** Sends what has gathered, and writes what drivers did not. */
+    public void tick() {
+        outbox.forEach((driver, items) -> {
+            for (int i = 0; i < items.size(); i += MAX_ITEMS) {
+                mesh.send(driver, new PeerRecord.Outcomes(items.subList(i, Math.min(items.size(), i + MAX_ITEMS))));
+            }
+        });
+        outbox.clear();
+        List<Pending> late = null;
+        for (var it = pending.values().iterator(); it.hasNext();) {
+            Pending p = it.next();
+            if (!stands(p.claim)) {
+                it.remove();
+                over(p);
+            } else if (!seats.owns(p.claim.shard())) {
+                // Not ours to say any more; the new owner finds its own proof.
+                it.remove();
+            } else if (!p.queued && fx.now() > p.writeBy) {
+                late = late == null ? new ArrayList<>() : late;
+                late.add(p);
+            }
+        }
+        if (late != null) {
+            late.forEach(p -> write(p.claim, p.kind));
+        }
+    }
+
+    /** As driver: writes what an owner has proof of, as long as that owner's term stands. */
+    public void told(PeerRecord.Outcomes r) {
+        for (PeerRecord.Ended e : r.items()) {
+            if (e.shard() >= 0 && e.shard() < seats.shardCount() && e.kind() >= 0 && e.kind() < Kind.values().length) {
+                store.offer(new Settle(e.job(), e.task(), e.attempt(), e.machine(), e.shard(), e.term(),
+                        Kind.values()[e.kind()], false));
+            }
+        }
+    }
+
+    /** Takes one claim out of its row, on condition that the term under which its end was proven still stands. */
+    private final class Settle implements Change {
+        private final String id;
+        private final int task;
+        private final long attempt;
+        private final String machine;
+        private final int shard;
+        private final long term;
+        private final Kind kind;
+        private final boolean own;
+        private final boolean array;
+        private final boolean lasts;
+        private final long until = fx.now() + 10_000;
+
+        Settle(String id, int task, long attempt, String machine, int shard, long term, Kind kind, boolean own) {
+            this.id = id;
+            this.task = task;
+            this.attempt = attempt;
+            this.machine = machine;
+            this.shard = shard;
+            this.term = term;
+            this.kind = kind;
+            this.own = own;
+            Job j = view.job(id);
+            array = j != null && j.spec.shape() == Shape.ARRAY;
+            // With the last ones the job is over, and its user waits for that.
+            lasts = j != null && kind == Kind.DONE && j.spec.tasks() - j.doneCount() <= 1 + j.spec.tasks() / 50;
+        }
+
+        @Override
+        public int rank() {
+            return 3;
+        }
+
+        @Override
+        public int cost() {
+            return 1;
+        }
+
+        @Override
+        public long patienceMs() {
+            return lasts ? 0 : kind == Kind.DONE && array ? PATIENCE_MS : SHORT_PATIENCE_MS;
+        }
+
+        @Override
+        public boolean rides(Tx tx) {
+            Job j = view.job(id);
+            return j != null && tx.hasChunk(id, task / j.chunkSize);
+        }
+
+        @Override
+        public long expires() {
+            return own ? Long.MAX_VALUE : until;
+        }
+
+        @Override
+        public boolean build(Tx tx) {
+            Job j = view.job(id);
+            // The owner may raise its own term and stays entitled; a driver knows only the term it was told.
+            if (j == null || task >= j.spec.tasks() || (own ? !seats.owns(shard) : seats.term(shard) != term)) {
+                return false;
+            }
+            Claim now = j.claim(task);
+            if (now == null || now.attempt() != attempt || !now.machine().equals(machine) || now.shard() != shard) {
+                return false;
+            }
+            tx.require(seats.shardKey(shard));
+            Chunk chunk = tx.chunk(j, task / j.chunkSize);
+            chunk.claims.remove(task);
+            if (kind == Kind.DONE) {
+                if (j.spec.gang()) {
+                    // One done means all done: the rest exit by themselves.
+                    chunk.done.set(0, chunk.size());
+                } else {
+                    chunk.done.set(task - chunk.index * j.chunkSize);
+                }
+                chunk.errors = 0;
+            } else if (kind == Kind.ERROR) {
+                chunk.errors++;
+            }
+            if (kind == Kind.LOST || kind == Kind.ERROR) {
+                chunk.restarts++;
+            }
+            return true;
+        }
+
+        @Override
+        public void committed(long revision) {
+            // The view tells: see tick.
+        }
+
+        @Override
+        public void dropped() {
+            if (own) {
+                pending.remove(Claim.attemptKey(id, task, attempt));
+            }
+        }
+    }
+}
--- a/src/main/java/birchusher/workers/Picture.java
+++ b/src/main/java/birchusher/workers/Picture.java
@@ -1,7 +1,10 @@
 package birchusher.workers;
 
-/** What an owner publishes about a machine, for drivers and the buyer. Only a hint: the owner checks every offer. */
+/**
+ * What an owner publishes about a machine, for drivers and the buyer. Only a hint: the owner checks every offer.
+ * {@code silentMs} is 0 while reports come as they should; {@code idleSince} is our steady time, -1 while it has work.
+ */
 public record Picture(String machine, int type, int zone, boolean spot, long session, int shard, boolean usable,
-        boolean condemned, boolean leaving, int silentMs, int noticeMs, int idleMs, double speed, double[] strayUse,
+        boolean condemned, boolean leaving, int silentMs, long idleSince, double speed, double[] strayUse,
         int[] fetching, int[] images) {
 }
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -11,12 +11,9 @@
 import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
-import birchusher.store.Change;
-import birchusher.store.Chunk;
 import birchusher.store.Claim;
 import birchusher.store.Job;
 import birchusher.store.StoreLink;
-import birchusher.store.Tx;
 import birchusher.store.View;
 import birchusher.wire.Wire;
 import birchusher.workers.Machine.Run;
@@ -53,6 +50,9 @@
     private final Speeds speeds;
     private final Counters counters;
     private final Listener listener;
+    private final Outcomes outcomes;
+    /** What the owners before us told of their machines, so that a new owner starts from what the old one knew. */
+    private final PictureBook book;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, Long> redirected = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1;
@@ -69,7 +69,7 @@
     private long nextLeaseSweep;
 
     public Yard(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Speeds speeds, Tuning t,
-            Counters counters, Listener listener) {
+            Counters counters, Outcomes outcomes, PictureBook book, Listener listener) {
         this.fx = fx;
         this.settings = s;
         this.catalog = catalog;
@@ -79,6 +79,8 @@
         this.speeds = speeds;
         this.counters = counters;
         this.listener = listener;
+        this.outcomes = outcomes;
+        this.book = book;
         terms = LeaseTerms.from(t);
         quarantineMs = t.ms("workers.quarantine-s");
         reserveMs = t.ms("placement.reserve-s");
@@ -141,7 +143,7 @@
     private Machine machine(String name, int shard) {
         return machines.computeIfAbsent(name, n -> {
             Machine m = new Machine(n, shard);
-            Picture p = inherited.get(n);
+            Picture p = book.told(n);
             if (p != null) {
                 m.speed = new birchusher.lease.MachineSpeed(p.speed());
                 for (int i = p.images().length - 1; i >= 0; i--) {
@@ -153,13 +155,6 @@
         });
     }
 
-    /** Pictures of other owners' machines, so that a new owner starts from what the old one knew. */
-    private Map<String, Picture> inherited = Map.of();
-
-    public void inherit(Map<String, Picture> pictures) {
-        inherited = pictures;
-    }
-
     /** Takes a report if it is newer than the last one. */
     private boolean take(Machine m, Report r, int zone) {
         if (r.session() < m.session || r.session() == m.session && r.seq() <= m.seq) {
@@ -201,9 +196,9 @@
         long now = fx.now();
         boolean any = false;
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
-            String ak = c.key() + "#" + c.attempt();
+            String ak = c.attemptKey();
             if (c.session() < m.session) {
-                release(c, Outcome.LOST, "a later session");
+                release(c, Outcomes.Kind.LOST, "a later session");
                 continue;
             }
             any = true;
@@ -211,10 +206,10 @@
             if (e == null) {
                 Run run = m.runs.get(ak);
                 if (run != null && run.shown && !m.loose.containsKey(ak)) {
-                    release(c, Outcome.LOST, "absent from a newer report");
+                    release(c, Outcomes.Kind.LOST, "absent from a newer report");
                 } else if (unwanted(c) && !m.loose.containsKey(ak) && m.token >= seats.term(m.shard)) {
                     // Never shown, and nothing of ours or of an earlier owner is under way any more.
-                    release(c, Outcome.NOT_STARTED, "not started");
+                    release(c, Outcomes.Kind.NOT_STARTED, "not started");
                 }
                 continue;
             }
@@ -227,6 +222,10 @@
             }
         }
         m.stops.keySet().retainAll(m.entries.keySet());
+        if (m.runs.size() > 8 + m.entries.size()) {
+            // Attempts whose records are gone: theirs is all told.
+            m.runs.keySet().removeIf(ak -> !m.entries.containsKey(ak) && !claimed(m, ak));
+        }
         for (Entry e : m.entries.values()) {
             any |= !e.exited();
         }
@@ -236,6 +235,11 @@
         }
     }
 
+    private boolean claimed(Machine m, String attemptKey) {
+        Claim c = view.claims(m.name).get(attemptKey.substring(0, attemptKey.lastIndexOf('#')));
+        return c != null && c.attemptKey().equals(attemptKey);
+    }
+
     private Run newRun(Machine m, JobSpec j, long now) {
         Run run = new Run();
         long fetch = fetchMs(m, j);
@@ -309,21 +313,21 @@
         switch (e.why()) {
             case DONE -> {
                 if (run.lease.runningSince() >= 0 && c.attempt() == 1 && !run.countedAtCap && j.estimateS() > 0
-                        && !m.outcomes.contains(e.attemptKey())) {
+                        && !outcomes.pending(e.attemptKey())) {
                     double took = (now - run.lease.runningSince()) / 1000.0;
                     speeds.observe(j.cls(), j.estimateS(), took);
                     m.speed.observe(j.estimateS() * speeds.bias(j.cls()), took);
                 }
                 m.errorJobs.clear();
-                release(c, Outcome.DONE, "done");
+                release(c, Outcomes.Kind.DONE, "done");
             }
             case ERROR -> {
-                if (!m.outcomes.contains(e.attemptKey())) {
+                if (!outcomes.pending(e.attemptKey())) {
                     erred(m, c);
                 }
-                release(c, Outcome.ERROR, "error");
+                release(c, Outcomes.Kind.ERROR, "error");
             }
-            default -> release(c, Outcome.LOST, e.why() + (e.saved() ? ", saved" : ""));
+            default -> release(c, Outcomes.Kind.LOST, e.why() + (e.saved() ? ", saved" : ""));
         }
     }
 
@@ -339,80 +343,18 @@
         }
     }
 
-    private enum Outcome { DONE, LOST, ERROR, NOT_STARTED }
-
     /** Takes a claim out of the store, the caller having the proof that the task is not on the machine any more. */
-    private void release(Claim c, Outcome outcome, String proof) {
-        Machine m = machine(c.machine(), c.shard());
-        String ak = c.key() + "#" + c.attempt();
-        if (!m.outcomes.add(ak)) {
-            return;
-        }
-        LOG.info("task {} attempt {} left {}: {}", c.key(), c.attempt(), c.machine(), proof);
-        boolean queued = store.offer(new Change() {
-            @Override
-            public int rank() {
-                return 2;
-            }
-
-            @Override
-            public int cost() {
-                return 1;
-            }
-
-            @Override
-            public boolean build(Tx tx) {
-                Job j = view.job(c.job().spec.id());
-                if (j == null || !seats.owns(c.shard())) {
-                    return false;
-                }
-                Claim now = j.claim(c.task());
-                if (now == null || now.attempt() != c.attempt() || !now.machine().equals(c.machine())) {
-                    return false;
-                }
-                tx.require(seats.shardKey(c.shard()));
-                Chunk chunk = tx.chunk(j, c.task() / j.chunkSize);
-                chunk.claims.remove(c.task());
-                if (outcome == Outcome.DONE) {
-                    if (j.spec.gang()) {
-                        // One done means all done: the rest exit by themselves.
-                        chunk.done.set(0, chunk.size());
-                    } else {
-                        chunk.done.set(c.task() - chunk.index * j.chunkSize);
-                    }
-                    chunk.errors = 0;
-                } else if (outcome == Outcome.ERROR) {
-                    chunk.errors++;
-                }
-                if (outcome == Outcome.LOST || outcome == Outcome.ERROR) {
-                    chunk.restarts++;
-                }
-                return true;
-            }
-
-            @Override
-            public void committed(long revision) {
-                m.outcomes.remove(ak);
-                m.runs.remove(ak);
-                counters.outcome(outcome == Outcome.DONE);
-                touch(m.name);
-            }
-
-            @Override
-            public void dropped() {
-                m.outcomes.remove(ak);
-            }
-        });
-        if (!queued) {
-            m.outcomes.remove(ak);
+    private void release(Claim c, Outcomes.Kind outcome, String proof) {
+        if (outcomes.add(c, outcome)) {
+            LOG.info("task {} attempt {} left {}: {}", c.key(), c.attempt(), c.machine(), proof);
         }
     }
 
     /** Whether nobody wants this attempt to run any more. */
     private boolean unwanted(Claim c) {
         Machine m = machines.get(c.machine());
-        return c.job().state != Job.State.OPEN || broken(c.job())
-                || m != null && (m.stops.containsKey(c.key() + "#" + c.attempt()) || m.noticeAt >= 0 || m.gone);
+        return c.job().state() != Job.State.OPEN || broken(c.job())
+                || m != null && (m.stops.containsKey(c.attemptKey()) || m.noticeAt >= 0 || m.gone);
     }
 
     /** A gang attempt that has lost a task can't go on; all its claims were made at once, so a gap means a loss. */
@@ -433,7 +375,7 @@
             Claim c = claims.get(e.key());
             boolean claimed = c != null && c.attempt() == e.attempt() && c.session() == m.session;
             if (e.exited()) {
-                if (!claimed && !m.loose.containsKey(e.attemptKey()) && !m.outcomes.contains(e.attemptKey())) {
+                if (!claimed && !m.loose.containsKey(e.attemptKey()) && !outcomes.pending(e.attemptKey())) {
                     orders.add(order(Wire.FORGET, e.key(), e.attempt(), -1));
                 } else if (!claimed) {
                     fence(m, e.attemptKey(), now);
@@ -457,8 +399,8 @@
             }
         }
         for (Claim c : claims.values()) {
-            String ak = c.key() + "#" + c.attempt();
-            if (c.session() != m.session || m.entries.containsKey(ak) || m.outcomes.contains(ak)) {
+            String ak = c.attemptKey();
+            if (c.session() != m.session || m.entries.containsKey(ak) || outcomes.pending(ak)) {
                 continue;
             }
             Run run = m.runs.get(ak);
@@ -521,7 +463,7 @@
 
     private void push(Machine m) {
         long now = fx.now();
-        boolean reachable = m.address != null && now - m.heardAt < settings.reportS() * 1250 + 1_500;
+        boolean reachable = m.address != null && reporting(m, now);
         if (m.calling || !reachable || m.token < seats.term(m.shard) && m.token > 0 && now - m.heardAt > 1_000) {
             return;
         }
@@ -571,7 +513,7 @@
     /** Asks for an attempt to be stopped; repeated until it is seen to be saving or gone. */
     public void wishStop(Claim c, double graceS, String reason) {
         Machine m = machines.get(c.machine());
-        String ak = c.key() + "#" + c.attempt();
+        String ak = c.attemptKey();
         if (m == null || !seats.owns(c.shard())) {
             return;
         }
@@ -589,7 +531,7 @@
         long left = m.noticeAt - now;
         for (Claim c : view.claims(m.name).values()) {
             JobSpec j = c.job().spec;
-            String ak = c.key() + "#" + c.attempt();
+            String ak = c.attemptKey();
             if (m.stops.containsKey(ak) || !m.entries.containsKey(ak)) {
                 continue;
             }
@@ -667,11 +609,16 @@
         f[2] -= j.mem();
     }
 
+    /** Whether a machine's reports come as they should. */
+    private boolean reporting(Machine m, long now) {
+        return now - m.heardAt < settings.reportS() * 1250 + 1_500;
+    }
+
     private boolean usable(Machine m) {
         long now = fx.now();
         return m.heardAt >= 0 && seats.owns(m.shard) && !m.condemned && !m.leaving && !m.gone && m.noticeAt < 0
                 && m.session != m.deadSession && m.token >= seats.term(m.shard)
-                && now - m.heardAt < settings.reportS() * 1250 + 1_500 && now >= m.quarantineUntil;
+                && reporting(m, now) && now >= m.quarantineUntil;
     }
 
     /** Checks a task offered to one of our machines and keeps room for it; returns why not, or null. */
@@ -734,7 +681,7 @@
         }
         for (Claim c : List.copyOf(view.claims(machine).values())) {
             if (seats.owns(c.shard())) {
-                release(c, Outcome.LOST, "machine gone");
+                release(c, Outcomes.Kind.LOST, "machine gone");
             }
         }
     }
@@ -743,7 +690,11 @@
 
     public void tick() {
         long now = fx.now();
-        if (!store.loaded() || now < nextSweep) {
+        if (!store.loaded()) {
+            return;
+        }
+        outcomes.tick();
+        if (now < nextSweep) {
             return;
         }
         nextSweep = now + 500;
@@ -790,12 +741,12 @@
     /** Replicas leave a machine that is to be returned one at a time, so that only one is down at any moment. */
     private void move(Machine m) {
         for (Claim c : view.claims(m.name).values()) {
-            if (m.stops.containsKey(c.key() + "#" + c.attempt())) {
+            if (m.stops.containsKey(c.attemptKey())) {
                 return;
             }
         }
         for (Claim c : view.claims(m.name).values()) {
-            if (c.job().spec.service() && m.entries.containsKey(c.key() + "#" + c.attempt())) {
+            if (c.job().spec.service() && m.entries.containsKey(c.attemptKey())) {
                 wishStop(c, 0, "moves");
                 return;
             }
@@ -804,7 +755,7 @@
 
     private boolean hasUnstarted(Machine m) {
         for (Claim c : view.claims(m.name).values()) {
-            if (!m.entries.containsKey(c.key() + "#" + c.attempt())) {
+            if (!m.entries.containsKey(c.attemptKey())) {
                 return true;
             }
         }
@@ -814,7 +765,7 @@
     /** The paper's sweep: lapsed leases are stopped, counted, and go elsewhere once the machine confirms. */
     private void sweep(Machine m, long now) {
         for (Claim c : view.claims(m.name).values()) {
-            Run run = m.runs.get(c.key() + "#" + c.attempt());
+            Run run = m.runs.get(c.attemptKey());
             if (run != null && run.lease.lapsed(now)) {
                 lapsed(m, c, run);
             }
@@ -844,7 +795,7 @@
         }
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
             if (m.session == 0 || c.session() <= m.session) {
-                release(c, Outcome.LOST, "worker's lease over");
+                release(c, Outcomes.Kind.LOST, "worker's lease over");
             }
         }
     }
@@ -857,8 +808,7 @@
                 continue;
             }
             l.add(new Picture(m.name, m.type, m.zone, m.spot, m.session, m.shard, usable(m), m.condemned, m.leaving,
-                    (int) (now - m.heardAt), m.noticeAt < 0 ? -1 : (int) Math.max(0, m.noticeAt - now),
-                    m.idleSince < 0 ? -1 : (int) (now - m.idleSince), m.speed.value(), stray(m), fetching(m, now),
+                    reporting(m, now) ? 0 : (int) (now - m.heardAt), m.idleSince, m.speed.value(), stray(m), fetching(m, now),
                     m.images.stream().mapToInt(i -> i).toArray()));
         }
         return l;
@@ -868,8 +818,8 @@
     private int[] fetching(Machine m, long now) {
         Map<Integer, Integer> left = new LinkedHashMap<>();
         for (Claim c : view.claims(m.name).values()) {
-            Entry e = m.entries.get(c.key() + "#" + c.attempt());
-            Run run = m.runs.get(c.key() + "#" + c.attempt());
+            Entry e = m.entries.get(c.attemptKey());
+            Run run = m.runs.get(c.attemptKey());
             int image = c.job().spec.image();
             if (m.images.contains(image) || e != null && e.phase() != Entry.Phase.FETCHING) {
                 continue;
--- a/src/test/java/birchusher/LoopbackTest.java
+++ b/src/test/java/birchusher/LoopbackTest.java
@@ -31,7 +31,7 @@
     @BeforeEach
     void start() throws Exception {
         port = free();
-        String json = RowBeforeTypesTest.SETTINGS.replace("1.1.1.1:1", "127.0.0.1:" + port)
+        String json = TestJobs.SETTINGS.replace("1.1.1.1:1", "127.0.0.1:" + port)
                 .replace("1.1.1.1:2", "127.0.0.1:" + free()).replace("1.1.1.1:3", "127.0.0.1:" + free())
                 .replace("1.1.1.1:4", "127.0.0.1:" + free());
         loop = new Loop(SettingsReader.read(json.getBytes(StandardCharsets.UTF_8)), new Tuning());
--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -20,12 +20,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.IntPredicate;
 import org.junit.jupiter.api.Test;
 
 /** What the planner does with jobs and machines; each case is a fault that was seen, or a line of the design. */
 class PlannerTest {
     private static final long NOW = 1_000_000;
-    private final Catalog catalog = new Catalog(SettingsReader.read(RowBeforeTypesTest.SETTINGS
+    private final Catalog catalog = new Catalog(SettingsReader.read(TestJobs.SETTINGS
             .replace("\"zones\":[\"z\"]", "\"zones\":[\"z\",\"y\"]").replace("\"gpus\":4,\"gpus_max\":8", "\"gpus\":2,\"gpus_max\":8")
             .getBytes(StandardCharsets.UTF_8)));
     private final View view = new View(catalog, new JobCodec(catalog));
@@ -50,8 +52,27 @@
         return new Slot(name, type, zone, false, 1, zone, speed, new int[0], images, 0, true, 8, gpus, 64);
     }
 
+    private static Planner.Marks marks(IntPredicate held) {
+        return new Planner.Marks() {
+            @Override
+            public IntPredicate held(String job) {
+                return held;
+            }
+
+            @Override
+            public Set<String> refused(String job) {
+                return null;
+            }
+
+            @Override
+            public boolean paused(Job j) {
+                return false;
+            }
+        };
+    }
+
     private List<String> plan(long wall, List<Planner.Choice> underway, Slot... slots) {
-        Planner.Plan p = planner.plan(new ArrayList<>(List.of(slots)), t -> false, (m, j) -> false, j -> false, underway, wall);
+        Planner.Plan p = planner.plan(new ArrayList<>(List.of(slots)), marks(t -> false), underway, wall);
         return p.choices().stream().map(c -> c.job().spec.id() + "/" + c.task() + " on " + c.slot().machine()).toList();
     }
 
@@ -89,8 +110,8 @@
     void tasksOnTheirWayCountInTheirZones() {
         Job web = job("wk-web", Map.of("shape", "standing", "pieces", 2L, "scatter", true, "expect_s", 0.0));
         Planner.Choice first = new Planner.Choice(web, 0, slot("a", 0, 4, 1), 0);
-        Planner.Plan p = planner.plan(new ArrayList<>(List.of(slot("b", 0, 4, 1), slot("c", 1, 4, 1))), "wk-web/0"::equals,
-                (m, j) -> false, j -> false, List.of(first), NOW);
+        Planner.Plan p = planner.plan(new ArrayList<>(List.of(slot("b", 0, 4, 1), slot("c", 1, 4, 1))), marks(t -> t == 0),
+                List.of(first), NOW);
         assertThat(p.choices()).singleElement().satisfies(c -> assertThat(c.slot().machine()).isEqualTo("c"));
     }
 
@@ -116,7 +137,7 @@
     void theTeamsLimitBoundsThePlan() {
         job("wk-many", Map.of("pieces", 20L));
         assertThat(plan(NOW, List.of(), slot("a", 0, 4, 1), slot("b", 0, 4, 1), slot("c", 1, 4, 1))).hasSize(8);
-        Planner.Plan none = planner.plan(new ArrayList<>(), t -> false, (m, j) -> false, j -> false, List.of(), NOW);
+        Planner.Plan none = planner.plan(new ArrayList<>(), marks(t -> false), List.of(), NOW);
         assertThat(none.unplaced()).singleElement().satisfies(u -> assertThat(u.tasks()).isEqualTo(8));
     }
 }
--- a/src/test/java/birchusher/SettingsTest.java
+++ b/src/test/java/birchusher/SettingsTest.java
@@ -18,12 +18,12 @@
 
     @Test
     void unknownFieldsAreIgnored() {
-        read(RowBeforeTypesTest.SETTINGS.replaceFirst("\\{", "{\"new_field\":[1,{\"x\":null}],"));
+        read(TestJobs.SETTINGS.replaceFirst("\\{", "{\"new_field\":[1,{\"x\":null}],"));
     }
 
     @Test
     void theFieldAtFaultIsNamed() {
-        String good = RowBeforeTypesTest.SETTINGS;
+        String good = TestJobs.SETTINGS;
         assertThatThrownBy(() -> read(good.replace("\"lease_s\":10", "\"lease_s\":0"))).isInstanceOf(Bad.class)
                 .hasMessageContaining("lease_s");
         assertThatThrownBy(() -> read(good.replace("1.1.1.1:4", "nowhere"))).hasMessageContaining("state");
--- a/src/test/java/birchusher/TestJobs.java
+++ b/src/test/java/birchusher/TestJobs.java
@@ -3,8 +3,17 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** A well-formed submission for tests to change. */
+/** Well-formed settings and a well-formed submission, for tests to change. */
 public final class TestJobs {
+    public static final String SETTINGS = """
+            {"member":"a","area":"z","listen":"1.1.1.1:1","mesh_addr":"1.1.1.1:2","seeds":[],
+             "external":{"cloud":"1.1.1.1:3","state":"1.1.1.1:4"},
+             "deployment":{"zones":["z"],"teams":[{"name":"red","gpus":4,"gpus_max":8}],
+              "workers":{"report_s":3,"lease_s":10,"gang_wait_s":20,"gang_peer_s":4,"cancel_s":30},
+              "state":{"rps":50,"write_rps":20,"value_kb":8,"txn_ops":12},"cloud":{"rps":4,"list_lag_s":5},
+              "resources":{"cores":0.3,"ram_mb":260,"max_connections":500}}}
+            """;
+
     private TestJobs() { }
 
     public static Map<String, Object> job() {
--- /dev/null
+++ b/src/test/java/birchusher/placement/GatesTest.java
@@ -0,0 +1,200 @@
+package birchusher.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import birchusher.core.Fields;
+import birchusher.model.Catalog;
+import birchusher.settings.SettingsReader;
+import birchusher.store.Chunk;
+import birchusher.store.Claim;
+import birchusher.store.Job;
+import birchusher.store.Keys;
+import birchusher.store.Tx;
+import birchusher.store.View;
+import birchusher.wire.JobCodec;
+import birchusher.wire.Pack;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Controllers with views that lag, transactions whose answers get lost and restarts: together they never claim more than the
+ * team's limit, and far below it they do so without writing the gate each time.
+ */
+class GatesTest {
+    private static final int LIMIT = 150;
+    private static final String SETTINGS = birchusher.TestJobs.SETTINGS.replace("\"gpus_max\":8", "\"gpus_max\":" + LIMIT);
+    private final TreeMap<String, Object[]> rows = new TreeMap<>();
+    private final List<Object[]> log = new ArrayList<>();
+    private long revision = 1;
+    private int gateWrites;
+    private int claims;
+
+    /** One controller's part: its view, its gates and how far it has read. */
+    private final class Member {
+        Catalog catalog;
+        View view;
+        Gates gates;
+        int read;
+
+        Member() {
+            restart();
+        }
+
+        void restart() {
+            catalog = new Catalog(SettingsReader.read(SETTINGS.getBytes(StandardCharsets.UTF_8)));
+            view = new View(catalog, new JobCodec(catalog));
+            gates = new Gates(catalog, view, 3);
+            rows.forEach((k, r) -> view.put(k, value(r[0]), (Long) r[1]));
+            view.applied(revision);
+            read = log.size();
+        }
+
+        void follow(int events) {
+            for (int n = 0; n < events && read < log.size(); n++) {
+                // Whole transactions only, as a watch tells them.
+                long at = (Long) log.get(read)[2];
+                while (read < log.size() && (Long) log.get(read)[2] == at) {
+                    Object[] e = log.get(read++);
+                    view.put((String) e[0], value(e[1]), at);
+                }
+                view.applied(at);
+            }
+        }
+
+        /** True if the claim was made. */
+        boolean claim(String id, int n, boolean answered) {
+            Job j = view.job(id);
+            List<Integer> free = new ArrayList<>();
+            for (int t = 0; t < j.spec.tasks() && free.size() < n; t++) {
+                if (j.claim(t) == null) {
+                    free.add(t);
+                }
+            }
+            Tx tx = new Tx(view);
+            Gates.Pass pass = free.isEmpty() ? Gates.Pass.NO : gates.pass(tx, j.spec.team(), free.size(), 0, free.size());
+            if (pass == Gates.Pass.NO) {
+                return false;
+            }
+            if (pass == Gates.Pass.YES) {
+                Chunk c = tx.chunk(j, 0);
+                free.forEach(t -> c.claims.put((int) t, new Claim(j, t, ++c.attempts, "m" + t, 1, 0)));
+            }
+            long rev = commit(tx);
+            if (rev > 0 && answered) {
+                tx.applyTo(view, rev);
+            } else {
+                follow(Integer.MAX_VALUE);
+            }
+            claims += rev > 0 && pass == Gates.Pass.YES ? 1 : 0;
+            return rev > 0;
+        }
+
+        void release(String id, Random r) {
+            Job j = view.job(id);
+            Tx tx = new Tx(view);
+            Chunk c = tx.chunk(j, 0);
+            c.claims.values().removeIf(x -> r.nextBoolean());
+            long rev = commit(tx);
+            if (rev > 0) {
+                tx.applyTo(view, rev);
+            }
+        }
+    }
+
+    private static Map<String, Object> value(Object packed) {
+        return Fields.map(Pack.decode((byte[]) packed), "value");
+    }
+
+    @SuppressWarnings("unchecked")
+    private long commit(Tx tx) {
+        Map<String, Object> body = tx.body();
+        for (Object o : (List<Object>) body.get("if")) {
+            Map<String, Object> c = (Map<String, Object>) o;
+            Object[] row = rows.get(c.get("path"));
+            if ((row == null ? 0 : (Long) row[1]) != (Long) c.get("stamp")) {
+                return 0;
+            }
+        }
+        revision++;
+        for (Object o : (List<Object>) body.get("writes")) {
+            Map<String, Object> w = (Map<String, Object>) o;
+            put((String) w.get("set"), (Map<String, Object>) w.get("value"));
+        }
+        return revision;
+    }
+
+    private void put(String key, Map<String, Object> value) {
+        byte[] packed = Pack.encode(value);
+        rows.put(key, new Object[] {packed, revision});
+        log.add(new Object[] {key, packed, revision});
+        gateWrites += key.startsWith(Keys.GATE) ? 1 : 0;
+    }
+
+    private void job(String id) {
+        Map<String, Object> m = birchusher.TestJobs.job();
+        m.put("name_id", id);
+        m.put("pieces", 140L);
+        revision++;
+        put(Keys.JOB + id, new HashMap<>(Map.of("s", "OPEN", "k", 182L, "t", 0L, "j", m)));
+    }
+
+    private double use() {
+        return new Member().view.gpusOf(0);
+    }
+
+    private final Member[] members = new Member[3];
+
+    GatesTest() {
+        for (int i = 0; i < 3; i++) {
+            job("wk-" + i);
+        }
+        for (int i = 0; i < 3; i++) {
+            members[i] = new Member();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void theLimitHoldsWhateverIsLateOrLost(long seed) {
+        Random r = new Random(seed);
+        double most = 0;
+        for (int step = 0; step < 3_000; step++) {
+            int i = r.nextInt(3);
+            Member m = members[i];
+            int what = r.nextInt(20);
+            if (what < 7) {
+                m.follow(1 + r.nextInt(6));
+            } else if (what < 17) {
+                m.claim("wk-" + i, 1 + r.nextInt(r.nextInt(8) == 0 ? 30 : 5), r.nextInt(8) > 0);
+            } else if (what == 17 && r.nextInt(3) == 0) {
+                m.release("wk-" + i, r);
+            } else if (what == 18 && r.nextInt(8) == 0) {
+                m.restart();
+            }
+            double use = use();
+            assertThat(use).as("step " + step).isLessThanOrEqualTo(LIMIT);
+            most = Math.max(most, use);
+        }
+        assertThat(most).as("the limit is reached, so it was tried").isGreaterThan(LIMIT - 12);
+    }
+
+    @Test
+    void farBelowTheLimitClaimsNeedNoWriteOfTheGate() {
+        for (int n = 0; n < 30; n++) {
+            assertThat(members[n % 3].claim("wk-" + n % 3, 1, true)).isTrue();
+            for (Member m : members) {
+                m.follow(Integer.MAX_VALUE);
+            }
+        }
+        assertThat(claims).isEqualTo(30);
+        assertThat(gateWrites).isLessThan(10);
+    }
+}
--- a/src/test/java/birchusher/sim/CoreTraceTest.java
+++ b/src/test/java/birchusher/sim/CoreTraceTest.java
@@ -53,8 +53,11 @@
                     w.crash(Integer.parseInt(c[1]), Long.parseLong(c[2]));
                     yield "";
                 }
-                case "post" -> w.tell(Integer.parseInt(c[1]), "POST", "/v2/runs",
-                        World.body(c[2], c[3], Integer.parseInt(c[4]), c[5])).split(" ")[0];
+                case "post" -> {
+                    Map<String, Object> body = World.body(c[2], c[3], Integer.parseInt(c[4]), c[5]);
+                    w.foreign(body);
+                    yield w.tell(Integer.parseInt(c[1]), "POST", "/v2/runs", body).split(" ")[0];
+                }
                 case "get" -> w.tell(Integer.parseInt(c[1]), "GET", "/v2/runs/" + c[2], null);
                 case "withdraw" -> w.tell(Integer.parseInt(c[1]), "POST", "/v2/runs/" + c[2] + "/withdraw", null);
                 case "hello" -> hello(w, c);
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -17,7 +17,7 @@
 import java.util.Random;
 
 /**
- * Three whole cores with stand-ins for everything around them, in simulated time. Messages get lost or arrive late,
+ * Three or more whole cores with stand-ins for everything around them, in simulated time. Messages get lost or arrive late,
  * controllers crash, machines hang and the state service fails, all from one seed; the rules are checked at every step.
  */
 final class World {
@@ -56,10 +56,10 @@
     private final Map<String, List<Object>> rentals = new HashMap<>();
     private final PriorityQueue<Timed> queue = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
             : Long.compare(a.seq, b.seq));
-    private final Node[] nodes = new Node[3];
+    private final Node[] nodes;
     private final Map<Long, java.util.function.BiConsumer<Integer, Map<String, Object>>> exchanges = new HashMap<>();
-    private final boolean[][] cut = new boolean[3][3];
-    private final long[] seatSince = new long[3];
+    private final boolean[][] cut;
+    private final long[] seatSince;
     double loss;
     double late;
     long now = 1_000;
@@ -69,8 +69,15 @@
     int starts;
 
     World(long seed) {
+        this(seed, 3);
+    }
+
+    World(long seed, int controllers) {
         random = new Random(seed);
-        for (int i = 0; i < 3; i++) {
+        nodes = new Node[controllers];
+        cut = new boolean[controllers][controllers];
+        seatSince = new long[controllers];
+        for (int i = 0; i < controllers; i++) {
             nodes[i] = new Node();
             boot(i);
             every(i);
@@ -134,6 +141,17 @@
         return m;
     }
 
+    /** A job that somebody else submits: its tasks may run, and nobody here polls for it. */
+    void foreign(Map<String, Object> body) {
+        UserJob j = new UserJob();
+        j.id = (String) body.get("name_id");
+        j.tasks = ((Number) body.get("pieces")).intValue();
+        j.body = body;
+        j.accepted = true;
+        j.askAt = Long.MAX_VALUE;
+        jobs.putIfAbsent(j.id, j);
+    }
+
     /** Sends one request and waits for its answer: the status, then the stage or the orders. */
     String tell(int node, String method, String path, Map<String, Object> body) {
         String[] got = new String[1];
@@ -387,7 +405,7 @@
                 w.node = Integer.parseInt(((String) m.get("usher")).substring(6));
                 w.nextReport = now + 200;
             } else {
-                w.node = (w.node + 1) % 3;
+                w.node = (w.node + 1) % nodes.length;
                 w.nextReport = now + 1_000;
             }
         };
@@ -417,7 +435,7 @@
             return;
         }
         j.askAt = now + 1_500;
-        int node = random.nextInt(3);
+        int node = random.nextInt(nodes.length);
         if (!j.accepted) {
             ask(node, "POST", "/v2/runs", Pack.encode(j.body), (s, m) -> {
                 if (s == 201 || s == 200) {
@@ -579,16 +597,15 @@
         }
     }
 
-    private static String json(int i) {
-        String[] area = {"east", "west", "east"};
+    private String json(int i) {
         StringBuilder peers = new StringBuilder();
-        for (int k = 0; k < 3; k++) {
+        for (int k = 0; k < nodes.length; k++) {
             if (k != i) {
                 peers.append(peers.isEmpty() ? "" : ",").append("{\"member\":\"perch-").append(k).append("\",\"area\":\"")
-                        .append(area[k]).append("\",\"peer_addr\":\"10.0.0.").append(k).append(":1\"}");
+                        .append(ZONES[k % 2]).append("\",\"peer_addr\":\"10.0.0.").append(k).append(":1\"}");
             }
         }
-        return "{\"member\":\"perch-" + i + "\",\"area\":\"" + area[i] + "\",\"listen\":\"10.0.0." + i
+        return "{\"member\":\"perch-" + i + "\",\"area\":\"" + ZONES[i % 2] + "\",\"listen\":\"10.0.0." + i
                 + ":2\",\"mesh_addr\":\"10.0.0." + i + ":1\",\"seeds\":[" + peers + "],"
                 + "\"external\":{\"cloud\":\"10.1.0.1:1\",\"state\":\"10.1.0.2:1\"},\"deployment\":{\"zones\":[\"east\",\"west\"],"
                 + "\"teams\":[{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0,\"gpus\":6,\"gpus_max\":" + TEAM_LIMIT + "}],"
