Order by the next aim that can be kept; offers that come to nothing are called off

Cause 1: a class's last aim set its place, so trainings stood behind all arrays though theirs are waits of 70 and 120 s.

A gang's offer is now all or nothing at its owner, what was accepted in vain is called off, and owners tell which tasks they keep room for, so that other drivers neither offer that room nor plan those tasks.

--- a/src/main/java/birchusher/mesh/PeerCodec.java
+++ b/src/main/java/birchusher/mesh/PeerCodec.java
@@ -1,6 +1,7 @@
 package birchusher.mesh;
 
 import birchusher.core.Fields.Bad;
+import birchusher.mesh.PeerRecord.CalledOff;
 import birchusher.mesh.PeerRecord.Ended;
 import birchusher.mesh.PeerRecord.Heartbeat;
 import birchusher.mesh.PeerRecord.Item;
@@ -54,12 +55,8 @@
             } else if (r instanceof Offer o) {
                 out.writeByte(2);
                 out.writeLong(o.id());
-                list(out, o.items(), (d, i) -> {
-                    d.writeUTF(i.job());
-                    d.writeInt(i.task());
-                    d.writeUTF(i.machine());
-                    d.writeLong(i.session());
-                });
+                out.writeBoolean(o.whole());
+                list(out, o.items(), PeerCodec::item);
             } else if (r instanceof Verdict v) {
                 out.writeByte(3);
                 out.writeLong(v.id());
@@ -91,6 +88,9 @@
                     d.writeLong(e.term());
                     d.writeByte(e.kind());
                 });
+            } else if (r instanceof CalledOff x) {
+                out.writeByte(8);
+                list(out, x.items(), PeerCodec::item);
             }
         } catch (IOException e) {
             throw new IllegalStateException(e);
@@ -108,8 +108,7 @@
             PeerRecord r = switch (in.readByte()) {
                 case 1 -> new Heartbeat(in.readLong(), in.readBoolean(), list(in, d -> d.readLong()),
                         list(in, PeerCodec::machine), list(in, d -> d.readUTF()), list(in, d -> d.readUTF()));
-                case 2 -> new Offer(in.readLong(),
-                        list(in, d -> new Item(d.readUTF(), d.readInt(), d.readUTF(), d.readLong())));
+                case 2 -> new Offer(in.readLong(), in.readBoolean(), list(in, PeerCodec::item));
                 case 3 -> new Verdict(in.readLong(), list(in, d -> d.readUTF()),
                         list(in, d -> d.readLong()));
                 case 4 -> new Stop(in.readUTF(), in.readInt(), in.readLong(), in.readDouble(), in.readUTF());
@@ -117,6 +116,7 @@
                 case 6 -> new Retired(in.readUTF(), in.readBoolean());
                 case 7 -> new Outcomes(list(in, d -> new Ended(d.readUTF(), d.readInt(), d.readLong(), d.readUTF(),
                         d.readInt(), d.readLong(), d.readByte())));
+                case 8 -> new CalledOff(list(in, PeerCodec::item));
                 default -> throw new Bad("peer record of unknown kind");
             };
             if (in.available() > 0) {
@@ -128,6 +128,17 @@
         }
     }
 
+    private static void item(DataOutputStream out, Item i) throws IOException {
+        out.writeUTF(i.job());
+        out.writeInt(i.task());
+        out.writeUTF(i.machine());
+        out.writeLong(i.session());
+    }
+
+    private static Item item(DataInputStream in) throws IOException {
+        return new Item(in.readUTF(), in.readInt(), in.readUTF(), in.readLong());
+    }
+
     private static void machine(DataOutputStream out, Machine m) throws IOException {
         out.writeUTF(m.name());
         out.writeUTF(m.type());
@@ -145,13 +156,14 @@
         list(out, m.fetching(), DataOutputStream::writeUTF);
         list(out, m.fetchMs(), DataOutputStream::writeInt);
         list(out, m.images(), DataOutputStream::writeUTF);
+        list(out, m.reserved(), DataOutputStream::writeUTF);
     }
 
     private static Machine machine(DataInputStream in) throws IOException {
         return new Machine(in.readUTF(), in.readUTF(), in.readUTF(), in.readBoolean(), in.readLong(), in.readInt(),
                 in.readInt(), in.readInt(), in.readInt(), in.readDouble(), in.readDouble(),
                 in.readDouble(), in.readDouble(), list(in, d -> d.readUTF()), list(in, d -> d.readInt()),
-                list(in, d -> d.readUTF()));
+                list(in, d -> d.readUTF()), list(in, d -> d.readUTF()));
     }
 
     private static <T> void list(DataOutputStream out, List<T> l, Writer<? super T> w) throws IOException {
--- a/src/main/java/birchusher/mesh/PeerRecord.java
+++ b/src/main/java/birchusher/mesh/PeerRecord.java
@@ -7,7 +7,7 @@
     /** One machine as its owner sees it; names, as indices are each process's own. */
     record Machine(String name, String type, String zone, boolean spot, long session, int shard, int flags, int silentMs,
             int idleMs, double speed, double strayCpus, double strayGpus, double strayMem,
-            List<String> fetching, List<Integer> fetchMs, List<String> images) {
+            List<String> fetching, List<Integer> fetchMs, List<String> images, List<String> reserved) {
         public static final int USABLE = 1;
         public static final int CONDEMNED = 2;
         public static final int LEAVING = 4;
@@ -17,7 +17,7 @@
             return type.equals(o.type) && zone.equals(o.zone) && spot == o.spot && session == o.session && shard == o.shard
                     && flags == o.flags && silentMs == o.silentMs && idleMs < 0 == o.idleMs < 0 && speed == o.speed
                     && strayCpus == o.strayCpus && strayGpus == o.strayGpus && strayMem == o.strayMem
-                    && fetching.equals(o.fetching) && images.equals(o.images);
+                    && fetching.equals(o.fetching) && images.equals(o.images) && reserved.equals(o.reserved);
         }
     }
 
@@ -30,7 +30,11 @@
 
     record Item(String job, int task, String machine, long session) { }
 
-    record Offer(long id, List<Item> items) implements PeerRecord { }
+    /** {@code whole}: all of it or nothing. */
+    record Offer(long id, boolean whole, List<Item> items) implements PeerRecord { }
+
+    /** Accepted offers that come to nothing. */
+    record CalledOff(List<Item> items) implements PeerRecord { }
 
     /** Per item "" for yes, else the reason; with the term under which the owner holds each shard. */
     record Verdict(long id, List<String> refusals, List<Long> terms) implements PeerRecord { }
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -21,6 +21,7 @@
 import birchusher.workers.Counters;
 import birchusher.workers.Picture;
 import birchusher.workers.Yard;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -183,7 +184,11 @@
         @Override
         public IntPredicate held(String job) {
             Map<Integer, Long> m = held.get(job);
-            return m == null || m.isEmpty() ? null : m::containsKey;
+            IntOpenHashSet others = elsewhere.get(job);
+            if (m == null || m.isEmpty()) {
+                return others == null ? null : others::contains;
+            }
+            return others == null ? m::containsKey : t -> m.containsKey(t) || others.contains(t);
         }
 
         @Override
@@ -241,6 +246,7 @@
     /** Free room on every machine in the pictures, less what the store records. */
     public List<Slot> slots(Map<String, Picture> pictures) {
         List<Slot> slots = new ArrayList<>(pictures.size());
+        elsewhere.clear();
         Map<String, List<Planner.Choice>> underway = new HashMap<>();
         for (Planner.Choice c : underway()) {
             underway.computeIfAbsent(c.slot().machine, k -> new ArrayList<>()).add(c);
@@ -259,12 +265,37 @@
                     minus(f, c.job().spec);
                 }
             }
+            for (String key : p.reserved()) {
+                int slash = key.lastIndexOf('/');
+                Job j = view.job(key.substring(0, Math.max(0, slash)));
+                if (j != null && !asked(j, key.substring(slash + 1), p.machine(), underway)) {
+                    minus(f, j.spec);
+                }
+            }
             slots.add(new Slot(p.machine(), t, p.zone(), p.spot(), p.session(), p.shard(), p.speed(), p.fetching(),
                     p.images(), 0, true, f[0], f[1], f[2]));
         }
         return slots;
     }
 
+    /** Whether a reservation is already counted: as a claim that stands, or as an offer of our own. */
+    private boolean asked(Job j, String task, String machine, Map<String, List<Planner.Choice>> underway) {
+        int n = Integer.parseInt(task);
+        if (n >= j.spec.tasks() || j.claim(n) != null) {
+            return true;
+        }
+        for (Planner.Choice c : underway.getOrDefault(machine, List.of())) {
+            if (c.task() == n && c.job().spec.id().equals(j.spec.id())) {
+                return true;
+            }
+        }
+        elsewhere.computeIfAbsent(j.spec.id(), k -> new IntOpenHashSet()).add(n);
+        return false;
+    }
+
+    /** Per job the tasks that other drivers' reservations are for: as good as placed. */
+    private final Map<String, IntOpenHashSet> elsewhere = new HashMap<>();
+
     private final Map<String, Planner.Choice> claiming = new HashMap<>();
 
     private static void minus(double[] f, JobSpec j) {
@@ -320,9 +351,8 @@
             long id = nextId++;
             asked.put(id, new Asked(g, items));
             List<PeerRecord.Item> list = new ArrayList<>();
-            items.forEach(c -> list.add(new PeerRecord.Item(c.job().spec.id(), c.task(), c.slot().machine,
-                    c.slot().session)));
-            PeerRecord.Offer offer = new PeerRecord.Offer(id, list);
+            items.forEach(c -> list.add(item(c)));
+            PeerRecord.Offer offer = new PeerRecord.Offer(id, g.job.spec.gang(), list);
             if (owner == 0) {
                 verdict(judge(offer));
             } else {
@@ -339,16 +369,49 @@
     public PeerRecord.Verdict judge(PeerRecord.Offer offer) {
         List<String> refusals = new ArrayList<>();
         List<Long> terms = new ArrayList<>();
+        boolean all = true;
         for (PeerRecord.Item i : offer.items()) {
             Job j = view.job(i.job());
-            String no = j == null ? "job not known yet" : yard.reserve(j.spec, i.task(), 0, i.machine(), i.session());
+            String no = j == null ? "job not known yet" : yard.reserve(j.spec, i.task(), i.machine(), i.session());
             refusals.add(no == null ? "" : no);
+            all &= no == null;
             Integer shard = yard.shardOf(i.machine());
             terms.add(shard == null ? 0 : seats.term(shard));
         }
+        if (offer.whole() && !all) {
+            calledOff(new PeerRecord.CalledOff(offer.items()));
+        }
         return new PeerRecord.Verdict(offer.id(), refusals, terms);
     }
 
+    /** As owner: frees the room kept for offers that come to nothing. */
+    public void calledOff(PeerRecord.CalledOff o) {
+        o.items().forEach(i -> yard.unreserve(i.machine(), i.job() + "/" + i.task()));
+    }
+
+    /** As driver: tells the owners that what they accepted will not be claimed. */
+    private void callOff(List<Planner.Choice> choices) {
+        Map<Integer, List<PeerRecord.Item>> byOwner = new TreeMap<>();
+        for (Planner.Choice c : choices) {
+            int owner = seats.owns(c.slot().shard) ? 0 : seats.liveOwner(c.slot().shard);
+            if (owner >= 0) {
+                byOwner.computeIfAbsent(owner, k -> new ArrayList<>()).add(item(c));
+            }
+        }
+        byOwner.forEach((owner, items) -> {
+            PeerRecord.CalledOff o = new PeerRecord.CalledOff(items);
+            if (owner == 0) {
+                calledOff(o);
+            } else {
+                mesh.send(owner, o);
+            }
+        });
+    }
+
+    private static PeerRecord.Item item(Planner.Choice c) {
+        return new PeerRecord.Item(c.job().spec.id(), c.task(), c.slot().machine, c.slot().session);
+    }
+
     public void verdict(PeerRecord.Verdict v) {
         Asked a = asked.remove(v.id());
         if (a == null || v.refusals().size() != a.items().size() || v.terms().size() != a.items().size()) {
@@ -373,6 +436,7 @@
         }
         if (g.job.spec.gang() && g.refused || g.accepted.isEmpty()) {
             g.choices.forEach(this::letGo);
+            callOff(g.choices.stream().filter(c -> g.accepted.containsKey(c.task())).toList());
             return;
         }
         claim(g);
@@ -451,10 +515,14 @@
 
             @Override
             public void dropped() {
+                made = List.of();
                 over();
             }
 
             private void over() {
+                List<Planner.Choice> not = new ArrayList<>(list);
+                not.removeAll(made);
+                callOff(not);
                 for (Planner.Choice c : list) {
                     claiming.remove(key(c));
                     letGo(c);
@@ -462,6 +530,7 @@
             }
         });
         if (!queued) {
+            callOff(list);
             list.forEach(c -> {
                 claiming.remove(key(c));
                 letGo(c);
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -10,7 +10,7 @@
 import birchusher.store.Claim;
 import birchusher.store.Job;
 import birchusher.store.View;
-import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -63,7 +63,10 @@
     /** Batch work that slows down fetches mostly holds up several tasks, often replicas. */
     private static final double HARM = 1.5;
     private final LeaseTerms terms;
-    private final Int2DoubleOpenHashMap dueByClass = new Int2DoubleOpenHashMap();
+    /** What a class's jobs should keep: to have started, or to be complete, so long after their submission. */
+    private record Aim(boolean start, double withinS) { }
+
+    private final Int2ObjectOpenHashMap<List<Aim>> aims = new Int2ObjectOpenHashMap<>();
 
     public Planner(Catalog catalog, View view, Speeds speeds, LeaseTerms terms,
             List<Settings.Objective> objectives) {
@@ -72,8 +75,9 @@
         this.speeds = speeds;
         this.terms = terms;
         for (Settings.Objective o : objectives) {
-            if (o.kind().equals("finished") && o.cls() != null) {
-                dueByClass.put(catalog.classes.add(o.cls()), o.withinS());
+            boolean start = o.kind().equals("wait");
+            if (o.cls() != null && (start || o.kind().equals("finished"))) {
+                aims.computeIfAbsent(catalog.classes.add(o.cls()), c -> new ArrayList<>()).add(new Aim(start, o.withinS()));
             }
         }
     }
@@ -103,15 +107,27 @@
         return in;
     }
 
-    /** When a job should be complete, by its own deadline or its class's objective; by its age if it has neither. */
-    private long due(Job j) {
-        double s = j.spec.deadlineS() > 0 ? j.spec.deadlineS() : dueByClass.get(j.spec.cls());
-        return j.acceptedAt + Math.round((s > 0 ? s : DEFAULT_DUE_S) * 1000);
-    }
-
-    /** Too late whatever is done: such a job makes way for those that can still be in time. */
-    private boolean late(Job j, long wall) {
-        return !j.spec.service() && wall + expectedS(j.spec) * 800 > due(j);
+    /**
+     * The next moment by which a job's tasks have to start if it is to keep its deadline or one of its class's aims. -1 if
+     * none can be kept any more: such a job makes way for those that can still be in time.
+     */
+    private long startBy(Job j, long wall) {
+        long run = Math.round(expectedS(j.spec) * 800);
+        long next = Long.MAX_VALUE;
+        boolean any = false;
+        List<Aim> list = aims.get(j.spec.cls());
+        for (int i = -1; i < (list == null ? 0 : list.size()); i++) {
+            double s = i < 0 ? j.spec.deadlineS() : list.get(i).withinS;
+            if (s > 0) {
+                any = true;
+                long at = j.acceptedAt + Math.round(s * 1000) - (i >= 0 && list.get(i).start ? 0 : run);
+                next = at >= wall ? Math.min(next, at) : next;
+            }
+        }
+        if (!any || j.spec.service() && next == Long.MAX_VALUE) {
+            return j.acceptedAt + Math.round(DEFAULT_DUE_S * 1000);
+        }
+        return next == Long.MAX_VALUE ? -1 : next;
     }
 
     private List<Ranked> order(Set<String> guaranteed, long wall) {
@@ -123,14 +139,14 @@
         }
         List<Ranked> ranked = new ArrayList<>(jobs.size());
         for (Job j : jobs) {
-            ranked.add(new Ranked(j, j.spec.priority() == Priority.PRODUCTION, guaranteed.contains(j.spec.id()), late(j, wall),
-                    due(j)));
+            ranked.add(new Ranked(j, j.spec.priority() == Priority.PRODUCTION, guaranteed.contains(j.spec.id()),
+                    startBy(j, wall)));
         }
         ranked.sort(Planner::compare);
         return ranked;
     }
 
-    private record Ranked(Job job, boolean production, boolean guaranteed, boolean late, long due) { }
+    private record Ranked(Job job, boolean production, boolean guaranteed, long startBy) { }
 
     private static int compare(Ranked a, Ranked b) {
         // Production goes before guarantees: a replica beyond its team's guarantee must not starve behind batch work.
@@ -144,10 +160,10 @@
         if (p != 0) {
             return p;
         }
-        if (a.late != b.late) {
-            return a.late ? 1 : -1;
+        if (a.startBy < 0 != b.startBy < 0) {
+            return a.startBy < 0 ? 1 : -1;
         }
-        return a.due != b.due ? Long.compare(a.due, b.due) : Long.compare(a.job.age, b.job.age);
+        return a.startBy != b.startBy ? Long.compare(a.startBy, b.startBy) : Long.compare(a.job.age, b.job.age);
     }
 
     /**
--- a/src/main/java/birchusher/server/Core.java
+++ b/src/main/java/birchusher/server/Core.java
@@ -245,6 +245,8 @@
             h.gone().forEach(yard::gone);
         } else if (r instanceof PeerRecord.Offer o) {
             send(from, driver.judge(o));
+        } else if (r instanceof PeerRecord.CalledOff o) {
+            driver.calledOff(o);
         } else if (r instanceof PeerRecord.Verdict v) {
             driver.verdict(v);
         } else if (r instanceof PeerRecord.Stop s) {
--- a/src/main/java/birchusher/workers/Machine.java
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -35,7 +35,7 @@
         }
     }
 
-    record Reservation(String attemptKey, double cpus, double gpus, double mem, long until) { }
+    record Reservation(String key, double cpus, double gpus, double mem, long until) { }
 
     private static final int MAX_IMAGES = 64;
 
@@ -58,6 +58,7 @@
     final Map<String, Stop> stops = new HashMap<>();
     /** Starts sent straight to the worker and not answered: they may still arrive. Value: token they carried. */
     final Map<String, long[]> loose = new HashMap<>();
+    /** By task: room kept for an accepted offer until its claim stands, it is called off or the time is over. */
     final Map<String, Reservation> reserved = new HashMap<>();
     final Set<String> errorJobs = new HashSet<>();
     final ArrayDeque<Integer> images = new ArrayDeque<>();
--- a/src/main/java/birchusher/workers/PictureBook.java
+++ b/src/main/java/birchusher/workers/PictureBook.java
@@ -115,7 +115,7 @@
         int idle = p.idleSince() < 0 ? -1 : (int) (fx.now() - p.idleSince());
         return new PeerRecord.Machine(p.machine(), catalog.typeNames.name(p.type()), catalog.zones.name(p.zone()), p.spot(),
                 p.session(), p.shard(), flags, p.silentMs() / 1_000 * 1_000, idle, p.speed(), p.strayUse()[0],
-                p.strayUse()[1], p.strayUse()[2], fetching, fetchMs, images);
+                p.strayUse()[1], p.strayUse()[2], fetching, fetchMs, images, p.reserved());
     }
 
     public void heard(int from, PeerRecord.Heartbeat h) {
@@ -143,7 +143,14 @@
                     m.session(), m.shard(), (m.flags() & PeerRecord.Machine.USABLE) != 0,
                     (m.flags() & PeerRecord.Machine.CONDEMNED) != 0, (m.flags() & PeerRecord.Machine.LEAVING) != 0,
                     m.silentMs(), m.idleMs() < 0 ? -1 : now - m.idleMs(), m.speed(),
-                    new double[] {m.strayCpus(), m.strayGpus(), m.strayMem()}, fetching, images), from, now));
+                    new double[] {m.strayCpus(), m.strayGpus(), m.strayMem()}, fetching, images, m.reserved().stream().filter(PictureBook::isTask).toList()), from, now));
         }
     }
+
+    /** A job's id, a slash and a number: what comes from outside is checked once, here. */
+    private static boolean isTask(String key) {
+        int slash = key.lastIndexOf('/');
+        return slash > 0 && key.length() - slash - 1 <= 6 && key.length() > slash + 1
+                && key.chars().skip(slash + 1).allMatch(c -> c >= '0' && c <= '9');
+    }
 }
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -575,10 +575,7 @@
     private void forgetReservations(Machine m) {
         long now = fx.now();
         Map<String, Claim> claims = view.claims(m.name);
-        m.reserved.values().removeIf(r -> {
-            String key = r.attemptKey().substring(0, r.attemptKey().lastIndexOf('#'));
-            return now > r.until() || claims.containsKey(key);
-        });
+        m.reserved.values().removeIf(r -> now > r.until() || claims.containsKey(r.key()));
     }
 
     /** Room held by tasks that no record covers, such as those being stopped after a late command. */
@@ -622,7 +619,7 @@
     }
 
     /** Checks a task offered to one of our machines and keeps room for it; returns why not, or null. */
-    public String reserve(JobSpec j, int task, long attempt, String machine, long session) {
+    public String reserve(JobSpec j, int task, String machine, long session) {
         Machine m = machines.get(machine);
         if (m == null || !usable(m)) {
             return "not usable";
@@ -643,15 +640,15 @@
         if (f[0] < j.cpus() - Catalog.EPS || f[1] < j.gpus() - Catalog.EPS || f[2] < j.mem() - Catalog.EPS) {
             return "no room";
         }
-        String ak = key + "#" + attempt;
-        m.reserved.put(ak, new Machine.Reservation(ak, j.cpus(), j.gpus(), j.mem(), fx.now() + reserveMs));
+        m.reserved.put(key, new Machine.Reservation(key, j.cpus(), j.gpus(), j.mem(), fx.now() + reserveMs));
         return null;
     }
 
-    public void unreserve(String machine, String attemptKey) {
+    /** An accepted offer is called off: without this, gangs that found only part of their room kept it from each other. */
+    public void unreserve(String machine, String key) {
         Machine m = machines.get(machine);
         if (m != null) {
-            m.reserved.remove(attemptKey);
+            m.reserved.remove(key);
         }
     }
 
@@ -807,9 +804,10 @@
             if (m.heardAt < 0 || m.gone || !seats.owns(m.shard)) {
                 continue;
             }
+            forgetReservations(m);
             l.add(new Picture(m.name, m.type, m.zone, m.spot, m.session, m.shard, usable(m), m.condemned, m.leaving,
                     reporting(m, now) ? 0 : (int) (now - m.heardAt), m.idleSince, m.speed.value(), stray(m), fetching(m, now),
-                    m.images.stream().mapToInt(i -> i).toArray()));
+                    m.images.stream().mapToInt(i -> i).toArray(), m.reserved.isEmpty() ? List.of() : List.copyOf(m.reserved.keySet())));
         }
         return l;
     }
