Nothing is handed over into an outage; several thin machines are emptied at once

At 132.5 s, as an outage began, members reported trouble one after the other, preferences moved, and four of eight shards were being handed over, with nobody to answer their workers for 25 s. Ruled out: restarts (seats and shards stood within a second of start-up). Now no shard is handed over while anyone has trouble with the state service, and a handover that is not written within a second is called off, unless it may yet be applied.

Now timers stay, a fiftieth of the fleet may be emptied at once, fullest machines are filled first, and a start may be 2.5 s later on a fuller machine.

--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -20,6 +20,7 @@
 import birchusher.workers.Counters;
 import birchusher.workers.Picture;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -549,48 +550,61 @@
      * and have for a while, is emptied; a move costs a replica about a second.
      */
     private void merge(Planner.Plan plan, Map<String, Picture> pictures, long now) {
-        if (!plan.unplaced().isEmpty() || !plan.choices().isEmpty()) {
-            sparse.clear();
+        if (!plan.unplaced().isEmpty()) {
+            // Room is short: whatever is free is wanted, but what was thinly used before still is.
             return;
         }
-        Picture best = null;
-        double bestWorth = 0;
         List<Slot> slots = free.apply(pictures);
         slots.removeIf(s -> view.claims(s.machine()).isEmpty());
+        // The fullest first, so that what moves does not keep another thinly used machine.
+        slots.sort(Comparator.comparingDouble(Slot::freeShare));
+        List<Picture> ripe = new ArrayList<>();
+        int leaving = 0;
         for (Picture p : pictures.values()) {
-            Catalog.Type t = catalog.type(p.type());
-            Map<String, Claim> claims = view.claims(p.machine());
-            if (p.leaving()) {
-                return;
-            }
-            if (!p.usable() || t == null || claims.isEmpty() || !fitsElsewhere(p, claims, slots)) {
+            leaving += p.leaving() ? 1 : 0;
+            if (p.leaving() || !p.usable() || catalog.type(p.type()) == null || !restless(p) || !fitsElsewhere(p, slots, false)) {
                 sparse.remove(p.machine());
-                continue;
-            }
-            long since = sparse.computeIfAbsent(p.machine(), k -> now);
-            double worth = (p.spot() ? t.spotPrice() : t.price()) / claims.size();
-            if (now - since > Math.max(moveAfterMs, linger(p)) && worth > bestWorth) {
-                best = p;
-                bestWorth = worth;
+            } else if (now - sparse.computeIfAbsent(p.machine(), k -> now) > Math.max(moveAfterMs, linger(p))) {
+                ripe.add(p);
             }
         }
         sparse.keySet().retainAll(pictures.keySet());
-        if (best != null) {
-            LOG.info("machine {} is emptied, its {} replicas fit elsewhere", best.machine(), view.claims(best.machine()).size());
-            sparse.clear();
-            retire.accept(best.machine(), true);
+        ripe.sort(Comparator.comparingDouble(this::worth).reversed());
+        for (Picture p : ripe) {
+            // A few at once in a large fleet; each machine's replicas still move one after the other.
+            if (leaving >= 1 + pictures.size() / 50) {
+                return;
+            }
+            if (fitsElsewhere(p, slots, true)) {
+                leaving++;
+                sparse.remove(p.machine());
+                LOG.info("machine {} is emptied, its {} replicas fit elsewhere", p.machine(), view.claims(p.machine()).size());
+                retire.accept(p.machine(), true);
+            }
         }
     }
 
-    private boolean fitsElsewhere(Picture p, Map<String, Claim> claims, List<Slot> slots) {
-        for (Claim c : claims.values()) {
+    /** What returning a machine saves, for each replica that has to move. */
+    private double worth(Picture p) {
+        Catalog.Type t = catalog.type(p.type());
+        return (p.spot() ? t.spotPrice() : t.price()) / Math.max(1, view.claims(p.machine()).size());
+    }
+
+    /** Whether nothing but replicas runs there, each for long enough to be moved. */
+    private boolean restless(Picture p) {
+        for (Claim c : view.claims(p.machine()).values()) {
             if (!c.job().spec.service() || runningFor.applyAsLong(c) < moveAfterMs) {
                 return false;
             }
         }
+        return !view.claims(p.machine()).isEmpty();
+    }
+
+    /** Whether a machine's replicas find room and image elsewhere; if so, and asked to, that room is taken for them. */
+    private boolean fitsElsewhere(Picture p, List<Slot> slots, boolean take) {
         Map<Slot, Slot.Mark> tried = new LinkedHashMap<>();
         boolean all = true;
-        for (Claim c : claims.values()) {
+        for (Claim c : view.claims(p.machine()).values()) {
             JobSpec j = c.job().spec;
             // A job spread over zones stays in its zone, so that its rule still holds after the move.
             Slot to = null;
@@ -608,7 +622,11 @@
             tried.putIfAbsent(to, to.mark());
             to.take(j);
         }
-        tried.forEach(Slot::reset);
+        if (all && take) {
+            slots.removeIf(s -> s.machine().equals(p.machine()));
+        } else {
+            tried.forEach(Slot::reset);
+        }
         return all;
     }
 
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -62,6 +62,8 @@
     private static final double DEFAULT_DUE_S = 600;
     /** Batch work that slows down fetches mostly holds up several tasks, often replicas. */
     private static final double HARM = 1.5;
+    /** A start may be this much later on a fuller machine, as an empty one can be returned. */
+    private static final double PACK_MS = 2_500;
     private final LeaseTerms terms;
     /** What a class's jobs should keep: to have started, or to be complete, so long after their submission. */
     private record Aim(boolean start, double withinS) { }
@@ -486,7 +488,7 @@
         }
         double left = Math.max((s.cpus - spec.cpus()) / s.type.cpus(),
                 s.type.gpus() > 0 ? (s.gpus - spec.gpus()) / s.type.gpus() : 0);
-        score += left * 400;
+        score += left * PACK_MS;
         if (spec.spot() && !s.spot) {
             score += 300;
         }
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -60,6 +60,11 @@
         }
     }
 
+    /** How much of the machine is free, by what is used most. */
+    public double freeShare() {
+        return Math.min(cpus / type.cpus(), type.gpus() > 0 ? gpus / type.gpus() : 1);
+    }
+
     /** What a trial changes. */
     public record Mark(double cpus, double gpus, double mem, int planned, int plannedFetches) { }
 
--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -25,6 +25,8 @@
 public final class Seats {
     private static final Logger LOG = LoggerFactory.getLogger(Seats.class);
 
+    private static final long GIVE_MS = 1_000;
+
     private final Effects fx;
     private final Settings settings;
     private final Catalog catalog;
@@ -586,6 +588,13 @@
     }
 
     private void giveWhatIsNot(long now) {
+        for (int i = 1; i < members.size(); i++) {
+            if (live(i) && !storeOk[i]) {
+                // An outage that begins is noticed by one after the other, and preferences follow. Handing over then left half
+                // of the shards with nobody to answer their workers until the outage was over, and their leases were not.
+                return;
+            }
+        }
         for (int s = 0; s < giving.length; s++) {
             if (!owns(s) || taking) {
                 continue;
@@ -603,7 +612,21 @@
     private void give(int shard, String to, long inc) {
         giving[shard] = true;
         LOG.info("handing shard {} to {}", shard, to);
+        long until = fx.now() + GIVE_MS;
         store.offer(new ShardChange(1) {
+            private boolean unclear;
+
+            /** Not written in time, we go on answering; but not if it may yet be applied. */
+            @Override
+            public long expires() {
+                return unclear ? Long.MAX_VALUE : until;
+            }
+
+            @Override
+            public void unclear() {
+                unclear = true;
+            }
+
             @Override
             boolean write(Tx tx) {
                 Map<String, Object> old = view.row(shardKey(shard));
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -338,6 +338,11 @@
 
     // ---- writing
 
+    private void unclear(Queued q) {
+        q.change.unclear();
+        again(q);
+    }
+
     private void again(Queued q) {
         queue.add(q);
         nextDue = Math.min(nextDue, due(q));
@@ -411,7 +416,7 @@
             nextTxn = fx.now() + txnGap;
             if (gen != generation) {
                 needFresh = true;
-                batch.forEach(this::again);
+                batch.forEach(this::unclear);
                 return;
             }
             switch (status) {
@@ -448,7 +453,7 @@
                     // No answer: it may be applied later, so nothing is built before a fresh view.
                     needFresh = true;
                     nextTxn = fx.now() + 100;
-                    batch.forEach(this::again);
+                    batch.forEach(this::unclear);
                 }
             }
             pump();
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -81,6 +81,31 @@
         assertThat(w.state("wk-web")).isEqualTo("running");
     }
 
+    /** Seen on mahr-galleries-grown: shards handed over as an outage began had nobody to answer their workers until its end. */
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 33, 34})
+    void noWorkerLosesItsLeaseInAnOutageThatSevenControllersNoticeOneAfterTheOther(long seed) {
+        World w = new World(seed, 7);
+        w.submit("wk-arr", "sweep", 8, "standard", false, false);
+        w.submit("wk-web", "standing", 2, "production", true, false);
+        w.run(60_000 + seed * 37);
+        for (int i = 0; i < 32; i++) {
+            String name = "x-" + i;
+            w.workers.put(name, new FakeWorker(w, name, i % 2 == 0 ? "east" : "west", false, w.now));
+        }
+        w.run(5_000);
+        w.store.outage(true, w.now);
+        // These have something to ask at once, so they notice first.
+        w.tell((int) seed % 7, "GET", "/v2/runs/wk-web", null);
+        w.tell((int) (seed + 2) % 7, "GET", "/v2/runs/wk-web", null);
+        w.run(25_000);
+        w.store.outage(false, w.now);
+        assertThat(w.workers.values()).isNotEmpty().allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
+        w.run(30_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(w.state("wk-web")).isEqualTo("running");
+    }
+
     /** The old owner may have answered a silent worker until its seat ended, so the worker's lease counts from there. */
     @Test
     void aSilentWorkersLeaseIsNotCountedBeforeTheDeadOwnersSeatHasEnded() {
