--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -94,12 +94,13 @@
             w.workers.put(name, new FakeWorker(w, name, i % 2 == 0 ? "east" : "west", false, w.now));
         }
         w.run(5_000);
+        w.refused[(int) seed % 7] = true;
+        w.refused[(int) (seed + 2) % 7] = true;
+        w.run(2_700 + 100 * (seed % 4));
         w.store.outage(true, w.now);
-        // These have something to ask at once, so they notice first.
-        w.tell((int) seed % 7, "GET", "/v2/runs/wk-web", null);
-        w.tell((int) (seed + 2) % 7, "GET", "/v2/runs/wk-web", null);
         w.run(25_000);
         w.store.outage(false, w.now);
+        java.util.Arrays.fill(w.refused, false);
         assertThat(w.workers.values()).isNotEmpty().allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
         w.run(30_000);
         assertThat(w.broken).isEmpty();
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -60,6 +60,8 @@
     private final Map<Long, java.util.function.BiConsumer<Integer, Map<String, Object>>> exchanges = new HashMap<>();
     private final boolean[][] cut;
     private final long[] seatSince;
+    /** Controllers that the state service alone refuses; their open watches are answered still. */
+    final boolean[] refused;
     double loss;
     double late;
     long now = 1_000;
@@ -77,6 +79,7 @@
         nodes = new Node[controllers];
         cut = new boolean[controllers][controllers];
         seatSince = new long[controllers];
+        refused = new boolean[controllers];
         for (int i = 0; i < controllers; i++) {
             nodes[i] = new Node();
             boot(i);
@@ -292,6 +295,11 @@
         if (lost()) {
             return;
         }
+        boolean store = c.target() == Effect.Target.STORE || c.target() == Effect.Target.WATCH;
+        if (refused[i] && store) {
+            at(now + 2, () -> back.accept(503, Map.of()));
+            return;
+        }
         at(now + delay(), () -> serve(c, body, (status, m) -> {
             if (!lost()) {
                 Map<String, Object> copy = plain(m);
