A silent mesh alone moves no shard: who is missed shows itself in its seat's row

Ruled out: workers could reach their owners all the time. Now a controller that misses another in the mesh writes a beat into its seat's row every 2.5 s, and who is seen so keeps its shards and the buyer's row; workers are sent to an owner that is only seen. A dead controller is replaced 1.2 s later than before. Test: seven cores without any mesh for 40 s, no term is given and no lease lost.

--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -204,7 +204,7 @@
         }
         if (row != null) {
             int holder = seats.index(String.valueOf(row.get("m")));
-            if (holder > 0 && seats.live(holder)) {
+            if (holder > 0 && seats.seen(holder)) {
                 return;
             }
         }
--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -26,6 +26,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(Seats.class);
 
     private static final long GIVE_MS = 1_000;
+    /** While we miss a controller in the mesh, a beat in our seat's row shows the others that we live. */
+    private static final long BEAT_MS = 2_500;
+    private static final long BEAT_SEEN_MS = 6_500;
+    /** A controller that falls silent in the mesh has this long for its first beat. */
+    private static final long GRACE_MS = 1_200;
 
     private final Effects fx;
     private final Settings settings;
@@ -56,6 +61,10 @@
     private final long[] lastTake;
     private final long[] wantedAt;
     private final long[] seenIncarnation;
+    private final long[] beatVersion;
+    private final long[] beatAt;
+    private long nextBeat;
+    private boolean beating;
     private final long[][] seenTerm;
     private boolean taking;
     public long takeovers;
@@ -89,6 +98,10 @@
         wantedAt = new long[n];
         java.util.Arrays.fill(wantedAt, Long.MIN_VALUE / 2);
         seenIncarnation = new long[members.size()];
+        beatVersion = new long[members.size()];
+        beatAt = new long[members.size()];
+        java.util.Arrays.fill(beatVersion, -1);
+        java.util.Arrays.fill(beatAt, Long.MIN_VALUE / 2);
         seenTerm = new long[members.size()][n];
         incarnation = fx.wall();
     }
@@ -174,6 +187,13 @@
         return i >= 0 && validOwner(shard) && live(i) ? i : -1;
     }
 
+    /** The same, but it is enough that the owner is seen to live: workers may reach it though we can't. */
+    public int seenOwner(int shard) {
+        String m = owner(shard);
+        int i = m == null ? -1 : index(m);
+        return i >= 0 && validOwner(shard) && seen(i) ? i : -1;
+    }
+
     /** When we began to own this shard under its present owner row, by the steady clock. */
     public long ownedSince(int shard) {
         return ownedSince[shard];
@@ -200,10 +220,84 @@
         return i == 0 || fx.now() - heardAt[i] < suspectMs;
     }
 
+    /** Served by the state service and heard in the mesh. */
     private boolean able(int i) {
         return i == 0 ? store.healthy() : live(i) && storeOk[i];
     }
 
+    /**
+     * Heard in the mesh, or seen to write to the state service lately. A silent mesh alone once made seven controllers take
+     * the same shards from each other twice a second, each time with the buyer's row.
+     */
+    public boolean seen(int i) {
+        long now = fx.now();
+        return i == 0 || now - heardAt[i] < suspectMs + GRACE_MS || now - beatAt[i] < BEAT_SEEN_MS;
+    }
+
+    private boolean seenAble(int i) {
+        return i == 0 ? store.healthy() : live(i) ? storeOk[i] : seen(i) && (storeOk[i] || fx.now() - beatAt[i] < BEAT_SEEN_MS);
+    }
+
+    /** Notes whose seat rows have changed. The first look tells nothing: the row may be a dead one's. */
+    private void watchBeats(long now) {
+        for (int i = 1; i < members.size(); i++) {
+            long version = view.version(Keys.SEAT + memberName(i));
+            if (beatVersion[i] >= 0 && version > beatVersion[i]) {
+                beatAt[i] = now;
+            }
+            beatVersion[i] = version;
+        }
+    }
+
+    private void beat(long now) {
+        boolean missing = false;
+        for (int i = 1; i < members.size(); i++) {
+            missing |= !live(i) && view.row(Keys.SEAT + memberName(i)) != null;
+        }
+        if (!missing || beating || now < nextBeat) {
+            return;
+        }
+        beating = true;
+        nextBeat = now + BEAT_MS;
+        long id = lease;
+        long inc = incarnation;
+        store.offer(new Change() {
+            @Override
+            public int rank() {
+                return 1;
+            }
+
+            @Override
+            public int cost() {
+                return 1;
+            }
+
+            @Override
+            public long expires() {
+                return now + BEAT_MS;
+            }
+
+            @Override
+            public boolean build(Tx tx) {
+                if (lease != id || incarnation != inc || !seated || tx.writes(Keys.SEAT + settings.member())) {
+                    return false;
+                }
+                tx.putHeld(Keys.SEAT + settings.member(), Map.of("i", inc, "b", now), id);
+                return true;
+            }
+
+            @Override
+            public void committed(long revision) {
+                beating = false;
+            }
+
+            @Override
+            public void dropped() {
+                beating = false;
+            }
+        });
+    }
+
     /**
      * A heartbeat. The terms it has seen also settle who may still answer workers: a member that knows of our term does
      * not answer under an older one any more. True if it was not heard of before, or not in this life.
@@ -311,7 +405,9 @@
             return;
         }
         follow(now);
+        watchBeats(now);
         if (store.healthy()) {
+            beat(now);
             takeWhatIsOurs(now);
             giveWhatIsNot(now);
         }
@@ -475,7 +571,7 @@
         List<Integer> all = new ArrayList<>();
         for (int i = 0; i < members.size(); i++) {
             // Young controllers count on the others to be starting as well.
-            boolean maybe = able(i) || hopeful;
+            boolean maybe = seenAble(i) || hopeful;
             if (maybe) {
                 all.add(i);
                 if (members.get(i).zone().equals(zone)) {
@@ -502,7 +598,7 @@
             int o = owner == null ? -1 : index(owner);
             boolean orphan = owner == null || !validOwner(s) || o == 0;
             // Without a worker that has lost its owner, the silence may be the mesh's alone: taking would start a fight.
-            boolean silent = o > 0 && !live(o) && !hopeful && now - wantedAt[s] < 6_000;
+            boolean silent = o > 0 && !seen(o) && !hopeful && now - wantedAt[s] < 6_000;
             boolean unserved = o > 0 && badStoreSince[o] >= 0 && now - badStoreSince[o] > 4_000;
             if (orphan || silent || unserved) {
                 take.add(s);
@@ -601,7 +697,7 @@
             }
             int p = preferred(s, false);
             Map<String, Object> seat = p <= 0 ? null : view.row(Keys.SEAT + memberName(p));
-            if (seat == null || now - aliveSince[p] < settleMs || now - ownedSince[s] < settleMs) {
+            if (seat == null || !live(p) || now - aliveSince[p] < settleMs || now - ownedSince[s] < settleMs) {
                 continue;
             }
             give(s, memberName(p), Fields.countOr(seat, "i", 0));
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -124,7 +124,7 @@
     }
 
     private void redirect(long exchange, String machine, int shard) {
-        int owner = seats.liveOwner(shard);
+        int owner = seats.seenOwner(shard);
         if (owner <= 0) {
             seats.wanted(shard);
             fx.later(exchange, 503, 1);
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -107,6 +107,25 @@
         assertThat(w.state("wk-web")).isEqualTo("running");
     }
 
+    /** Seen on mahr-galleries-grown: with no mesh each thought itself alone, and shards went round twice a second. */
+    @Test
+    void aSilentMeshAloneMovesNoShard() {
+        World w = new World(41, 7);
+        w.submit("wk-arr", "sweep", 8, "standard", false, false);
+        w.submit("wk-web", "standing", 2, "production", true, false);
+        w.run(60_000);
+        String before = w.term();
+        for (int a = 0; a < 7; a++) {
+            for (int b = 0; b < a; b++) {
+                w.cutMesh(a, b, true);
+            }
+        }
+        w.run(40_000);
+        assertThat(w.term()).isEqualTo(before);
+        assertThat(w.workers.values()).isNotEmpty().allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
+        assertThat(w.broken).isEmpty();
+    }
+
     /** The old owner may have answered a silent worker until its seat ended, so the worker's lease counts from there. */
     @Test
     void aSilentWorkersLeaseIsNotCountedBeforeTheDeadOwnersSeatHasEnded() {
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -189,6 +189,11 @@
         return jobs.get(id).cancelledAt >= 0;
     }
 
+    /** The last term given to an owner of workers. */
+    String term() {
+        return store.dump().lines().filter(l -> l.startsWith("b/live/term")).findFirst().orElseThrow();
+    }
+
     void run(long ms) {
         long end = now + ms;
         while (!queue.isEmpty() && queue.peek().at <= end) {
