--- a/src/main/java/birchusher/model/Catalog.java
+++ b/src/main/java/birchusher/model/Catalog.java
@@ -21,6 +21,11 @@
             return false;
         }
 
+        /** The part of a machine that one task takes, by what it takes most of. */
+        public double share(JobSpec j) {
+            return Math.max(j.cpus() / cpus, gpus > 0 ? j.gpus() / gpus : 0);
+        }
+
         public boolean fits(JobSpec j) {
             return j.cpus() <= cpus + EPS && j.gpus() <= gpus + EPS && j.mem() <= mem + EPS;
         }
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -94,7 +94,7 @@
     private long plannedAt = -1_000_000;
     private long nextForget;
     private long nextId = 1;
-    private Planner.Plan last = new Planner.Plan(List.of(), List.of(), Set.of(), 0, 0);
+    private Planner.Plan last = new Planner.Plan(List.of(), List.of(), Set.of(), 0, 0, List.of());
 
     public Driver(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Yard yard,
             Planner planner, Counters counters, Tuning t, Mesh mesh) {
@@ -116,6 +116,14 @@
         planner.zoneOfShard(seats::zoneOf);
     }
 
+    /** What the last plan made of the waiting tasks: room now, room soon, none; contested of the second. */
+    public String line() {
+        long now = last.choices().stream().filter(c -> c.slot().real).count();
+        return "room_now=" + now + " room_soon=" + (last.choices().size() - now) + " no_room="
+                + last.unplaced().stream().mapToInt(Planner.Unplaced::tasks).sum() + " contested="
+                + last.choices().stream().filter(c -> c.slot().contested()).count();
+    }
+
     public Planner.Plan last() {
         return last;
     }
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -15,6 +15,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -34,7 +35,38 @@
     public record Unplaced(Job job, int tasks, boolean guaranteed) { }
 
     /** {@code work} counts the slots looked at, so that planning can be paced by what it costs. */
-    public record Plan(List<Choice> choices, List<Unplaced> unplaced, Set<String> guaranteed, long speedLimited, long work) { }
+    public record Plan(List<Choice> choices, List<Unplaced> unplaced, Set<String> guaranteed, long speedLimited, long work,
+            List<Slot> booting) {
+        /**
+         * What machines should be bought for: tasks without room, and those planned to room that others will have need of,
+         * too, less what the machines that boot already have room for.
+         */
+        public List<Unplaced> wanted() {
+            List<Unplaced> l = new ArrayList<>(unplaced);
+            Map<Job, Integer> contested = new LinkedHashMap<>();
+            Map<Slot, Slot.Mark> taken = new LinkedHashMap<>();
+            for (Choice c : choices) {
+                if (c.slot().contested()) {
+                    Slot coming = null;
+                    for (Slot s : booting) {
+                        if (s.fits(c.job().spec) && s.allows(c.job().spec)) {
+                            coming = s;
+                            break;
+                        }
+                    }
+                    if (coming == null) {
+                        contested.merge(c.job(), 1, Integer::sum);
+                    } else {
+                        taken.putIfAbsent(coming, coming.mark());
+                        coming.take(c.job().spec);
+                    }
+                }
+            }
+            taken.forEach(Slot::reset);
+            contested.forEach((j, n) -> l.add(new Unplaced(j, n, guaranteed.contains(j.spec.id()))));
+            return l;
+        }
+    }
 
     /** What this controller has under way, asked for once per job. */
     public interface Marks {
@@ -263,7 +295,7 @@
                 unplaced.add(new Unplaced(j, missing, r.guaranteed));
             }
         }
-        return new Plan(choices, unplaced, guaranteed, limited, work);
+        return new Plan(choices, unplaced, guaranteed, limited, work, all.stream().filter(Slot::booting).toList());
     }
 
     private long work;
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -17,6 +17,7 @@
     /** In how many ms the room is there; 0: now. */
     final long etaMs;
     final boolean real;
+    private boolean contested;
     double cpus;
     double gpus;
     double mem;
@@ -94,6 +95,24 @@
         return zone;
     }
 
+    /** Whether it stands for a machine that is not up yet: nobody owns it. */
+    boolean booting() {
+        return !real && shard < 0;
+    }
+
+    public long etaMs() {
+        return etaMs;
+    }
+
+    /** Whether as much new work is expected until then as will have room: what is planned here is bought for. */
+    public void contested(boolean yes) {
+        contested = yes;
+    }
+
+    public boolean contested() {
+        return contested;
+    }
+
     boolean has(int image) {
         for (int i : images) {
             if (i == image) {
--- a/src/test/java/birchusher/sim/FakeWorker.java
+++ b/src/test/java/birchusher/sim/FakeWorker.java
@@ -40,6 +40,7 @@
     boolean deleted;
     long hungUntil;
     boolean reporting;
+    private final java.util.Set<String> reaped = new java.util.HashSet<>();
     long nextReport;
 
     FakeWorker(World world, String name, String zone, boolean spot, long upAt) {
@@ -136,6 +137,9 @@
             switch ((String) c.get("verb")) {
                 case "start" -> {
                     if (t == null) {
+                        if (reaped.contains(session + ":" + id)) {
+                            world.broken.add("started again after its reap: " + id + " on " + name);
+                        }
                         t = new Task(key, attempt, now + 1_000 + world.random.nextInt(2_000));
                         for (Task other : tasks.values()) {
                             if (other.key.equals(key) && !other.exited()) {
@@ -155,6 +159,7 @@
                 default -> {
                     if (t != null && t.exited()) {
                         tasks.remove(id);
+                        reaped.add(session + ":" + id);
                     }
                 }
             }
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -126,6 +126,20 @@
         assertThat(w.broken).isEmpty();
     }
 
+    /** A start that comes after the reap of its attempt starts it once more: until then the attempt must not be reaped. */
+    @ParameterizedTest
+    @ValueSource(longs = {51, 52, 53})
+    void anAttemptWhoseStartMayStillComeIsNotReaped(long seed) {
+        World w = new World(seed);
+        w.straightMs = 14_000;
+        w.submit("wk-arr", "sweep", 14, "standard", false, false);
+        w.submit("wk-two", "sweep", 14, "standard", false, false);
+        w.run(180_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(w.state("wk-arr")).isEqualTo("done");
+        assertThat(w.state("wk-two")).isEqualTo("done");
+    }
+
     /** The old owner may have answered a silent worker until its seat ended, so the worker's lease counts from there. */
     @Test
     void aSilentWorkersLeaseIsNotCountedBeforeTheDeadOwnersSeatHasEnded() {
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -64,6 +64,8 @@
     final boolean[] refused;
     double loss;
     double late;
+    /** For how long commands sent straight to workers are held back; they are executed all the same. */
+    long straightMs;
     long now = 1_000;
     private long seq;
     private long nextExchange = 1;
@@ -305,7 +307,8 @@
             at(now + 2, () -> back.accept(503, Map.of()));
             return;
         }
-        at(now + delay(), () -> serve(c, body, (status, m) -> {
+        long held = c.target() == Effect.Target.WORKER ? straightMs : 0;
+        at(now + delay() + held, () -> serve(c, body, (status, m) -> {
             if (!lost()) {
                 Map<String, Object> copy = plain(m);
                 at(now + 1 + random.nextInt(5), () -> back.accept(status, copy));
