--- a/src/test/java/birchusher/sim/FakeStore.java
+++ b/src/test/java/birchusher/sim/FakeStore.java
@@ -107,9 +107,12 @@
 
     /** Transactions that lack a condition the safety argument rests on; luck with timing must not hide one. */
     final List<String> unsafe = new ArrayList<>();
+    /** Rows in transactions sent, applied or not. */
+    int written;
 
     @SuppressWarnings("unchecked")
     private void audit(Map<String, Object> body) {
+        written += ((List<Object>) body.get("writes")).size();
         java.util.Set<String> on = new java.util.HashSet<>();
         ((List<Object>) body.get("if")).forEach(c -> on.add((String) ((Map<String, Object>) c).get("path")));
         for (Object o : (List<Object>) body.get("writes")) {
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -85,7 +85,7 @@
     @ParameterizedTest
     @ValueSource(longs = {31, 32, 33, 34})
     void noWorkerLosesItsLeaseInAnOutageThatSevenControllersNoticeOneAfterTheOther(long seed) {
-        World w = new World(seed, 7);
+        World w = new World(seed, 7, 10);
         w.submit("wk-arr", "sweep", 8, "standard", false, false);
         w.submit("wk-web", "standing", 2, "production", true, false);
         w.run(60_000 + seed * 37);
@@ -110,7 +110,7 @@
     /** Seen on mahr-galleries-grown: with no mesh each thought itself alone, and shards went round twice a second. */
     @Test
     void aSilentMeshAloneMovesNoShard() {
-        World w = new World(41, 7);
+        World w = new World(41, 7, 10);
         w.submit("wk-arr", "sweep", 8, "standard", false, false);
         w.submit("wk-web", "standing", 2, "production", true, false);
         w.run(60_000);
@@ -140,6 +140,34 @@
         assertThat(w.state("wk-two")).isEqualTo("done");
     }
 
+    /** Growth is counted, not timed: rows written for a task, and slots looked at, whatever the number of machines. */
+    @Test
+    void hundredsOfMachinesAndSevenControllersBreakNoRuleAndWriteLittle() {
+        World w = new World(61, 7, 600);
+        for (int i = 0; i < 12; i++) {
+            w.submit("wk-arr" + i, "sweep", 60, "standard", false, false);
+            w.submit("wk-web" + i, "standing", 4, "production", true, false);
+            w.submit("wk-gang" + i, "gang", 4, "urgent", false, true);
+        }
+        w.run(60_000);
+        w.crash(2, 4_000);
+        w.run(10_000);
+        w.crash(5, 6_000);
+        w.cutMesh(0, 1, true);
+        w.store.outage(true, w.now);
+        w.run(8_000);
+        w.store.outage(false, w.now);
+        w.run(150_000);
+        assertThat(w.broken).isEmpty();
+        for (int i = 0; i < 12; i++) {
+            assertThat(w.state("wk-arr" + i)).isEqualTo("done");
+            assertThat(w.state("wk-gang" + i)).isEqualTo("done");
+            assertThat(w.state("wk-web" + i)).isEqualTo("running");
+        }
+        assertThat(w.starts).isGreaterThanOrEqualTo(12 * 68);
+        assertThat(w.store.written).as("rows written for %d starts", w.starts).isLessThan(w.starts * 5 / 4);
+    }
+
     /** The old owner may have answered a silent worker until its seat ended, so the worker's lease counts from there. */
     @Test
     void aSilentWorkersLeaseIsNotCountedBeforeTheDeadOwnersSeatHasEnded() {
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -25,7 +25,6 @@
     static final long CANCEL_MS = 30_000;
     /** The default of seats.lease-s. */
     private static final long SEAT_MS = 45_000;
-    private static final double TEAM_LIMIT = 10;
     private static final String[] ZONES = {"east", "west"};
 
     private record Timed(long at, long seq, Runnable run) { }
@@ -57,6 +56,7 @@
     private final PriorityQueue<Timed> queue = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
             : Long.compare(a.seq, b.seq));
     private final Node[] nodes;
+    private final int teamLimit;
     private final Map<Long, java.util.function.BiConsumer<Integer, Map<String, Object>>> exchanges = new HashMap<>();
     private final boolean[][] cut;
     private final long[] seatSince;
@@ -73,10 +73,11 @@
     int starts;
 
     World(long seed) {
-        this(seed, 3);
+        this(seed, 3, 10);
     }
 
-    World(long seed, int controllers) {
+    World(long seed, int controllers, int teamLimit) {
+        this.teamLimit = teamLimit;
         random = new Random(seed);
         nodes = new Node[controllers];
         cut = new boolean[controllers][controllers];
@@ -336,7 +337,7 @@
         } else if (path.equals("/rentals")) {
             List<Object> hosts = rentals.computeIfAbsent((String) body.get("ask"), k -> {
                 List<Object> l = new ArrayList<>();
-                for (long n = (Long) body.get("how_many"); n > 0 && workers.size() < 40; n--) {
+                for (long n = (Long) body.get("how_many"); n > 0 && workers.size() < Math.max(40, teamLimit); n--) {
                     String name = String.format("n-%06d", nextMachine++);
                     l.add(name);
                     workers.put(name, new FakeWorker(this, name, (String) body.get("grove"),
@@ -603,7 +604,7 @@
                 }
             }
         }
-        if (use > TEAM_LIMIT) {
+        if (use > teamLimit) {
             broken.add("quota: " + use);
         }
         broken.addAll(store.unsafe);
@@ -624,7 +625,7 @@
         return "{\"member\":\"perch-" + i + "\",\"area\":\"" + ZONES[i % 2] + "\",\"listen\":\"10.0.0." + i
                 + ":2\",\"mesh_addr\":\"10.0.0." + i + ":1\",\"seeds\":[" + peers + "],"
                 + "\"external\":{\"cloud\":\"10.1.0.1:1\",\"state\":\"10.1.0.2:1\"},\"deployment\":{\"zones\":[\"east\",\"west\"],"
-                + "\"teams\":[{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0,\"gpus\":6,\"gpus_max\":" + TEAM_LIMIT + "}],"
+                + "\"teams\":[{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0,\"gpus\":6,\"gpus_max\":" + teamLimit + "}],"
                 + "\"workers\":{\"report_s\":3,\"lease_s\":" + LEASE_MS / 1000.0 + ",\"gang_wait_s\":20,\"gang_peer_s\":4,\"cancel_s\":"
                 + CANCEL_MS / 1000.0 + "},\"state\":{\"rps\":200,\"write_rps\":60,\"value_kb\":8,\"txn_ops\":12},"
                 + "\"cloud\":{\"rps\":5,\"list_lag_s\":5},\"resources\":{\"cores\":1,\"ram_mb\":200,\"max_connections\":500}}}";
