Work that keeps being 'soon placed' is bought for, instead of counting arrivals

Now a job that has waited for as long as 'soon' means and is still planned to freeing room is bought for.

--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -415,7 +415,7 @@
             }
         });
         int opened = 0;
-        for (Planner.Unplaced u : plan.wanted()) {
+        for (Planner.Unplaced u : plan.wanted(fx.wall())) {
             JobSpec s = u.job().spec;
             int jobZone = -1;
             for (int n = 0; n < Math.min(u.tasks(), 400); n++) {
--- a/src/main/java/birchusher/model/Catalog.java
+++ b/src/main/java/birchusher/model/Catalog.java
@@ -21,9 +21,9 @@
             return false;
         }
 
-        /** The part of a machine that one task takes, by what it takes most of. */
-        public double share(JobSpec j) {
-            return Math.max(j.cpus() / cpus, gpus > 0 ? j.gpus() / gpus : 0);
+        /** Room that frees within this time is not worth a new machine. */
+        public double soonMs() {
+            return bootS * 700;
         }
 
         public boolean fits(JobSpec j) {
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -116,12 +116,12 @@
         planner.zoneOfShard(seats::zoneOf);
     }
 
-    /** What the last plan made of the waiting tasks: room now, room soon, none; contested of the second. */
+    /** What the last plan made of the waiting tasks: room now, room soon, none; overdue of the second. */
     public String line() {
         long now = last.choices().stream().filter(c -> c.slot().real).count();
         return "room_now=" + now + " room_soon=" + (last.choices().size() - now) + " no_room="
-                + last.unplaced().stream().mapToInt(Planner.Unplaced::tasks).sum() + " contested="
-                + last.choices().stream().filter(c -> c.slot().contested()).count();
+                + last.unplaced().stream().mapToInt(Planner.Unplaced::tasks).sum() + " overdue="
+                + last.choices().stream().filter(c -> c.overdue(fx.wall())).count();
     }
 
     public Planner.Plan last() {
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -29,7 +29,12 @@
  */
 public final class Planner {
     /** A task and where it goes. */
-    public record Choice(Job job, int task, Slot slot, double delayMs) { }
+    public record Choice(Job job, int task, Slot slot, double delayMs) {
+        /** "Soon" again, though the job has waited for as long as that already: others came for the room that freed. */
+        boolean overdue(long wall) {
+            return !slot.real && !slot.booting() && wall - job.acceptedAt > slot.type.soonMs();
+        }
+    }
 
     /** Tasks of a job that found no room, not even soon. */
     public record Unplaced(Job job, int tasks, boolean guaranteed) { }
@@ -38,15 +43,16 @@
     public record Plan(List<Choice> choices, List<Unplaced> unplaced, Set<String> guaranteed, long speedLimited, long work,
             List<Slot> booting) {
         /**
-         * What machines should be bought for: tasks without room, and those planned to room that others will have need of,
-         * too, less what the machines that boot already have room for.
+         * What machines should be bought for: tasks without room, and those that keep being planned to room that frees soon,
+         * less what the machines that boot already have room for. Without the second, hundreds of tasks once waited for
+         * minutes, always "soon" placed, as new work came for all the room that freed.
          */
-        public List<Unplaced> wanted() {
+        public List<Unplaced> wanted(long wall) {
             List<Unplaced> l = new ArrayList<>(unplaced);
-            Map<Job, Integer> contested = new LinkedHashMap<>();
+            Map<Job, Integer> overdue = new LinkedHashMap<>();
             Map<Slot, Slot.Mark> taken = new LinkedHashMap<>();
             for (Choice c : choices) {
-                if (c.slot().contested()) {
+                if (c.overdue(wall)) {
                     Slot coming = null;
                     for (Slot s : booting) {
                         if (s.fits(c.job().spec) && s.allows(c.job().spec)) {
@@ -55,7 +61,7 @@
                         }
                     }
                     if (coming == null) {
-                        contested.merge(c.job(), 1, Integer::sum);
+                        overdue.merge(c.job(), 1, Integer::sum);
                     } else {
                         taken.putIfAbsent(coming, coming.mark());
                         coming.take(c.job().spec);
@@ -63,7 +69,7 @@
                 }
             }
             taken.forEach(Slot::reset);
-            contested.forEach((j, n) -> l.add(new Unplaced(j, n, guaranteed.contains(j.spec.id()))));
+            overdue.forEach((j, n) -> l.add(new Unplaced(j, n, guaranteed.contains(j.spec.id()))));
             return l;
         }
     }
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -17,7 +17,6 @@
     /** In how many ms the room is there; 0: now. */
     final long etaMs;
     final boolean real;
-    private boolean contested;
     double cpus;
     double gpus;
     double mem;
@@ -100,19 +99,6 @@
         return !real && shard < 0;
     }
 
-    public long etaMs() {
-        return etaMs;
-    }
-
-    /** Whether as much new work is expected until then as will have room: what is planned here is bought for. */
-    public void contested(boolean yes) {
-        contested = yes;
-    }
-
-    public boolean contested() {
-        return contested;
-    }
-
     boolean has(int image) {
         for (int i : images) {
             if (i == image) {
--- a/src/main/java/birchusher/server/Core.java
+++ b/src/main/java/birchusher/server/Core.java
@@ -12,7 +12,6 @@
 import birchusher.mesh.PeerCodec;
 import birchusher.mesh.PeerRecord;
 import birchusher.model.Catalog;
-import birchusher.placement.Demand;
 import birchusher.placement.Driver;
 import birchusher.placement.Planner;
 import birchusher.placement.Slot;
@@ -21,7 +20,6 @@
 import birchusher.settings.Tuning;
 import birchusher.store.Chunk;
 import birchusher.store.Claim;
-import birchusher.store.Job;
 import birchusher.store.StoreLink;
 import birchusher.store.View;
 import birchusher.wire.JobCodec;
@@ -60,8 +58,6 @@
     private final Buyer buyer;
     private final Counters counters = new Counters();
     private final PictureBook book;
-    private final Demand demand = new Demand();
-    private long countedAge;
     private long nextHeartbeat;
     private long nextPictures;
     private long nextLine;
@@ -276,12 +272,9 @@
         }
     }
 
-    /** Room that will be there before a machine bought now could be up. The latest of it is contested by work to come. */
+    /** Room that will be there before a machine bought now could be up. */
     private List<Slot> coming() {
         List<Slot> l = buyer.coming(book.pictures());
-        List<Slot> freeing = new ArrayList<>();
-        double freed = 0;
-        double horizon = 0;
         long now = fx.now();
         for (Picture p : book.pictures().values()) {
             Catalog.Type t = catalog.type(p.type());
@@ -292,47 +285,21 @@
             double gpus = 0;
             double mem = 0;
             long eta = 0;
-            double soon = t.bootS() * 700;
-            horizon = Math.max(horizon, soon);
             for (Claim c : view.claims(p.machine()).values()) {
                 long end = driver.expectedEnd(c);
-                if (end == Long.MAX_VALUE || end > now + soon) {
+                if (end == Long.MAX_VALUE || end > now + t.soonMs()) {
                     continue;
                 }
                 eta = Math.max(eta, Math.max(1_000, end - now));
                 cpus += c.job().spec.cpus();
                 gpus += c.job().spec.gpus();
                 mem += c.job().spec.mem();
-                freed += t.share(c.job().spec);
             }
             if (eta > 0) {
-                freeing.add(new Slot(p.machine(), t, p.zone(), p.spot(), p.session(), p.shard(), p.speed(), p.fetching(),
+                l.add(new Slot(p.machine(), t, p.zone(), p.spot(), p.session(), p.shard(), p.speed(), p.fetching(),
                         p.images(), eta, false, cpus, gpus, mem));
             }
         }
-        double left = freed <= 0 ? 0 : 1 - expected(horizon, now) / freed;
-        for (Slot s : freeing) {
-            s.contested(s.etaMs() > left * horizon);
-        }
-        l.addAll(freeing);
         return l;
     }
-
-    /** Machines' worth of work to be expected within so many ms. */
-    private double expected(double ms, long now) {
-        long newest = countedAge;
-        for (Job j : view.jobs()) {
-            if (j.age > countedAge && !j.spec.service()) {
-                for (Catalog.Type t : catalog.types()) {
-                    if (j.spec.allows(t.index())) {
-                        demand.arrived(j.spec.tasks() * t.share(j.spec), fx.wall() - j.acceptedAt, now);
-                        break;
-                    }
-                }
-            }
-            newest = Math.max(newest, j.age);
-        }
-        countedAge = newest;
-        return demand.within(ms, now);
-    }
 }
