--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -519,7 +519,8 @@
                 continue;
             }
             boolean idle = p.idleSince() >= 0 && now - p.idleSince() > linger(p) && view.claims(p.machine()).isEmpty();
-            boolean silent = silent(p);
+            // Cut off ourselves, we would delete machines that are well: others hear them.
+            boolean silent = store.healthy() && silent(p);
             if (silent) {
                 LOG.info("machine {} silent for {} ms, deleted to free its tasks", p.machine(), p.silentMs());
                 delete(p.machine());
--- a/src/main/java/birchusher/mesh/PeerCodec.java
+++ b/src/main/java/birchusher/mesh/PeerCodec.java
@@ -49,6 +49,7 @@
                 out.writeLong(h.incarnation());
                 out.writeBoolean(h.storeOk());
                 list(out, h.terms(), DataOutputStream::writeLong);
+                list(out, h.owned(), DataOutputStream::writeLong);
                 list(out, h.machines(), PeerCodec::machine);
                 list(out, h.left(), DataOutputStream::writeUTF);
                 list(out, h.gone(), DataOutputStream::writeUTF);
@@ -107,7 +108,7 @@
             String member = in.readUTF();
             PeerRecord r = switch (in.readByte()) {
                 case 1 -> new Heartbeat(in.readLong(), in.readBoolean(), list(in, d -> d.readLong()),
-                        list(in, PeerCodec::machine), list(in, d -> d.readUTF()), list(in, d -> d.readUTF()));
+                        list(in, d -> d.readLong()), list(in, PeerCodec::machine), list(in, d -> d.readUTF()), list(in, d -> d.readUTF()));
                 case 2 -> new Offer(in.readLong(), in.readBoolean(), list(in, PeerCodec::item));
                 case 3 -> new Verdict(in.readLong(), list(in, d -> d.readUTF()),
                         list(in, d -> d.readLong()));
--- a/src/main/java/birchusher/mesh/PeerRecord.java
+++ b/src/main/java/birchusher/mesh/PeerRecord.java
@@ -22,11 +22,12 @@
     }
 
     /**
-     * {@code terms}: per shard the highest term that the sender has seen, 0 where it owns the shard itself. {@code machines}:
+     * {@code terms}: per shard the highest term that the sender has seen, 0 where it owns the shard itself. {@code owned}: per
+     * shard the term it owns it by, else 0. {@code machines}:
      * those with news. {@code left}: those that it speaks of no more. {@code gone}: deletions confirmed lately.
      */
-    record Heartbeat(long incarnation, boolean storeOk, List<Long> terms, List<Machine> machines, List<String> left,
-            List<String> gone) implements PeerRecord { }
+    record Heartbeat(long incarnation, boolean storeOk, List<Long> terms, List<Long> owned, List<Machine> machines,
+            List<String> left, List<String> gone) implements PeerRecord { }
 
     record Item(String job, int task, String machine, long session) { }
 
--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -26,6 +26,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Seats.class);
 
     private static final long GIVE_MS = 1_000;
+    /** What it may take until workers that we don't answer any more are somebody else's, and a task is stopped there. */
+    private static final long HAND_ON_MS = 7_000;
     /** While we miss a controller in the mesh, a beat in our seat's row shows the others that we live. */
     private static final long BEAT_MS = 2_500;
     private static final long BEAT_SEEN_MS = 6_500;
@@ -66,6 +68,9 @@
     private long nextBeat;
     private boolean beating;
     private final long[][] seenTerm;
+    /** Per shard the highest term that another controller has told to own it by: higher than ours, we are replaced. */
+    private final long[] heardTerm;
+    private final long blindMs;
     private boolean taking;
     public long takeovers;
 
@@ -103,6 +108,8 @@
         java.util.Arrays.fill(beatVersion, -1);
         java.util.Arrays.fill(beatAt, Long.MIN_VALUE / 2);
         seenTerm = new long[members.size()][n];
+        heardTerm = new long[n];
+        blindMs = Math.max(10_000, Math.round((s.cancelS() - 1.25 * s.reportS()) * 1000) - HAND_ON_MS);
         incarnation = fx.wall();
     }
 
@@ -150,13 +157,36 @@
         return members.get(i).member();
     }
 
-    /** Whether our seat certainly still stands in the state service, by our own clock. */
+    /** Whether our seat certainly still stands in the state service, by our own clock, and we may act on what we know. */
     public boolean holding() {
-        return seated && fx.now() < goodUntil;
+        return seated && fx.now() < goodUntil && (fx.now() - store.answeredAt() < blindMs || nobodyIsServed());
+    }
+
+    /**
+     * An outage of everybody's: then nothing can have changed behind our back. Who is merely cut off by itself does not hear of
+     * cancellations, and must leave its workers to others before those cancellations' time is over.
+     */
+    private boolean nobodyIsServed() {
+        for (int i = 1; i < members.size(); i++) {
+            if (!live(i) || storeOk[i]) {
+                return false;
+            }
+        }
+        return true;
     }
 
     public boolean owns(int shard) {
-        return holding() && !giving[shard] && named(shard, settings.member(), incarnation);
+        return holding() && !giving[shard] && named(shard, settings.member(), incarnation)
+                && heardTerm[shard] <= term(shard);
+    }
+
+    /** Per shard the term under which we own it, 0 where we don't. */
+    public List<Long> termsOwned() {
+        List<Long> l = new ArrayList<>();
+        for (int s = 0; s < giving.length; s++) {
+            l.add(mine(s) ? term(s) : 0);
+        }
+        return l;
     }
 
     /** Whether the row names this incarnation of ours, even while we may not act on it. */
@@ -302,7 +332,7 @@
      * A heartbeat. The terms it has seen also settle who may still answer workers: a member that knows of our term does
      * not answer under an older one any more. True if it was not heard of before, or not in this life.
      */
-    public boolean heard(int i, boolean itsStoreOk, long itsIncarnation, List<Long> terms) {
+    public boolean heard(int i, boolean itsStoreOk, long itsIncarnation, List<Long> terms, List<Long> owned) {
         boolean news = !live(i) || seenIncarnation[i] != itsIncarnation;
         seenIncarnation[i] = itsIncarnation;
         if (terms.size() == giving.length) {
@@ -310,6 +340,9 @@
                 seenTerm[i][s] = terms.get(s);
             }
         }
+        for (int s = 0; s < Math.min(owned.size(), heardTerm.length); s++) {
+            heardTerm[s] = Math.max(heardTerm[s], owned.get(s));
+        }
         if (!live(i)) {
             aliveSince[i] = fx.now();
             LOG.info("{} is heard of", memberName(i));
--- a/src/main/java/birchusher/server/Core.java
+++ b/src/main/java/birchusher/server/Core.java
@@ -228,8 +228,8 @@
 
     private void heartbeat() {
         List<PeerRecord.Machine> news = book.news(yard.pictures());
-        PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(seats.incarnation(), store.healthy(), seats.termsSeen(), news,
-                book.left(), buyer.recentlyGone());
+        PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(seats.incarnation(), store.healthy(), seats.termsSeen(),
+                seats.termsOwned(), news, book.left(), buyer.recentlyGone());
         byte[] record = PeerCodec.encode(settings.member(), h);
         for (int i = 1; i < seats.memberCount(); i++) {
             fx.send(i, record);
@@ -238,7 +238,7 @@
 
     private void heard(int from, PeerRecord r) {
         if (r instanceof PeerRecord.Heartbeat h) {
-            if (seats.heard(from, h.storeOk(), h.incarnation(), h.terms())) {
+            if (seats.heard(from, h.storeOk(), h.incarnation(), h.terms(), h.owned())) {
                 book.tellEverything();
             }
             book.heard(from, h);
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -96,6 +96,11 @@
         return loaded && (failingSince < 0 || fx.now() - failingSince < 1_500);
     }
 
+    /** When the state service last answered us; what others have changed since may be unknown here. */
+    public long answeredAt() {
+        return lastOk;
+    }
+
     public boolean offer(Change c) {
         if (queue.size() >= MAX_WAITING) {
             return false;
--- a/src/test/java/birchusher/PeerCodecTest.java
+++ b/src/test/java/birchusher/PeerCodecTest.java
@@ -13,7 +13,7 @@
 
 class PeerCodecTest {
     private static final List<PeerRecord> ALL = List.of(
-            new PeerRecord.Heartbeat(7, true, List.of(1L, 0L), List.of(new PeerRecord.Machine("n-1", "g8", "a", true, 3, 1,
+            new PeerRecord.Heartbeat(7, true, List.of(1L, 0L), List.of(0L, 4L), List.of(new PeerRecord.Machine("n-1", "g8", "a", true, 3, 1,
                     PeerRecord.Machine.USABLE, 10, 20, 0.9, 1, 2, 3, List.of("i"), List.of(500), List.of("j", "k"),
                     List.of("wk-7/3"))),
                     List.of("n-3"), List.of("n-2")),
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -107,6 +107,22 @@
         assertThat(w.state("wk-web")).isEqualTo("running");
     }
 
+    /** Seen in a hunt: it went on answering its workers until its seat ended, and did not hear of a cancellation. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void aControllerThatSeesOnlyItsWorkersLeavesThemInTimeForCancellations(int blind) {
+        World w = world(70 + blind);
+        w.run(40_000);
+        w.refused[blind] = true;
+        w.cutMesh(blind, (blind + 1) % 3, true);
+        w.cutMesh(blind, (blind + 2) % 3, true);
+        w.run(2_000);
+        w.cancel("wk-web");
+        w.run(60_000);
+        assertThat(w.cancelled("wk-web")).isTrue();
+        assertThat(w.broken).isEmpty();
+    }
+
     /** Seen on mahr-galleries-grown: with no mesh each thought itself alone, and shards went round twice a second. */
     @Test
     void aSilentMeshAloneMovesNoShard() {
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -60,7 +60,7 @@
     private final Map<Long, java.util.function.BiConsumer<Integer, Map<String, Object>>> exchanges = new HashMap<>();
     private final boolean[][] cut;
     private final long[] seatSince;
-    /** Controllers that the state service alone refuses; their open watches are answered still. */
+    /** Controllers that the state service alone refuses; their open watches are not answered either. */
     final boolean[] refused;
     double loss;
     double late;
@@ -310,7 +310,7 @@
         }
         long held = c.target() == Effect.Target.WORKER ? straightMs : 0;
         at(now + delay() + held, () -> serve(c, body, (status, m) -> {
-            if (!lost()) {
+            if (!lost() && !(refused[i] && store)) {
                 Map<String, Object> copy = plain(m);
                 at(now + 1 + random.nextInt(5), () -> back.accept(status, copy));
             }
