--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -26,8 +26,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Seats.class);
 
     private static final long GIVE_MS = 1_000;
-    /** What it may take until workers that we don't answer any more are somebody else's, and a task is stopped there. */
-    private static final long HAND_ON_MS = 7_000;
+    /** On top of the workers' lease, for a report under way and for a view that lags. */
+    private static final long BLIND_MARGIN_MS = 2_500;
     /** While we miss a controller in the mesh, a beat in our seat's row shows the others that we live. */
     private static final long BEAT_MS = 2_500;
     private static final long BEAT_SEEN_MS = 6_500;
@@ -109,7 +109,7 @@
         java.util.Arrays.fill(beatAt, Long.MIN_VALUE / 2);
         seenTerm = new long[members.size()][n];
         heardTerm = new long[n];
-        blindMs = Math.max(10_000, Math.round((s.cancelS() - 1.25 * s.reportS()) * 1000) - HAND_ON_MS);
+        blindMs = Math.max(5_000, Math.round((s.cancelS() - s.leaseS()) * 1000 * (1 - 2 * Settings.DRIFT)) - BLIND_MARGIN_MS);
         incarnation = fx.wall();
     }
 
@@ -163,8 +163,8 @@
     }
 
     /**
-     * An outage of everybody's: then nothing can have changed behind our back. Who is merely cut off by itself does not hear of
-     * cancellations, and must leave its workers to others before those cancellations' time is over.
+     * An outage of everybody's: then nothing can have changed behind our back. Who is cut off by itself, or with its zone, does
+     * not hear of cancellations. Its workers may reach nobody else, so their leases must be over before a cancellation's time is.
      */
     private boolean nobodyIsServed() {
         for (int i = 1; i < members.size(); i++) {
