--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -123,6 +123,20 @@
         assertThat(w.broken).isEmpty();
     }
 
+    /** Seen on teintes-laurier-grown: with its zone cut off, the workers had nobody else, and their leases ended too late. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void inAZoneThatIsCutOffTheWorkersLeasesAreOverInTimeForCancellations(int island) {
+        World w = world(80 + island);
+        w.run(40_000);
+        w.maroon(island);
+        w.run(1_000);
+        w.cancel("wk-web");
+        w.run(60_000);
+        assertThat(w.cancelled("wk-web")).isTrue();
+        assertThat(w.broken).isEmpty();
+    }
+
     /** Seen on mahr-galleries-grown: with no mesh each thought itself alone, and shards went round twice a second. */
     @Test
     void aSilentMeshAloneMovesNoShard() {
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -60,6 +60,9 @@
     private final Map<Long, java.util.function.BiConsumer<Integer, Map<String, Object>>> exchanges = new HashMap<>();
     private final boolean[][] cut;
     private final long[] seatSince;
+    /** A controller and the workers that report to it, cut off from everybody else; -1: none. */
+    private int island = -1;
+    private final java.util.Set<String> marooned = new java.util.HashSet<>();
     /** Controllers that the state service alone refuses; their open watches are not answered either. */
     final boolean[] refused;
     double loss;
@@ -104,6 +107,18 @@
         });
     }
 
+    /** Cuts a controller off, together with the workers that report to it now. */
+    void maroon(int node) {
+        island = node;
+        refused[node] = true;
+        workers.values().stream().filter(m -> m.node == node).forEach(m -> marooned.add(m.name));
+        for (int i = 0; i < nodes.length; i++) {
+            if (i != node) {
+                cutMesh(node, i, true);
+            }
+        }
+    }
+
     void cutMesh(int a, int b, boolean on) {
         cut[a][b] = on;
         cut[b][a] = on;
@@ -303,6 +318,9 @@
         if (lost()) {
             return;
         }
+        if (c.target() == Effect.Target.WORKER && i != island && marooned.contains(c.address().split(":")[0])) {
+            return;
+        }
         boolean store = c.target() == Effect.Target.STORE || c.target() == Effect.Target.WATCH;
         if (refused[i] && store) {
             at(now + 2, () -> back.accept(503, Map.of()));
@@ -427,7 +445,7 @@
             }
         };
         at(now + 4_000, () -> back.accept(0, Map.of()));
-        if (!lost()) {
+        if (!lost() && (to == island || !marooned.contains(w.name))) {
             at(now + delay(), () -> ask(to, "POST", "/hello", report, (s, m) -> {
                 answeredAt[0] = now;
                 if (!lost()) {
