--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -49,10 +49,7 @@
         World w = world(2);
         w.run(40_000);
         w.workers.values().forEach(m -> m.hungUntil = w.now + 6_000);
-        w.cancel("wk-web");
-        w.run(60_000);
-        assertThat(w.cancelled("wk-web")).isTrue();
-        assertThat(w.broken).isEmpty();
+        cancelsInTime(w);
     }
 
     @Test
@@ -117,10 +114,7 @@
         w.cutMesh(blind, (blind + 1) % 3, true);
         w.cutMesh(blind, (blind + 2) % 3, true);
         w.run(2_000);
-        w.cancel("wk-web");
-        w.run(60_000);
-        assertThat(w.cancelled("wk-web")).isTrue();
-        assertThat(w.broken).isEmpty();
+        cancelsInTime(w);
     }
 
     /** Seen on teintes-laurier-grown: with its zone cut off, the workers had nobody else, and their leases ended too late. */
@@ -131,6 +125,10 @@
         w.run(40_000);
         w.maroon(island);
         w.run(1_000);
+        cancelsInTime(w);
+    }
+
+    private static void cancelsInTime(World w) {
         w.cancel("wk-web");
         w.run(60_000);
         assertThat(w.cancelled("wk-web")).isTrue();
