A request with two lengths gets 400 at once, and refusals reach senders of large bodies

Need: a request with Transfer-Encoding and Content-Length was read as chunks and, with a body of the stated length, got no answer until it timed out. Signs in lengths and a second 'chunked' were taken as well (RFC 9112, 6.3 and 7.1). A socket closed with unread bytes is reset, which takes a refusal along that its sender has not read. Change: 400 and close for all of these; after a refusal our side closes and drains for up to two seconds.

--- a/src/main/java/birchusher/http/HttpParser.java
+++ b/src/main/java/birchusher/http/HttpParser.java
@@ -120,6 +120,12 @@
                     header(l);
                     return null;
                 }
+                // Two lengths: whoever stands before us may have gone by the other one (RFC 9112, 6.3), so that what one
+                // takes for a body is the next request to the other. It must not be waited for either: a body of the
+                // stated length, read as chunks, was never complete, and its sender got no answer.
+                if (request && chunked && length >= 0) {
+                    throw new Malformed(400, "both transfer-encoding and content-length");
+                }
                 if (chunked) {
                     state = State.CHUNK_SIZE;
                     return null;
@@ -134,12 +140,16 @@
             }
             case CHUNK_SIZE -> {
                 int semi = l.indexOf(';');
+                String size = (semi < 0 ? l : l.substring(0, semi)).trim();
+                if (size.startsWith("+") || size.startsWith("-")) {
+                    throw new Malformed(400, "bad chunk size");
+                }
                 try {
-                    length = Long.parseLong((semi < 0 ? l : l.substring(0, semi)).trim(), 16);
+                    length = Long.parseLong(size, 16);
                 } catch (NumberFormatException e) {
                     throw new Malformed(400, "bad chunk size");
                 }
-                if (length < 0 || body.size() + length > maxBody) {
+                if (length > maxBody - body.size()) {
                     throw new Malformed(413, "body too large");
                 }
                 state = length == 0 ? State.TRAILERS : State.CHUNK;
@@ -202,7 +212,7 @@
             } catch (NumberFormatException e) {
                 throw new Malformed(400, "bad content-length");
             }
-            if (n < 0 || length >= 0 && length != n) {
+            if (n < 0 || value.charAt(0) == '+' || length >= 0 && length != n) {
                 throw new Malformed(400, "bad content-length");
             }
             if (n > maxBody) {
@@ -210,7 +220,7 @@
             }
             length = n;
         } else if (name.equalsIgnoreCase("transfer-encoding")) {
-            if (!value.equalsIgnoreCase("chunked")) {
+            if (chunked || !value.equalsIgnoreCase("chunked")) {
                 throw new Malformed(400, "unknown transfer-encoding");
             }
             chunked = true;
--- a/src/main/java/birchusher/server/HttpServer.java
+++ b/src/main/java/birchusher/server/HttpServer.java
@@ -26,6 +26,7 @@
     private static final int MAX_BODY = 64 * 1024;
     private static final long IDLE_MS = 60_000;
     private static final long SLOW_MS = 10_000;
+    private static final long DRAIN_MS = 2_000;
 
     private final Loop loop;
     private final AsynchronousChannelGroup group;
@@ -82,7 +83,8 @@
         }
         nextSweep = now + 1_000;
         for (Connection c : Set.copyOf(connections)) {
-            if (c.exchange == 0 && now - c.activeAt > (c.parser.within() ? SLOW_MS : IDLE_MS)
+            if (c.draining && now - c.activeAt > DRAIN_MS
+                    || c.exchange == 0 && now - c.activeAt > (c.parser.within() ? SLOW_MS : IDLE_MS)
                     || now - c.activeAt > IDLE_MS * 2) {
                 c.close();
             }
@@ -95,6 +97,7 @@
         private final ByteBuffer in = ByteBuffer.allocate(4 * 1024);
         private long exchange;
         private boolean closeAfter;
+        private boolean draining;
         private long activeAt = Loop.now();
 
         Connection(AsynchronousSocketChannel channel) {
@@ -127,6 +130,10 @@
                 close();
                 return;
             }
+            if (draining) {
+                read();
+                return;
+            }
             if (!parser.within()) {
                 activeAt = Loop.now();
             }
@@ -147,6 +154,8 @@
                 exchanges.put(exchange, this);
                 loop.request(exchange, m.first(), m.second(), m.body());
             } catch (HttpParser.Malformed e) {
+                draining = true;
+                activeAt = Loop.now();
                 respond(e.status, new byte[] {(byte) 0x80}, 0, true);
             }
         }
@@ -165,7 +174,9 @@
                         channel.write(out, null, this);
                     } else {
                         loop.post(() -> {
-                            if (last) {
+                            if (draining) {
+                                drain();
+                            } else if (last) {
                                 close();
                             } else if (in.hasRemaining()) {
                                 parse();
@@ -183,6 +194,19 @@
             });
         }
 
+        /**
+         * Closes our side and throws away what still comes, for a while. A socket closed with unread bytes is reset, and
+         * a reset takes the answer along that the sender of a refused body has not read yet.
+         */
+        private void drain() {
+            try {
+                channel.shutdownOutput();
+                read();
+            } catch (IOException e) {
+                close();
+            }
+        }
+
         void close() {
             if (connections.remove(this)) {
                 exchanges.remove(exchange);
--- a/src/test/java/birchusher/HttpParserTest.java
+++ b/src/test/java/birchusher/HttpParserTest.java
@@ -45,7 +45,11 @@
         "GET / HTTP/1.1\r\n: v\r\n\r\n", "GET / HTTP/1.1\r\nA\r\n\r\n", "GET / HTTP/1.1\r\n folded: v\r\n\r\n",
         "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\n",
         "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
-        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n"})
+        "POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n+1\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"})
     void whatIsMalformedIsA400(String s) {
         assertThatThrownBy(() -> new HttpParser(true, 100).feed(bytes(s))).isInstanceOfSatisfying(Malformed.class,
                 e -> assertThat(e.status).isEqualTo(400));
--- a/src/test/java/birchusher/LoopbackTest.java
+++ b/src/test/java/birchusher/LoopbackTest.java
@@ -75,6 +75,9 @@
         assertThat(ask("nonsense\r\n\r\n")).contains("400");
         assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n")).contains("413");
         assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 1\r\n\r\nx")).contains("400");
+        assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"))
+                .contains("400");
+        assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + "x".repeat(70_000))).contains("413");
         assertThat(ask("GET /nowhere HTTP/1.1\r\n\r\n")).contains("404");
         assertThat(ask("DELETE /v2/runs HTTP/1.1\r\n\r\n")).contains("405");
         assertThat(ask("GET /v2/runs/wk-1 HTTP/1.1\r\n\r\n")).contains("503");
