--- /dev/null
+++ b/src/main/java/birchusher/wal/Disk.java
@@ -0,0 +1,53 @@
+package birchusher.wal;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.util.List;
+
+/**
+ * All that a log asks of its one directory; tests replace it to fail or cut each call.
+ *
+ * <p>What is promised: bytes written last once {@link Out#sync} has returned; names made, renamed or deleted last once
+ * {@link #syncNames} has returned. Anything else may be lost by a power cut in any order and any part, each write
+ * on its own. A call that throws may have been done in whole, in part or not at all.
+ */
+public interface Disk extends Closeable {
+    /** One file being written at its end. */
+    interface Out extends Closeable {
+        /** Writes all remaining bytes at the end. */
+        void write(ByteBuffer bytes) throws IOException;
+
+        void sync() throws IOException;
+
+        /** Drops all bytes from {@code length} on. */
+        void cut(long length) throws IOException;
+
+        long length();
+    }
+
+    /** The names of all files, in no order. */
+    List<String> names() throws IOException;
+
+    long size(String name) throws IOException;
+
+    InputStream read(String name) throws IOException;
+
+    /** A new empty file; one of that name is emptied. */
+    Out create(String name) throws IOException;
+
+    /** Goes on with a file that exists. */
+    Out append(String name) throws IOException;
+
+    /** Replaces {@code to} at one stroke. */
+    void rename(String from, String to) throws IOException;
+
+    /** No failure if there is no such file. */
+    void delete(String name) throws IOException;
+
+    void syncNames() throws IOException;
+
+    /** Bytes that can still be written, as far as it is known. */
+    long room() throws IOException;
+}
