--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -213,13 +213,13 @@
         if (claiming || !seats.holding() || !store.healthy() || fx.now() - lostAt < 20_000) {
             return;
         }
-        if (row != null) {
-            int holder = seats.index(String.valueOf(row.get("m")));
-            if (holder > 0 && seats.seen(holder)) {
-                return;
-            }
+        int holder = row == null ? -1 : seats.index(String.valueOf(row.get("m")));
+        if (holder > 0 && seats.seen(holder)) {
+            return;
         }
-        for (int i = 1; i < seats.memberCount(); i++) {
+        // An earlier life of ours held it: the others hear us and wait for us, so we must not wait for any of them. Without this,
+        // after all had crashed together nobody rented or returned a machine any more, unless the lowest name had been the buyer.
+        for (int i = 1; holder != 0 && i < seats.memberCount(); i++) {
             if (seats.live(i) && seats.memberName(i).compareTo(seats.memberName(0)) < 0) {
                 return;
             }
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -65,6 +65,30 @@
         assertThat(w.state("wk-web")).isEqualTo("running");
     }
 
+    /** The member and the life of the buyer, as its row tells. */
+    private static String buyer(World w) {
+        Matcher m = Pattern.compile("b/live/buyer = \\{(.*)}").matcher(w.store.dump());
+        assertThat(m.find()).isTrue();
+        return Pattern.compile("[mi]=[^,]*").matcher(m.group(1)).results().map(r -> r.group()).sorted().toList().toString();
+    }
+
+    /** Seen on both larger fleets: the others waited for the buyer that was back, and it for a member of lower name. */
+    @Test
+    void aBuyerThatComesBackWithAllOthersIsTheBuyerAgain() {
+        World w = world(7);
+        w.run(20_000);
+        w.crash(0, 30_000);
+        w.run(40_000);
+        String second = buyer(w);
+        assertThat(second).contains("m=perch-1");
+        for (int i = 0; i < 3; i++) {
+            w.crash(i, 5_000);
+        }
+        w.run(20_000);
+        assertThat(buyer(w)).isNotEqualTo(second);
+        assertThat(w.broken).isEmpty();
+    }
+
     @Test
     void aStateOutageLongerThanTheSeatsLeasesLosesNoJob() {
         World w = world(4);
