The core moves to its own package, the HTTP edge to where other servers can use it

Need: the daemon's state service, pool and agents need the same sockets as a controller, without a controller. Change: Core in 'controller'; HttpServer, HttpClient, Acceptor and the event loop in 'http', without settings or effects. Behaviour is as before.

--- a/src/main/java/birchusher/server/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -1,4 +1,4 @@
-package birchusher.server;
+package birchusher.controller;
 
 import birchusher.cloud.CloudLink;
 import birchusher.core.Effect;
--- a/src/main/java/birchusher/server/Acceptor.java
+++ b/src/main/java/birchusher/http/Acceptor.java
@@ -1,4 +1,4 @@
-package birchusher.server;
+package birchusher.http;
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousServerSocketChannel;
@@ -9,20 +9,20 @@
 import org.slf4j.LoggerFactory;
 
 /** Takes connections as long as the listener is open, handing each to the loop's thread. */
-final class Acceptor implements CompletionHandler<AsynchronousSocketChannel, Void> {
+public final class Acceptor implements CompletionHandler<AsynchronousSocketChannel, Void> {
     private static final Logger LOG = LoggerFactory.getLogger(Acceptor.class);
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final AsynchronousServerSocketChannel listener;
     private final Consumer<AsynchronousSocketChannel> then;
 
-    Acceptor(Loop loop, AsynchronousServerSocketChannel listener, Consumer<AsynchronousSocketChannel> then) {
+    public Acceptor(EventLoop loop, AsynchronousServerSocketChannel listener, Consumer<AsynchronousSocketChannel> then) {
         this.loop = loop;
         this.listener = listener;
         this.then = then;
     }
 
-    void accept() {
+    public void accept() {
         listener.accept(null, this);
     }
 
@@ -40,7 +40,7 @@
         }
     }
 
-    static void close(AsynchronousSocketChannel channel) {
+    public static void close(AsynchronousSocketChannel channel) {
         try {
             if (channel != null) {
                 channel.close();
--- a/src/main/java/birchusher/server/HttpClient.java
+++ b/src/main/java/birchusher/http/HttpClient.java
@@ -1,14 +1,9 @@
-package birchusher.server;
+package birchusher.http;
 
-import birchusher.core.Effect;
-import birchusher.http.HttpParser;
-import birchusher.http.HttpWriter;
-import birchusher.wire.Pack;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
@@ -22,14 +17,21 @@
 import org.slf4j.LoggerFactory;
 
 /** Calls other parties, keeping connections open. A call that gets no whole answer in time is reported as status 0. */
-final class HttpClient {
+public final class HttpClient {
     private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
     private static final int MAX_BODY = 16 * 1024 * 1024;
     private static final long KEEP_MS = 25_000;
     private static final byte[] NOTHING = new byte[0];
 
-    private final Loop loop;
-    private final AsynchronousChannelGroup group;
+    /** One request and who waits for its answer. */
+    private record Call(String address, String method, String path, byte[] body, int timeoutMs, Reply reply) { }
+
+    /** Takes a whole answer, or status 0 with no body. */
+    public interface Reply {
+        void got(int status, byte[] body);
+    }
+
+    private final EventLoop loop;
     private final Map<String, Deque<Connection>> idle = new HashMap<>();
     private final List<Connection> busy = new ArrayList<>();
     /** Idle connections, longest idle first. */
@@ -37,13 +39,14 @@
     private final int maxOpen;
     private int open;
 
-    HttpClient(Loop loop, AsynchronousChannelGroup group, int maxOpen) {
+    public HttpClient(EventLoop loop, int maxOpen) {
         this.loop = loop;
-        this.group = group;
         this.maxOpen = maxOpen;
     }
 
-    void call(Effect.Call c) {
+    /** @param address host:port; the reply comes on the loop's thread, within the timeout and a tick */
+    public void call(String address, String method, String path, byte[] body, int timeoutMs, Reply reply) {
+        Call c = new Call(address, method, path, body, timeoutMs, reply);
         Deque<Connection> pool = idle.get(c.address());
         Connection conn = pool == null ? null : pool.pollLast();
         if (conn != null) {
@@ -59,7 +62,7 @@
             }
             if (open >= maxOpen) {
                 // Nothing was sent, yet the core can only be told "no answer": it treats that as unclear, which is safe.
-                loop.post(() -> loop.reply(c.id(), 0, NOTHING));
+                loop.post(() -> reply.got(0, NOTHING));
                 return;
             }
             conn = new Connection(c.address());
@@ -68,8 +71,8 @@
         conn.start(c);
     }
 
-    void tick() {
-        long now = Loop.now();
+    public void tick() {
+        long now = EventLoop.now();
         for (Connection c : List.copyOf(busy)) {
             if (now > c.deadline) {
                 c.fail();
@@ -85,7 +88,7 @@
         private final HttpParser parser = new HttpParser(false, MAX_BODY);
         private final ByteBuffer in = ByteBuffer.allocate(8 * 1024);
         private AsynchronousSocketChannel channel;
-        private Effect.Call call;
+        private Call call;
         private long deadline;
         private long idleSince;
         private boolean closed;
@@ -96,16 +99,16 @@
             open++;
         }
 
-        void start(Effect.Call c) {
+        void start(Call c) {
             call = c;
-            deadline = Loop.now() + c.timeoutMs();
+            deadline = EventLoop.now() + c.timeoutMs();
             if (channel != null) {
                 reused = true;
                 send();
                 return;
             }
             try {
-                channel = AsynchronousSocketChannel.open(group);
+                channel = AsynchronousSocketChannel.open(loop.group());
                 channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 int colon = address.lastIndexOf(':');
                 InetSocketAddress to = new InetSocketAddress(address.substring(0, colon),
@@ -126,9 +129,7 @@
         }
 
         private void send() {
-            byte[] body = call.body() == null ? NOTHING : Pack.encode(call.body());
-            ByteBuffer out = HttpWriter.request(call.method(), call.path(), address, body);
-            write(out);
+            write(HttpWriter.request(call.method(), call.path(), address, call.body()));
             read();
         }
 
@@ -160,16 +161,16 @@
                     read();
                     return;
                 }
-                Effect.Call c = call;
+                Call c = call;
                 call = null;
                 busy.remove(this);
                 if (m.close() || in.hasRemaining()) {
                     close();
                 } else {
-                    idleSince = Loop.now();
+                    idleSince = EventLoop.now();
                     rest(true);
                 }
-                loop.reply(c.id(), m.status(), m.body());
+                c.reply.got(m.status(), m.body());
             } catch (HttpParser.Malformed e) {
                 LOG.info("{} answered what is not HTTP: {}", address, e.getMessage());
                 fail();
@@ -194,12 +195,12 @@
             if (closed) {
                 return;
             }
-            Effect.Call c = call;
+            Call c = call;
             call = null;
             busy.remove(this);
             rest(false);
             if (c != null) {
-                loop.reply(c.id(), 0, NOTHING);
+                c.reply.got(0, NOTHING);
             }
         }
 
--- a/src/main/java/birchusher/server/HttpServer.java
+++ b/src/main/java/birchusher/http/HttpServer.java
@@ -1,15 +1,9 @@
-package birchusher.server;
+package birchusher.http;
 
-import birchusher.core.Effect;
-import birchusher.http.HttpParser;
-import birchusher.http.HttpWriter;
-import birchusher.settings.Settings;
-import birchusher.wire.Pack;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
@@ -20,41 +14,48 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Serves users, workers and health checks. Connections, bodies and waiting times are bounded. */
-final class HttpServer {
+/** Serves one address. Connections, bodies and waiting times are bounded. All but the channels' own work is on one thread. */
+public final class HttpServer {
     private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
-    private static final int MAX_BODY = 64 * 1024;
     private static final long IDLE_MS = 60_000;
     private static final long SLOW_MS = 10_000;
     private static final long DRAIN_MS = 2_000;
 
-    private final Loop loop;
-    private final AsynchronousChannelGroup group;
-    private final Settings settings;
+    /** Takes requests; each gets one {@link #answer} or {@link #drop}, now or later. */
+    public interface Service {
+        void request(long exchange, String method, String target, byte[] body);
+    }
+
+    private final EventLoop loop;
+    private final String host;
+    private final int port;
     private final int maxConnections;
+    private final int maxBody;
+    private final Service service;
     private final Map<Long, Connection> exchanges = new HashMap<>();
     private final Set<Connection> connections = new HashSet<>();
     private AsynchronousServerSocketChannel listener;
     private long nextExchange = 1;
     private long nextSweep;
 
-    HttpServer(Loop loop, AsynchronousChannelGroup group, Settings s) {
+    public HttpServer(EventLoop loop, String host, int port, int maxConnections, int maxBody, Service service) {
         this.loop = loop;
-        this.group = group;
-        this.settings = s;
-        // Some sockets are kept for our own calls and for the other controllers.
-        this.maxConnections = Math.max(8, s.maxConnections() - Loop.ownCalls(s) - 50);
+        this.host = host;
+        this.port = port;
+        this.maxConnections = maxConnections;
+        this.maxBody = maxBody;
+        this.service = service;
     }
 
-    void open() throws IOException {
-        listener = AsynchronousServerSocketChannel.open(group);
+    public void open() throws IOException {
+        listener = AsynchronousServerSocketChannel.open(loop.group());
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        listener.bind(new InetSocketAddress(settings.listen().host(), settings.listen().port()), 256);
-        LOG.info("serving on {}", settings.listen());
+        listener.bind(new InetSocketAddress(host, port), 256);
+        LOG.info("serving on {}:{}", host, port);
         new Acceptor(loop, listener, this::accepted).accept();
     }
 
-    void close() throws IOException {
+    public void close() throws IOException {
         listener.close();
         for (Connection c : Set.copyOf(connections)) {
             c.close();
@@ -69,15 +70,24 @@
         }
     }
 
-    void answer(Effect.Answer a) {
-        Connection c = exchanges.remove(a.exchange());
+    /** {@code retryAfterS} 0: no such header. An exchange whose connection has ended is passed over. */
+    public void answer(long exchange, int status, byte[] body, int retryAfterS) {
+        Connection c = exchanges.remove(exchange);
         if (c != null) {
-            c.respond(a.status(), Pack.encode(a.body()), a.retryAfterS(), false);
+            c.respond(status, body, retryAfterS, false);
+        }
+    }
+
+    /** Ends the connection without an answer, where neither "done" nor "not done" may be told. */
+    public void drop(long exchange) {
+        Connection c = exchanges.remove(exchange);
+        if (c != null) {
+            c.close();
         }
     }
 
-    void tick() {
-        long now = Loop.now();
+    public void tick() {
+        long now = EventLoop.now();
         if (now < nextSweep) {
             return;
         }
@@ -93,12 +103,12 @@
 
     private final class Connection {
         private final AsynchronousSocketChannel channel;
-        private final HttpParser parser = new HttpParser(true, MAX_BODY);
+        private final HttpParser parser = new HttpParser(true, maxBody);
         private final ByteBuffer in = ByteBuffer.allocate(4 * 1024);
         private long exchange;
         private boolean closeAfter;
         private boolean draining;
-        private long activeAt = Loop.now();
+        private long activeAt = EventLoop.now();
 
         Connection(AsynchronousSocketChannel channel) {
             this.channel = channel;
@@ -135,7 +145,7 @@
                 return;
             }
             if (!parser.within()) {
-                activeAt = Loop.now();
+                activeAt = EventLoop.now();
             }
             in.flip();
             parse();
@@ -148,14 +158,14 @@
                     read();
                     return;
                 }
-                activeAt = Loop.now();
+                activeAt = EventLoop.now();
                 closeAfter = m.close();
                 exchange = nextExchange++;
                 exchanges.put(exchange, this);
-                loop.request(exchange, m.first(), m.second(), m.body());
+                service.request(exchange, m.first(), m.second(), m.body());
             } catch (HttpParser.Malformed e) {
                 draining = true;
-                activeAt = Loop.now();
+                activeAt = EventLoop.now();
                 respond(e.status, new byte[] {(byte) 0x80}, 0, true);
             }
         }
--- a/src/main/java/birchusher/http/HttpWriter.java
+++ b/src/main/java/birchusher/http/HttpWriter.java
@@ -32,6 +32,8 @@
             case 404 -> "Not Found";
             case 405 -> "Method Not Allowed";
             case 408 -> "Request Timeout";
+            case 409 -> "Conflict";
+            case 410 -> "Gone";
             case 413 -> "Content Too Large";
             case 421 -> "Misdirected Request";
             case 422 -> "Unprocessable Content";
--- a/src/main/java/birchusher/server/MeshLinks.java
+++ b/src/main/java/birchusher/server/MeshLinks.java
@@ -1,12 +1,13 @@
 package birchusher.server;
 
+import birchusher.http.Acceptor;
+import birchusher.http.EventLoop;
 import birchusher.mesh.PeerCodec;
 import birchusher.settings.Settings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
@@ -26,24 +27,24 @@
     private static final long STUCK_MS = 3_000;
 
     private final Loop loop;
-    private final AsynchronousChannelGroup group;
+    private final EventLoop events;
     private final Settings settings;
     private final List<Link> links = new ArrayList<>();
     private AsynchronousServerSocketChannel listener;
     private int incoming;
 
-    MeshLinks(Loop loop, AsynchronousChannelGroup group, Settings s) {
+    MeshLinks(Loop loop, EventLoop events, Settings s) {
         this.loop = loop;
-        this.group = group;
+        this.events = events;
         this.settings = s;
         s.peers().forEach(p -> links.add(new Link(p.address())));
     }
 
     void open() throws IOException {
-        listener = AsynchronousServerSocketChannel.open(group);
+        listener = AsynchronousServerSocketChannel.open(events.group());
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         listener.bind(new InetSocketAddress(settings.mesh().host(), settings.mesh().port()), 32);
-        new Acceptor(loop, listener, this::accepted).accept();
+        new Acceptor(events, listener, this::accepted).accept();
     }
 
     void close() throws IOException {
@@ -81,12 +82,12 @@
             channel.read(in, null, new CompletionHandler<Integer, Void>() {
                 @Override
                 public void completed(Integer n, Void a) {
-                    loop.post(() -> got(n));
+                    events.post(() -> got(n));
                 }
 
                 @Override
                 public void failed(Throwable e, Void a) {
-                    loop.post(() -> end());
+                    events.post(() -> end());
                 }
             });
         }
@@ -150,7 +151,7 @@
         }
 
         void tick() {
-            long now = Loop.now();
+            long now = EventLoop.now();
             if (channel == null && now >= retryAt) {
                 connect(now);
             } else if (channel != null && (!connected || writing) && now - since > STUCK_MS) {
@@ -161,13 +162,13 @@
         private void connect(long now) {
             since = now;
             try {
-                AsynchronousSocketChannel ch = AsynchronousSocketChannel.open(group);
+                AsynchronousSocketChannel ch = AsynchronousSocketChannel.open(events.group());
                 channel = ch;
                 ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 ch.connect(new InetSocketAddress(address.host(), address.port()), null, new CompletionHandler<Void, Void>() {
                     @Override
                     public void completed(Void v, Void a) {
-                        loop.post(() -> {
+                        events.post(() -> {
                             if (channel == ch) {
                                 connected = true;
                                 write();
@@ -177,7 +178,7 @@
 
                     @Override
                     public void failed(Throwable e, Void a) {
-                        loop.post(() -> dropIf(ch));
+                        events.post(() -> dropIf(ch));
                     }
                 });
             } catch (IOException e) {
@@ -190,7 +191,7 @@
                 return;
             }
             writing = true;
-            since = Loop.now();
+            since = EventLoop.now();
             AsynchronousSocketChannel ch = channel;
             int size = 0;
             List<byte[]> batch = new ArrayList<>();
@@ -208,7 +209,7 @@
                     if (out.hasRemaining()) {
                         ch.write(out, null, this);
                     } else {
-                        loop.post(() -> {
+                        events.post(() -> {
                             if (channel == ch) {
                                 writing = false;
                                 write();
@@ -219,7 +220,7 @@
 
                 @Override
                 public void failed(Throwable e, Void a) {
-                    loop.post(() -> dropIf(ch));
+                    events.post(() -> dropIf(ch));
                 }
             });
         }
@@ -235,7 +236,7 @@
             channel = null;
             connected = false;
             writing = false;
-            retryAt = Loop.now() + RETRY_MS;
+            retryAt = EventLoop.now() + RETRY_MS;
         }
     }
 }
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -2,7 +2,7 @@
 
 import birchusher.core.Effect;
 import birchusher.core.Fields;
-import birchusher.server.Core;
+import birchusher.controller.Core;
 import birchusher.settings.Settings;
 import birchusher.settings.SettingsReader;
 import birchusher.settings.Tuning;
