The state service is served on its published protocol; requests gather during a sync

Need: controllers on several hosts are to use one daemon's state. Edge reads and writes the published forms. One listing of a log's files serves recovery and pruning.

--- a/src/main/java/birchusher/kv/Engine.java
+++ b/src/main/java/birchusher/kv/Engine.java
@@ -23,7 +23,10 @@
  * back here, changes are refused for a while, and an empty entry tries the disk before any client's change does.
  *
  * <p>Leases end by this machine's time, up to a tick late and never early. How long they have left is not kept: after a
- * start, and after changes were impossible, each has its full time again, as nobody could have extended it.
+ * start, and after changes were impossible, each has its full time again, as its holder may have been refused meanwhile.
+ *
+ * <p>What became of an entry is told before the next ones are tried: {@link #durable} is never told after a {@link #failed} of
+ * an entry before it.
  *
  * <p>Source: the answer after the log's sync is group commit (Gray and Reuter, Transaction Processing, 1992).
  */
--- a/src/main/java/birchusher/statehost/Keeper.java
+++ b/src/main/java/birchusher/statehost/Keeper.java
@@ -12,14 +12,17 @@
 import birchusher.wal.Snapshot;
 import java.io.Closeable;
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 
 /**
- * The engine and its log together: requests are gathered, {@link #flush} makes what they changed durable with one sync and
- * only then gives the answers that rest on it. One thread at a time; time is an input.
+ * The engine and its log together: what requests change is gathered into a {@link Batch}, made durable with one sync, and only
+ * then are the answers given that rest on it. Time is an input.
  *
- * <p>A snapshot is taken of a state that never changes, so {@link Picture#write} may run on any thread while requests go on.
+ * <p>One thread owns a keeper. {@link Batch#write} may run on another one, and requests gather meanwhile; only one batch is under
+ * way at a time, so what became of it is always told before the next begins. {@link Picture#write} may run on a third: a
+ * picture is of a state that never changes. {@link #flush} does it all in one thread.
  */
 public final class Keeper implements Closeable {
     /** A state to be written as a snapshot, and the last record that it holds. */
@@ -30,17 +33,75 @@
         }
     }
 
+    /** Records to be made durable together, and a snapshot whose predecessors may go. */
+    public static final class Batch {
+        private final Log log;
+        private final long first;
+        private final List<byte[]> records;
+        private final long prune;
+        private Log.NotWritten failed;
+        private IOException unpruned;
+
+        private Batch(Log log, long first, List<byte[]> records, long prune) {
+            this.log = log;
+            this.first = first;
+            this.records = records;
+            this.prune = prune;
+        }
+
+        /** Once; {@link Keeper#written} has to be told when it has returned. */
+        public void write() {
+            try {
+                for (int i = 0; i < records.size(); i++) {
+                    long at = log.append(records.get(i));
+                    if (at != first + i) {
+                        // Answers would be given for another record than the one synced.
+                        throw new IllegalStateException("record " + at + " in the log, " + (first + i) + " in the engine");
+                    }
+                }
+                log.sync();
+                if (prune >= 0) {
+                    log.prune(prune);
+                }
+            } catch (Log.NotWritten e) {
+                failed = e;
+            } catch (IOException e) {
+                unpruned = e;
+            }
+        }
+
+        /** Why it does not count, or why old files could not be dropped; null if neither. */
+        public String trouble() {
+            return failed != null ? "not written: " + failed.getMessage()
+                    : unpruned != null ? "old files stay: " + unpruned.getMessage() : null;
+        }
+    }
+
+    private static final long PICTURE_AGAIN_MS = 60_000;
+    private static final long NONE = -1;
+
     private final Disk disk;
     private final Log log;
     private final Engine engine;
     private final long snapshotBytes;
+    private final ArrayDeque<byte[]> pending = new ArrayDeque<>();
+    /** The last record given to a batch. */
+    private long handed;
+    private Batch underWay;
+    private long prune = NONE;
     private boolean picturing;
+    private long pictureFrom;
+    /** Bytes of log since the newest snapshot, and as many of them as the picture being written stands for. */
+    private long logBytes;
+    private long picturedBytes;
 
     private Keeper(Disk disk, Log log, Engine engine, long snapshotBytes) {
         this.disk = disk;
         this.log = log;
         this.engine = engine;
         this.snapshotBytes = snapshotBytes;
+        this.handed = log.durable();
+        this.logBytes = log.sinceSnapshot();
     }
 
     /**
@@ -101,22 +162,47 @@
         engine.gone(ticket);
     }
 
-    /** Whether a flush is due at once, as the batch is as large as it may be. */
-    public boolean full() {
-        return log.full();
+    /** What is to be made durable next; null if nothing is, or if a batch is under way. */
+    public Batch take() {
+        if (underWay != null || pending.isEmpty() && prune == NONE) {
+            return null;
+        }
+        List<byte[]> records = new ArrayList<>();
+        int bytes = 0;
+        while (!pending.isEmpty() && bytes < Log.MAX_BATCH) {
+            records.add(pending.poll());
+            bytes += records.get(records.size() - 1).length;
+        }
+        underWay = new Batch(log, handed + 1, records, prune);
+        handed += records.size();
+        prune = NONE;
+        logBytes += bytes;
+        return underWay;
     }
 
-    /** One sync for all that was gathered, and the answers that waited for it. */
-    public List<Engine.Answer> flush(long now) {
-        if (log.appended() == log.durable()) {
-            return List.of();
+    /** The batch's writing has ended: the answers that waited for it. */
+    public List<Engine.Answer> written(long now, Batch b) {
+        if (b != underWay) {
+            throw new IllegalArgumentException("not the batch that is under way");
         }
-        try {
-            log.sync();
-        } catch (Log.NotWritten e) {
-            return done(engine.failed(now, e.unclear));
+        underWay = null;
+        if (b.failed != null) {
+            // What gathered meanwhile rests on what is taken back: it goes with it.
+            pending.clear();
+            handed = log.durable();
+            return done(engine.failed(now, b.failed.unclear));
         }
-        return done(engine.durable(now, log.durable()));
+        return done(engine.durable(now, handed));
+    }
+
+    /** All that is gathered, written in this thread, and the answers that waited for it. */
+    public List<Engine.Answer> flush(long now) {
+        List<Engine.Answer> answers = new ArrayList<>();
+        for (Batch b = take(); b != null; b = take()) {
+            b.write();
+            answers.addAll(written(now, b));
+        }
+        return answers;
     }
 
     private List<Engine.Answer> done(List<Engine.Output> outputs) {
@@ -132,30 +218,35 @@
     }
 
     private void append(long sequence, Entry e) {
-        long at = log.append(Codec.encode(e));
-        if (at != sequence) {
-            // Answers would be given for another record than the one synced.
-            throw new IllegalStateException("record " + at + " in the log, " + sequence + " in the engine");
+        pending.add(Codec.encode(e));
+        if (handed + pending.size() != sequence) {
+            throw new IllegalStateException("record " + (handed + pending.size()) + " gathered, " + sequence + " in the engine");
         }
     }
 
-    /** A snapshot that is due, null if none is or one is being written. */
-    public Picture picture() {
-        if (picturing || log.sinceSnapshot() < snapshotBytes) {
+    /** A snapshot that is due, null if none is or one is being written, or could not be written just now. */
+    public Picture picture(long now) {
+        if (picturing || logBytes < snapshotBytes || now < pictureFrom) {
             return null;
         }
         picturing = true;
+        picturedBytes = logBytes;
         return new Picture(disk, engine.durableSequence(), engine.durableState());
     }
 
-    /** A picture's writing has ended; if it was written, what it stands for is dropped from the log. */
-    public void pictured(Picture p, boolean written) throws IOException {
+    /** A picture's writing has ended; if it was written, what it stands for is dropped from the log with the next batch. */
+    public void pictured(long now, Picture p, boolean written) {
         picturing = false;
         if (written) {
-            log.prune(p.sequence());
+            prune = p.sequence();
+            logBytes -= picturedBytes;
+        } else {
+            // A full disk would otherwise be filled again and again with the beginning of a snapshot.
+            pictureFrom = now + PICTURE_AGAIN_MS;
         }
     }
 
+    /** A batch under way must have ended. */
     @Override
     public void close() throws IOException {
         log.close();
--- /dev/null
+++ b/src/main/java/birchusher/statehost/StateServer.java
@@ -0,0 +1,60 @@
+package birchusher.statehost;
+
+import birchusher.core.Fields.Bad;
+import birchusher.http.EventLoop;
+import birchusher.http.HttpServer;
+import birchusher.kv.Request;
+import birchusher.wire.Pack;
+import birchusher.wire.Wire;
+import java.io.IOException;
+import java.util.Map;
+
+/** Serves a {@link Host} on the published protocol of the state service, and {@code GET /ready}. */
+public final class StateServer {
+    /** A body within the protocol's 64 KiB, counted as JSON, may be larger as MessagePack: "1.0" has nine bytes there. */
+    private static final int MAX_BODY = 256 * 1024;
+
+    private final Host host;
+    private final HttpServer server;
+
+    public StateServer(EventLoop loop, String address, int port, int maxConnections, Host host) {
+        this.host = host;
+        this.server = new HttpServer(loop, address, port, maxConnections, MAX_BODY, this::request);
+    }
+
+    public void open() throws IOException {
+        server.open();
+    }
+
+    public void close() throws IOException {
+        server.close();
+    }
+
+    public void tick() {
+        host.tick();
+        server.tick();
+    }
+
+    private void request(long exchange, String method, String target, byte[] body) {
+        if (target.equals(Wire.READY)) {
+            answer(exchange, host.stalled() ? Edge.error(503, "the log can't be written", 1) : new Edge.Out(200, Map.of(), 0));
+            return;
+        }
+        try {
+            Request r = Edge.read(method, target, body);
+            host.ask(r, reply -> answer(exchange, Edge.write(r, reply)));
+        } catch (Bad e) {
+            answer(exchange, Edge.error(400, e.getMessage(), 0));
+        } catch (Edge.NotThere e) {
+            answer(exchange, Edge.error(e.status, e.getMessage(), 0));
+        }
+    }
+
+    private void answer(long exchange, Edge.Out out) {
+        if (out.status() == 0) {
+            server.drop(exchange);
+        } else {
+            server.answer(exchange, out.status(), Pack.encode(out.body()), out.retryAfterS());
+        }
+    }
+}
--- a/src/main/java/birchusher/wal/Log.java
+++ b/src/main/java/birchusher/wal/Log.java
@@ -14,11 +14,12 @@
  * was written of the failed one is cut off first, and a new file begun, as a file whose sync failed once is not to be
  * trusted with more. One thread at a time; only {@link Snapshot#write} may run beside it.
  *
- * <p>Memory: the batch being gathered, at most {@link #MAX_BATCH} bytes and one record. Opening reads one file at a time
+ * <p>Memory: the batch being gathered, which callers keep near {@link #MAX_BATCH} bytes. Opening reads one file at a time
  * into memory.
  */
 public final class Log implements Closeable {
-    static final int MAX_BATCH = 4 << 20;
+    /** A batch should not grow beyond this, in bytes; one record more is no harm. */
+    public static final int MAX_BATCH = 4 << 20;
 
     /**
      * @param segmentBytes from this size on the log goes on in a new file
@@ -125,11 +126,6 @@
         return sinceSnapshot;
     }
 
-    /** Whether more should wait for the next sync. */
-    public boolean full() {
-        return batchBytes >= MAX_BATCH;
-    }
-
     /** Gathers one record; returns its number. Nothing is durable before {@link #sync}. */
     public long append(byte[] payload) {
         if (payload.length > Segment.MAX_RECORD) {
@@ -225,21 +221,13 @@
             throw new IllegalArgumentException("snapshot of record " + snapshot + ", durable is " + durable);
         }
         sinceSnapshot = 0;
-        List<String> segments = new ArrayList<>();
-        List<String> snapshots = new ArrayList<>();
-        for (String n : disk.names()) {
-            if (Segment.first(n) > 0) {
-                segments.add(n);
-            } else if (Snapshot.sequence(n) >= 0) {
-                snapshots.add(n);
-            }
-        }
+        Listing kept = Listing.of(disk);
+        List<String> segments = kept.segments();
+        List<String> snapshots = kept.snapshots();
         int drop = snapshots.size() - options.snapshotsKept;
         if (drop < 0) {
             return;
         }
-        segments.sort(null);
-        snapshots.sort(null);
         for (String n : snapshots.subList(0, drop)) {
             disk.delete(n);
         }
--- a/src/main/java/birchusher/wal/Recovery.java
+++ b/src/main/java/birchusher/wal/Recovery.java
@@ -16,12 +16,12 @@
 
     private final Disk disk;
     private final Log.Reader to;
-    private final List<String> segments = new ArrayList<>();
-    private final List<String> snapshots = new ArrayList<>();
+    private final List<String> segments;
+    private final List<String> snapshots;
     /** What an operator should know, one line each. */
     final List<String> notes = new ArrayList<>();
     /** Files that are left over and hold nothing that counts. */
-    final List<String> leftOver = new ArrayList<>();
+    final List<String> leftOver;
     long base;
     long last;
     /** Bytes of log read, about what was written since the snapshot. */
@@ -31,27 +31,16 @@
     Recovery(Disk disk, Log.Reader to) throws IOException {
         this.disk = disk;
         this.to = to;
-        for (String n : disk.names()) {
-            if (Segment.first(n) > 0) {
-                segments.add(n);
-            } else if (Snapshot.sequence(n) >= 0) {
-                snapshots.add(n);
-            } else if (n.endsWith(Snapshot.ASIDE)) {
-                leftOver.add(n);
-            }
-        }
-        segments.sort(null);
-        snapshots.sort(null);
+        Listing kept = Listing.of(disk);
+        segments = kept.segments();
+        snapshots = kept.snapshots();
+        leftOver = kept.leftOver();
     }
 
     List<String> segments() {
         return segments;
     }
 
-    List<String> snapshots() {
-        return snapshots;
-    }
-
     void run() throws IOException {
         readSnapshot();
         last = base;
