A daemon, agents that run real processes, and a client: birchusher on one host

Change: pool (the cloud protocol for fixed hosts), agent (worker protocol, processes, warden, logs), daemon (state service, pool and controller in one program), lists and descriptions in the controller, client verbs, repair command.

--- /dev/null
+++ b/src/main/java/birchusher/agent/Order.java
@@ -0,0 +1,49 @@
+package birchusher.agent;
+
+import birchusher.core.Fields;
+import birchusher.core.Fields.Bad;
+import birchusher.wire.Wire;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** One command of a controller. */
+record Order(Verb verb, Action.Key key, long graceMs) {
+    enum Verb { START, STOP, REAP }
+
+    private static final int MAX_ORDERS = 2_000;
+
+    /** All of a message, or none: a message with one that can't be read is dropped. */
+    static List<Order> read(Map<String, Object> m) {
+        List<Order> orders = new ArrayList<>();
+        if (m.get(Wire.COMMANDS) == null) {
+            return orders;
+        }
+        List<?> l = Fields.list(m, Wire.COMMANDS);
+        if (l.size() > MAX_ORDERS) {
+            throw new Bad(Wire.COMMANDS + ": over " + MAX_ORDERS);
+        }
+        for (Object o : l) {
+            Map<String, Object> x = Fields.map(o, Wire.COMMANDS);
+            Verb verb = switch (Fields.text(x, Wire.OP)) {
+                case Wire.START -> Verb.START;
+                case Wire.STOP -> Verb.STOP;
+                case Wire.FORGET -> Verb.REAP;
+                default -> throw new Bad(Wire.OP + ": unknown");
+            };
+            orders.add(new Order(verb, key(Fields.text(x, Wire.TASK), Fields.count(x, Wire.ATTEMPT)),
+                    Math.round(1000 * Fields.amountOr(x, Wire.GRACE, 0))));
+        }
+        return orders;
+    }
+
+    /** A piece's name becomes part of a path here: only what the protocol has in names, and no dots. */
+    static Action.Key key(String piece, long attempt) {
+        int slash = piece.lastIndexOf('/');
+        if (slash > 0 && piece.substring(0, slash).matches("[A-Za-z0-9_-]{1,64}")
+                && piece.substring(slash + 1).matches("[0-9]{1,6}")) {
+            return new Action.Key(piece.substring(0, slash), Integer.parseInt(piece.substring(slash + 1)), attempt);
+        }
+        throw new Bad(Wire.TASK + ": not a task's name");
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/agent/Warden.java
@@ -0,0 +1,69 @@
+package birchusher.agent;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A process beside the agent that ends its tasks when the agent can't: it reads from a pipe how long they may still live, and
+ * kills them all when that time is over, or when the pipe ends because the agent is gone. An agent that was killed, stopped or
+ * hangs so leaves nothing running past its lease.
+ *
+ * <p>Not covered: both processes ended at the same time by force. The next agent on that directory then kills what is left before
+ * it says anything to anybody, and the pool gives the machine's place to nobody before.
+ *
+ * <p>Argument: the mark of the agent's tasks. Input: lines with milliseconds.
+ */
+public final class Warden {
+    private static final long GONE = -1;
+    private static final int LATE_LOOKS = 20;
+    private static final long LATE_MS = 100;
+
+    private Warden() { }
+
+    public static void main(String[] args) throws IOException, InterruptedException {
+        LinkedBlockingQueue<Long> said = new LinkedBlockingQueue<>();
+        Thread reader = new Thread(() -> read(said));
+        reader.setDaemon(true);
+        reader.start();
+        watch(args[0], said);
+    }
+
+    private static void read(LinkedBlockingQueue<Long> said) {
+        try (BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                said.add(Math.max(0, Long.parseLong(line.trim())));
+            }
+        } catch (IOException | NumberFormatException e) {
+            System.err.println("warden: " + e);
+        }
+        said.add(GONE);
+    }
+
+    private static void watch(String tag, LinkedBlockingQueue<Long> said) throws IOException, InterruptedException {
+        long until = System.nanoTime();
+        boolean killed = true;
+        while (true) {
+            long left = (until - System.nanoTime()) / 1_000_000;
+            Long news = killed ? said.take() : left > 0 ? said.poll(left, TimeUnit.MILLISECONDS) : said.poll();
+            if (news != null && news != GONE) {
+                until = System.nanoTime() + news * 1_000_000;
+                killed = false;
+            } else if (news != null || !killed) {
+                Tagged.killAll(tag);
+                killed = true;
+                if (news != null) {
+                    // A process on its way from fork to exec at that moment does not bear the mark yet.
+                    for (int i = 0; i < LATE_LOOKS; i++) {
+                        Thread.sleep(LATE_MS);
+                        Tagged.killAll(tag);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/cli/Inspect.java
@@ -0,0 +1,278 @@
+package birchusher.cli;
+
+import birchusher.core.Fields;
+import birchusher.core.Fields.Bad;
+import birchusher.wire.Json;
+import birchusher.wire.Wire;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The commands that look and those that cancel. */
+final class Inspect {
+    private Inspect() { }
+
+    @Command(name = "status", description = "tell a job's state", mixinStandardHelpOptions = true)
+    static final class Status implements Callable<Integer> {
+        @CommandLine.Mixin
+        Talk talk;
+        @Parameters(paramLabel = "ID", description = "the job's id")
+        String id;
+
+        @Override
+        public Integer call() {
+            return Main.guarded(() -> state(talk, talk.call("GET", Wire.RUNS + "/" + Talk.checked(id), null)));
+        }
+    }
+
+    @Command(name = "cancel", description = "cancel a job", mixinStandardHelpOptions = true)
+    static final class Cancel implements Callable<Integer> {
+        @CommandLine.Mixin
+        Talk talk;
+        @Parameters(paramLabel = "ID", description = "the job's id")
+        String id;
+
+        @Override
+        public Integer call() {
+            return Main.guarded(() -> state(talk, talk.call("POST", Wire.RUNS + "/" + Talk.checked(id) + Wire.WITHDRAW, null)));
+        }
+    }
+
+    private static int state(Talk talk, Caller.Got g) {
+        if (!g.fine()) {
+            return Talk.refused(g);
+        }
+        talk.state(g.body());
+        return 0;
+    }
+
+    @Command(name = "list", description = "list jobs by their ids", mixinStandardHelpOptions = true)
+    static final class ListJobs implements Callable<Integer> {
+        @CommandLine.Mixin
+        Talk talk;
+        @Option(names = "--state", description = "queued, running, done or cancelled (default: all that are not over)")
+        String state;
+        @Option(names = "--team", description = "only this team's")
+        String team;
+        @Option(names = "--class", description = "only this class")
+        String cls;
+        @Option(names = "--after", paramLabel = "ID", description = "begin behind this id")
+        String after;
+        @Option(names = "--limit", paramLabel = "N", defaultValue = "200", description = "at most so many (default: ${DEFAULT-VALUE})")
+        int limit;
+
+        @Override
+        public Integer call() {
+            return Main.guarded(() -> {
+                List<Object> runs = new ArrayList<>();
+                String from = after == null ? "" : Talk.checked(after);
+                boolean more = true;
+                while (more && runs.size() < limit) {
+                    Caller.Got g = talk.call("GET", Wire.RUNS + "?" + Wire.AFTER + "=" + from + param(Wire.STATE, state)
+                            + param(Wire.TEAM, team) + param(Wire.CLASS, cls), null);
+                    if (!g.fine()) {
+                        return Talk.refused(g);
+                    }
+                    runs.addAll(Fields.list(g.body(), "runs"));
+                    more = Boolean.TRUE.equals(g.body().get(Wire.MORE));
+                    from = String.valueOf(g.body().get("last"));
+                }
+                more |= runs.size() > limit;
+                List<Object> shown = runs.subList(0, Math.min(limit, runs.size()));
+                if (talk.json()) {
+                    System.out.println(Json.text(Map.of("runs", shown, Wire.MORE, more), false));
+                } else {
+                    Talk.table(shown, new String[] {Wire.ID, Wire.STATE, Wire.DONE, Wire.RUNNING, Wire.TEAM, Wire.CLASS},
+                            new String[] {"ID", "STATE", "DONE", "RUNNING", "TEAM", "CLASS"});
+                    if (more) {
+                        System.err.println("more: --after " + Fields.map(shown.get(shown.size() - 1), "row").get(Wire.ID));
+                    }
+                }
+                return 0;
+            });
+        }
+
+        private static String param(String name, String value) {
+            if (value != null && !value.matches("[A-Za-z0-9_.-]+")) {
+                throw new Bad("--" + name + ": letters, digits, - _ and .");
+            }
+            return value == null ? "" : "&" + name + "=" + value;
+        }
+    }
+
+    @Command(name = "describe", description = "tell all about a job", mixinStandardHelpOptions = true)
+    static final class Describe implements Callable<Integer> {
+        @CommandLine.Mixin
+        Talk talk;
+        @Parameters(paramLabel = "ID", description = "the job's id")
+        String id;
+
+        @Override
+        public Integer call() {
+            return Main.guarded(() -> {
+                Caller.Got g = talk.call("GET", Wire.RUNS + "/" + Talk.checked(id) + Wire.DESCRIBE, null);
+                if (!g.fine()) {
+                    return Talk.refused(g);
+                }
+                Map<String, Object> m = new HashMap<>(g.body());
+                Caller.Got program = talk.call("GET", "/v2/programs/" + id, null);
+                if (program.fine()) {
+                    m.put("program", program.body());
+                }
+                if (talk.json()) {
+                    System.out.println(Json.text(m, true));
+                    return 0;
+                }
+                talk.state(m);
+                if (m.get("job") != null) {
+                    new TreeMap<>(Fields.map(m.get("job"), "job")).forEach((k, v) -> System.out.printf("  %-14s %s%n", k, v));
+                }
+                if (program.fine()) {
+                    System.out.printf("  %-14s %s%n", "command", program.body().get("command"));
+                }
+                if (m.get("pieces") instanceof List<?> l && !l.isEmpty()) {
+                    Talk.table(l, new String[] {"index", Wire.ATTEMPT, Wire.MACHINE, "held_s"},
+                            new String[] {"TASK", "ATTEMPT", "MACHINE", "SINCE S"});
+                    if (Boolean.TRUE.equals(m.get(Wire.MORE))) {
+                        System.out.println("more tasks behind " + m.get("next"));
+                    }
+                }
+                return 0;
+            });
+        }
+    }
+
+    @Command(name = "machines", description = "list the daemon's hosts", mixinStandardHelpOptions = true)
+    static final class Machines implements Callable<Integer> {
+        @CommandLine.Mixin
+        Talk talk;
+
+        @Override
+        public Integer call() {
+            return Main.guarded(() -> rows(talk, "/v2/machines", "machines",
+                    new String[] {"agent", Wire.STATE, Wire.MACHINE, Wire.TYPE, Wire.ZONE, "heard_s"},
+                    new String[] {"HOST", "STATE", "MACHINE", "TYPE", "ZONE", "HEARD S"}));
+        }
+    }
+
+    @Command(name = "teams", description = "tell what teams use and may use", mixinStandardHelpOptions = true)
+    static final class Teams implements Callable<Integer> {
+        @CommandLine.Mixin
+        Talk talk;
+
+        @Override
+        public Integer call() {
+            return Main.guarded(() -> rows(talk, Wire.TEAMS, "teams",
+                    new String[] {Wire.TEAM, "cpus_used", "cpus", "cpus_max", "gpus_used", "gpus", "gpus_max"},
+                    new String[] {"TEAM", "CPUS", "GUARANTEED", "LIMIT", "GPUS", "GUARANTEED", "LIMIT"}));
+        }
+    }
+
+    private static int rows(Talk talk, String path, String field, String[] fields, String[] names) throws Exception {
+        Caller.Got g = talk.call("GET", path, null);
+        if (!g.fine()) {
+            return Talk.refused(g);
+        }
+        if (talk.json()) {
+            System.out.println(Json.text(g.body(), false));
+        } else {
+            Talk.table(Fields.list(g.body(), field), fields, names);
+        }
+        return 0;
+    }
+
+    @Command(name = "logs", description = "print what a task has printed", mixinStandardHelpOptions = true)
+    static final class LogsOf implements Callable<Integer> {
+        private static final long FOLLOW_MS = 1_000;
+
+        @CommandLine.Mixin
+        Talk talk;
+        @Parameters(index = "0", paramLabel = "ID", description = "the job's id")
+        String id;
+        @Parameters(index = "1", paramLabel = "TASK", arity = "0..1", defaultValue = "0", description = "the task's index (default: 0)")
+        int task;
+        @Option(names = "--attempt", paramLabel = "N", description = "which attempt (default: the one that printed last)")
+        Long attempt;
+        @Option(names = {"-f", "--follow"}, description = "go on until the job is over")
+        boolean follow;
+
+        @Override
+        public Integer call() {
+            return Main.guarded(() -> {
+                String path = "/v2/logs/" + Talk.checked(id) + "/" + task;
+                Map<String, Object> log = null;
+                long from = 0;
+                while (true) {
+                    boolean over = over();
+                    if (log == null) {
+                        log = find(path);
+                    }
+                    if (log != null) {
+                        from = print(path, log, from);
+                    }
+                    if (!follow || over) {
+                        break;
+                    }
+                    Thread.sleep(FOLLOW_MS);
+                }
+                if (log == null) {
+                    System.err.println("birchusher: no log of this task is kept on a host that answers");
+                    return 1;
+                }
+                return 0;
+            });
+        }
+
+        private boolean over() throws Exception {
+            Caller.Got g = talk.call("GET", Wire.RUNS + "/" + id, null);
+            Object stage = g.body().get(Wire.STATE);
+            return !g.fine() || Wire.DONE.equals(stage) || Wire.CANCELLED.equals(stage);
+        }
+
+        private Map<String, Object> find(String path) throws Exception {
+            Caller.Got g = talk.call("GET", path, null);
+            if (!g.fine()) {
+                throw new Bad(g.error());
+            }
+            Map<String, Object> best = null;
+            for (Map.Entry<String, Object> host : Fields.map(g.body().get("hosts"), "hosts").entrySet()) {
+                for (Object o : (List<?>) host.getValue()) {
+                    Map<String, Object> m = new HashMap<>(Fields.map(o, "log"));
+                    m.put("host", host.getKey());
+                    if ((attempt == null || attempt == Fields.count(m, "try"))
+                            && (best == null || Fields.count(m, "changed_ms") > Fields.count(best, "changed_ms"))) {
+                        best = m;
+                    }
+                }
+            }
+            return best;
+        }
+
+        private long print(String path, Map<String, Object> log, long from) throws Exception {
+            long at = from;
+            while (true) {
+                Caller.Got g = talk.call("GET", path + "?host=" + log.get("host") + "&try=" + log.get("try") + "&from=" + at, null);
+                if (!g.fine()) {
+                    throw new Bad(g.error());
+                }
+                if (Boolean.TRUE.equals(g.body().get("cut"))) {
+                    System.out.println("\n[... the middle is not kept ...]");
+                }
+                System.out.print(g.body().get("text"));
+                System.out.flush();
+                long next = Fields.count(g.body(), "next");
+                if (next == at) {
+                    return at;
+                }
+                at = next;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/cli/Journal.java
@@ -0,0 +1,70 @@
+package birchusher.cli;
+
+import birchusher.core.Fields;
+import birchusher.core.Fields.Bad;
+import birchusher.settings.SettingsReader;
+import birchusher.wire.Json;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/**
+ * Submissions that are not known to be accepted yet, a file each, on disk before the first byte is sent: after a crash the same
+ * job is sent again under the same id, never a second one.
+ */
+final class Journal {
+    private static final String END = ".json";
+
+    private final Path dir;
+
+    Journal(Path dir) throws IOException {
+        this.dir = Files.createDirectories(dir);
+    }
+
+    void keep(String id, Map<String, ?> submission) throws IOException {
+        Path aside = dir.resolve(id + ".aside");
+        try (FileChannel c = FileChannel.open(aside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
+            ByteBuffer b = ByteBuffer.wrap(Json.text(submission, true).getBytes(StandardCharsets.UTF_8));
+            while (b.hasRemaining()) {
+                c.write(b);
+            }
+            c.force(true);
+        }
+        Files.move(aside, dir.resolve(id + END), StandardCopyOption.ATOMIC_MOVE);
+        try (FileChannel c = FileChannel.open(dir, StandardOpenOption.READ)) {
+            c.force(true);
+        }
+    }
+
+    /** Its answer is known: the job is accepted, or can never be. */
+    void settled(String id) throws IOException {
+        Files.deleteIfExists(dir.resolve(id + END));
+    }
+
+    List<String> open() throws IOException {
+        List<String> ids = new ArrayList<>();
+        try (Stream<Path> files = Files.list(dir)) {
+            files.map(p -> p.getFileName().toString()).filter(n -> n.endsWith(END)).sorted()
+                    .forEach(n -> ids.add(n.substring(0, n.length() - END.length())));
+        }
+        return ids;
+    }
+
+    Map<String, Object> read(String id) throws IOException {
+        try {
+            return Fields.map(SettingsReader.tree(Files.readAllBytes(dir.resolve(id + END))), id);
+        } catch (Bad e) {
+            throw new IOException(dir.resolve(id + END) + ": " + e.getMessage());
+        }
+    }
+}
--- a/src/main/java/birchusher/cli/Main.java
+++ b/src/main/java/birchusher/cli/Main.java
@@ -9,16 +9,19 @@
 import java.io.Reader;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Parameters;
 
-/** The command line. Exit codes: 0 done, 1 refused or failed, 2 wrong use or bad settings. */
+/**
+ * The command line. Exit codes: 0 done, 1 refused or failed, 2 wrong use or bad settings, 3 no answer in time. A controller
+ * pays for every class it loads at its start, so {@code serve} knows only what it needs itself.
+ */
 @Command(name = "birchusher", mixinStandardHelpOptions = true, version = "birchusher 0.1.0",
         description = "A cluster scheduler that leases tasks for a fixed term renewed by progress.",
-        subcommands = {Main.Serve.class, Main.Check.class, Main.Submit.class, Main.Status.class, Main.Cancel.class})
+        subcommands = {Main.Serve.class, Main.Check.class})
 public final class Main implements Runnable {
     @CommandLine.Spec
     CommandLine.Model.CommandSpec spec;
@@ -33,7 +36,17 @@
     }
 
     public static void main(String[] args) {
-        System.exit(new CommandLine(new Main()).execute(args));
+        CommandLine line = new CommandLine(new Main());
+        if (args.length == 0 || !args[0].equals("serve") && !args[0].equals("check-config")) {
+            all(line);
+        }
+        System.exit(line.execute(args));
+    }
+
+    private static void all(CommandLine line) {
+        List.of(new Serving.RunDaemon(), new Serving.RunAgent(), new Serving.RunRepair(), new Submit(), new Inspect.Status(),
+                new Inspect.ListJobs(), new Inspect.Describe(), new Inspect.LogsOf(), new Wait(), new Inspect.Cancel(),
+                new Inspect.Machines(), new Inspect.Teams(), new Serving.Completion()).forEach(line::addSubcommand);
     }
 
     @Override
@@ -63,7 +76,7 @@
         }
     }
 
-    private interface Body {
+    interface Body {
         int run() throws Exception;
     }
 
@@ -73,6 +86,9 @@
         } catch (Bad e) {
             System.err.println("birchusher: " + e.getMessage());
             return 2;
+        } catch (Caller.Unreachable e) {
+            System.err.println("birchusher: " + e.getMessage());
+            return 3;
         } catch (IOException e) {
             System.err.println("birchusher: " + e.getClass().getSimpleName() + ": " + e.getMessage());
             return 2;
@@ -112,43 +128,4 @@
             });
         }
     }
-
-    @Command(name = "submit", description = "submit a job described in a JSON file", mixinStandardHelpOptions = true)
-    static final class Submit implements Callable<Integer> {
-        @Option(names = "--server", required = true, paramLabel = "HOST:PORT", description = "a controller or the load balancer")
-        String server;
-        @Parameters(paramLabel = "FILE", description = "the job, a JSON map")
-        Path file;
-
-        @Override
-        public Integer call() {
-            return guarded(() -> Client.submit(server, Files.readAllBytes(file)));
-        }
-    }
-
-    @Command(name = "status", description = "tell a job's state", mixinStandardHelpOptions = true)
-    static final class Status implements Callable<Integer> {
-        @Option(names = "--server", required = true, paramLabel = "HOST:PORT", description = "a controller or the load balancer")
-        String server;
-        @Parameters(paramLabel = "ID", description = "the job's id")
-        String id;
-
-        @Override
-        public Integer call() {
-            return guarded(() -> Client.status(server, id));
-        }
-    }
-
-    @Command(name = "cancel", description = "cancel a job", mixinStandardHelpOptions = true)
-    static final class Cancel implements Callable<Integer> {
-        @Option(names = "--server", required = true, paramLabel = "HOST:PORT", description = "a controller or the load balancer")
-        String server;
-        @Parameters(paramLabel = "ID", description = "the job's id")
-        String id;
-
-        @Override
-        public Integer call() {
-            return guarded(() -> Client.cancel(server, id));
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/birchusher/cli/Submit.java
@@ -0,0 +1,185 @@
+package birchusher.cli;
+
+import birchusher.core.Fields;
+import birchusher.core.Fields.Bad;
+import birchusher.pool.Programs;
+import birchusher.settings.SettingsReader;
+import birchusher.wire.Wire;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code submit}: a job from options, or from a file that options change. */
+@Command(name = "submit", description = "submit a job", mixinStandardHelpOptions = true, footer = {"",
+    "The job's id is on disk before the job is sent: after a crash, 'submit --resume' sends the same job again.",
+    "Exit codes: 0 accepted (with --wait: done), 1 refused (with --wait: cancelled), 2 wrong use, 3 not known in time."})
+final class Submit implements Callable<Integer> {
+    @CommandLine.Mixin
+    Talk talk;
+    @Option(names = "--file", paramLabel = "FILE", description = "a job as JSON; its field \"program\" says what to run")
+    Path file;
+    @Option(names = "--id", paramLabel = "ID", description = "the job's id (default: a new one)")
+    String id;
+    @Option(names = "--team", description = "whose guarantee and limit apply", defaultValue = "${BIRCHUSHER_TEAM}")
+    String team;
+    @Option(names = "--class", description = "the class of jobs it belongs to (default: batch)")
+    String cls;
+    @Option(names = "--shape", description = "sweep: independent tasks; gang: all at the same time; standing: until cancelled")
+    String shape;
+    @Option(names = "--priority", description = "production, urgent, standard or low")
+    String priority;
+    @Option(names = "--tasks", paramLabel = "N", description = "number of tasks (default: 1)")
+    Long tasks;
+    @Option(names = "--cpus", paramLabel = "N", description = "of each task (default: 1)")
+    Double cpus;
+    @Option(names = "--gpus", paramLabel = "N", description = "of each task (default: 0)")
+    Double gpus;
+    @Option(names = "--memory", paramLabel = "GB", description = "of each task (default: 0.5)")
+    Double memory;
+    @Option(names = "--zone", description = "the only allowed zone")
+    String zone;
+    @Option(names = "--expect", paramLabel = "S", description = "estimated run time of a task (default: 60)")
+    Double expectS;
+    @Option(names = "--save-every", paramLabel = "S", description = "a task saves about so often (default: 0, never)")
+    Double saveEveryS;
+    @Option(names = "--save-take", paramLabel = "S", description = "time to save when stopped")
+    Double saveTakeS;
+    @Option(names = "--env", paramLabel = "NAME=VALUE", description = "for the program's environment; may be repeated")
+    Map<String, String> env = new HashMap<>();
+    @Option(names = "--wait", description = "wait until the job is done or cancelled")
+    boolean wait;
+    @Option(names = "--resume", description = "send again what is not known to be accepted")
+    boolean resume;
+    @Option(names = "--journal", paramLabel = "DIR", defaultValue = "${user.home}/.birchusher/submissions",
+            description = "where ids are kept until they are accepted (default: ${DEFAULT-VALUE})")
+    Path journalDir;
+    @Parameters(paramLabel = "COMMAND", arity = "0..*", description = "what each task runs, after --; or a job file (.json)")
+    List<String> command = List.of();
+
+    @Override
+    public Integer call() {
+        return Main.guarded(() -> {
+            Journal journal = new Journal(journalDir);
+            if (resume) {
+                return resume(journal);
+            }
+            if (file == null && command.size() == 1 && command.get(0).endsWith(".json")) {
+                file = Path.of(command.get(0));
+                command = List.of();
+            }
+            Map<String, Object> submission = submission();
+            String made = Fields.text(Fields.map(submission.get("job"), "job"), Wire.ID);
+            journal.keep(made, submission);
+            int code = send(journal, made, submission);
+            return code == 0 && wait ? Wait.until(talk, List.of(made), 0) : code;
+        });
+    }
+
+    private int resume(Journal journal) throws Exception {
+        int code = 0;
+        for (String open : journal.open()) {
+            code = Math.max(code, send(journal, open, journal.read(open)));
+        }
+        return code;
+    }
+
+    private int send(Journal journal, String made, Map<String, Object> submission) throws Exception {
+        Caller.Got g = null;
+        if (submission.get("program") != null) {
+            g = talk.call("POST", "/v2/programs/" + made, submission.get("program"));
+        }
+        if (g == null || g.fine()) {
+            g = talk.call("POST", Wire.RUNS, submission.get("job"));
+        }
+        journal.settled(made);
+        if (!g.fine()) {
+            return Talk.refused(g);
+        }
+        talk.state(g.body());
+        return 0;
+    }
+
+    private Map<String, Object> submission() throws IOException {
+        Map<String, Object> job = defaults();
+        Map<String, Object> program = null;
+        if (file != null) {
+            Map<String, Object> read = new HashMap<>(Fields.map(SettingsReader.tree(Files.readAllBytes(file)), "job"));
+            Object p = read.remove("program");
+            program = p == null ? null : new HashMap<>(Fields.map(p, "program"));
+            job.putAll(read);
+        }
+        set(job, Wire.ID, id);
+        set(job, Wire.TEAM, team);
+        set(job, Wire.CLASS, cls);
+        set(job, Wire.SHAPE, shape);
+        set(job, Wire.PRIORITY, priority);
+        set(job, Wire.TASKS, tasks);
+        set(job, Wire.CPUS, cpus);
+        set(job, Wire.GPUS, gpus);
+        set(job, Wire.MEM, memory);
+        set(job, Wire.ZONE, zone);
+        set(job, Wire.ESTIMATE, expectS);
+        set(job, Wire.CHECKPOINT, saveEveryS);
+        set(job, Wire.SAVE, saveTakeS);
+        if (job.get(Wire.TEAM) == null) {
+            throw new Bad("--team: missing, and BIRCHUSHER_TEAM is not set");
+        }
+        if (job.get(Wire.ID) == null) {
+            job.put(Wire.ID, Wire.ID_PREFIX + UUID.randomUUID());
+        }
+        Talk.checked(Fields.text(job, Wire.ID));
+        if (!command.isEmpty()) {
+            program = program == null ? new HashMap<>() : program;
+            program.put("command", command);
+        }
+        if (!env.isEmpty()) {
+            if (program == null) {
+                throw new Bad("--env: without a command");
+            }
+            Map<String, Object> all = new HashMap<>(
+                    program.get("env") == null ? Map.of() : Fields.map(program.get("env"), "env"));
+            all.putAll(env);
+            program.put("env", all);
+        }
+        Map<String, Object> s = new LinkedHashMap<>();
+        s.put("job", job);
+        s.put("program", program == null ? null : Programs.checked(program));
+        return s;
+    }
+
+    private static Map<String, Object> defaults() {
+        Map<String, Object> m = new HashMap<>();
+        m.put(Wire.CLASS, "batch");
+        m.put(Wire.SHAPE, "sweep");
+        m.put(Wire.PRIORITY, "standard");
+        m.put(Wire.TASKS, 1L);
+        m.put(Wire.CPUS, 1.0);
+        m.put(Wire.GPUS, 0.0);
+        m.put(Wire.MEM, 0.5);
+        m.put(Wire.IMAGE, "none");
+        m.put(Wire.IMAGE_GB, 0.0);
+        m.put(Wire.ONE_ZONE, false);
+        m.put(Wire.SPREAD, false);
+        m.put(Wire.SPOT, false);
+        m.put(Wire.ESTIMATE, 60.0);
+        m.put(Wire.CHECKPOINT, 0.0);
+        m.put(Wire.SAVE, 0.0);
+        return m;
+    }
+
+    private static void set(Map<String, Object> m, String field, Object value) {
+        if (value != null && !value.equals("")) {
+            m.put(field, value);
+        }
+    }
+}
--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -6,7 +6,9 @@
 import birchusher.core.Fields;
 import birchusher.core.Fields.Bad;
 import birchusher.fleet.Buyer;
+import birchusher.http.Target;
 import birchusher.jobs.Desk;
+import birchusher.jobs.Listing;
 import birchusher.lease.Hazards;
 import birchusher.lease.LeaseTerms;
 import birchusher.lease.Speeds;
@@ -54,6 +56,7 @@
     private final Outcomes outcomes;
     private final Yard yard;
     private final Desk desk;
+    private final Listing listing;
     private final Planner planner;
     private final Driver driver;
     private final Buyer buyer;
@@ -92,6 +95,7 @@
         driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send);
         later[0] = driver;
         desk = new Desk(fx, s, catalog, codec, view, store, seats);
+        listing = new Listing(fx, catalog, codec, view, store, desk);
         buyer = new Buyer(fx, s, catalog, view, store, seats, new CloudLink(fx, s), counters, t, this::retire, yard::gone,
                 driver::slots, driver::runningFor);
     }
@@ -102,7 +106,7 @@
         fx.time(now, wall);
         try {
             route(exchange, method, target, body);
-        } catch (Bad e) {
+        } catch (Bad | Target.Bad e) {
             if (now - badLogged > 1_000) {
                 badLogged = now;
                 LOG.info("{} {} refused: {}", method, target, e.getMessage());
@@ -184,7 +188,7 @@
 
     // ---- users, workers, probers
 
-    private void route(long exchange, String method, String target, byte[] body) {
+    private void route(long exchange, String method, String target, byte[] body) throws Target.Bad {
         int q = target.indexOf('?');
         String path = q < 0 ? target : target.substring(0, q);
         if (path.equals(Wire.HELLO)) {
@@ -199,16 +203,26 @@
                     fx.later(exchange, 503, 1);
                 }
             }
+        } else if (path.equals(Wire.RUNS) && method.equals("GET")) {
+            listing.list(exchange, Target.parse(target));
         } else if (path.equals(Wire.RUNS)) {
             if (only(exchange, method, "POST")) {
                 desk.submit(exchange, body);
             }
+        } else if (path.equals(Wire.TEAMS)) {
+            if (only(exchange, method, "GET")) {
+                listing.teams(exchange, settings.teams());
+            }
         } else if (path.startsWith(Wire.RUNS + "/")) {
             String id = path.substring(Wire.RUNS.length() + 1);
             if (id.endsWith(Wire.WITHDRAW)) {
                 if (only(exchange, method, "POST")) {
                     desk.cancel(exchange, id.substring(0, id.length() - Wire.WITHDRAW.length()));
                 }
+            } else if (id.endsWith(Wire.DESCRIBE)) {
+                if (only(exchange, method, "GET")) {
+                    listing.describe(exchange, id.substring(0, id.length() - Wire.DESCRIBE.length()), Target.parse(target));
+                }
             } else if (only(exchange, method, "GET")) {
                 desk.poll(exchange, id);
             }
--- /dev/null
+++ b/src/main/java/birchusher/daemon/DaemonSettings.java
@@ -0,0 +1,197 @@
+package birchusher.daemon;
+
+import birchusher.core.Fields.Bad;
+import birchusher.kv.Limits;
+import birchusher.pool.Hosts;
+import birchusher.settings.Settings;
+import birchusher.settings.Settings.Address;
+import birchusher.settings.SettingsReader;
+import birchusher.settings.Tuning;
+import java.io.IOException;
+import java.io.Reader;
+import java.io.StringReader;
+import java.io.StringWriter;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Properties;
+import java.util.Set;
+
+/**
+ * The daemon's properties, checked: a key nobody knows is refused by its name, and so is a value that can't be. Keys of the
+ * controller's own tuning may stand in the same file.
+ *
+ * @param settings what the platform's file would say to a controller
+ * @param controllers all of them by their names, where agents reach them
+ */
+public record DaemonSettings(Path data, Address listen, Settings settings, Hosts hosts, Limits limits, Tuning tuning,
+        long snapshotBytes, Map<String, Address> controllers) {
+    private static final List<String> KEYS = List.of("data.dir", "listen", "controller.listen", "controller.mesh",
+            "state.listen", "cloud.listen", "zones", "teams", "types", "hosts", "workers.report-s", "workers.lease-s",
+            "workers.gang-wait-s", "workers.gang-peer-s", "workers.cancel-s", "state.requests-per-s", "state.changes-per-s",
+            "state.snapshot-mb", "connections", "member", "peers");
+    private static final List<String> TEAM_KEYS = List.of("cpus", "cpus-max", "gpus", "gpus-max");
+    private static final List<String> TYPE_KEYS = List.of("cpus", "gpus", "memory-gb", "price");
+    private static final List<String> HOST_KEYS = List.of("type", "zone");
+    private static final int VALUE_KB = 32;
+    private static final int WRITES = 64;
+
+    /** Reads a file as {@code deploy/daemon.properties} shows it. Paths are relative to the working directory. */
+    public static DaemonSettings read(Reader file) throws IOException {
+        Properties p = new Properties();
+        try {
+            p.load(file);
+        } catch (IllegalArgumentException e) {
+            throw new Bad("properties: " + e.getMessage());
+        }
+        return new Form(p).read();
+    }
+
+    private static final class Form {
+        private final Properties p;
+        private final Set<String> known = new HashSet<>(KEYS);
+
+        Form(Properties p) {
+            this.p = p;
+        }
+
+        DaemonSettings read() throws IOException {
+            List<String> zones = names("zones");
+            List<Settings.Team> teams = new ArrayList<>();
+            for (String t : named("teams", "team", TEAM_KEYS)) {
+                String k = "team." + t + ".";
+                teams.add(new Settings.Team(t, num(k + "cpus", 0), num(k + "cpus-max", 0), num(k + "gpus", 0),
+                        num(k + "gpus-max", 0)));
+            }
+            List<Hosts.Type> types = new ArrayList<>();
+            for (String t : named("types", "type", TYPE_KEYS)) {
+                String k = "type." + t + ".";
+                types.add(new Hosts.Type(t, needed(k + "cpus"), num(k + "gpus", 0), needed(k + "memory-gb"), num(k + "price", 1)));
+            }
+            Map<String, Hosts.Host> hosts = new LinkedHashMap<>();
+            for (String h : named("hosts", "host", HOST_KEYS)) {
+                String zone = p.getProperty("host." + h + ".zone", zones.get(0)).trim();
+                if (!zones.contains(zone)) {
+                    throw new Bad("host." + h + ".zone: " + zone + " is not among the zones");
+                }
+                hosts.put(h, new Hosts.Host(h, text("host." + h + ".type"), zone));
+            }
+            Tuning tuning = tuning();
+            double lease = num("workers.lease-s", 60);
+            double report = num("workers.report-s", 2);
+            if (report <= 0 || lease < 4 * report || lease < 10) {
+                throw new Bad("workers.lease-s: at least 10, and four times workers.report-s");
+            }
+            double rps = num("state.requests-per-s", 1000);
+            double changes = num("state.changes-per-s", 1000);
+            try {
+                return of(zones, teams, new Hosts(types, hosts, Math.round(lease * 1000)), tuning, report, lease,
+                        new Limits(rps, changes, WRITES, VALUE_KB * 1024));
+            } catch (IllegalArgumentException e) {
+                throw new Bad(e.getMessage());
+            }
+        }
+
+        private DaemonSettings of(List<String> zones, List<Settings.Team> teams, Hosts hosts, Tuning tuning, double report,
+                double lease, Limits limits) {
+            Map<String, Address> controllers = new LinkedHashMap<>();
+            String member = p.getProperty("member", "daemon").trim();
+            controllers.put(member, address("controller.listen", "127.0.0.1:7071"));
+            List<Settings.Peer> peers = peers(zones, controllers);
+            Settings s = new Settings(member, zones.get(0), address("controller.listen", "127.0.0.1:7071"),
+                    address("controller.mesh", "127.0.0.1:7072"), peers, address("cloud.listen", "127.0.0.1:7074"),
+                    address("state.listen", "127.0.0.1:7073"), zones, List.copyOf(teams), List.of(), report, lease,
+                    num("workers.gang-wait-s", 60), num("workers.gang-peer-s", 10), num("workers.cancel-s", 60),
+                    limits.requestsPerS(), limits.writesPerS(), VALUE_KB, WRITES, 100, 1, (int) num("connections", 2000), 1000);
+            return new DaemonSettings(Path.of(p.getProperty("data.dir", "data").trim()), address("listen", "127.0.0.1:7070"), s,
+                    hosts, limits, tuning, Math.round(num("state.snapshot-mb", 64) * (1 << 20)), controllers);
+        }
+
+        /** Controllers on other hosts that use this daemon's state and pool. */
+        private List<Settings.Peer> peers(List<String> zones, Map<String, Address> controllers) {
+            List<Settings.Peer> peers = new ArrayList<>();
+            for (String s : p.getProperty("peers", "").split(",")) {
+                if (s.isBlank()) {
+                    continue;
+                }
+                String[] f = s.trim().split("/");
+                if (f.length != 4 || !zones.contains(f[1])) {
+                    throw new Bad("peers: " + s.trim() + " is not NAME/ZONE/MESH-HOST:PORT/LISTEN-HOST:PORT");
+                }
+                peers.add(new Settings.Peer(f[0], f[1], SettingsReader.parse(f[2], "peers")));
+                if (controllers.put(f[0], SettingsReader.parse(f[3], "peers")) != null) {
+                    throw new Bad("peers: " + f[0] + " twice");
+                }
+            }
+            return List.copyOf(peers);
+        }
+
+        /** What is not the daemon's own must be the controller's: {@link Tuning} names the one that is neither. */
+        private Tuning tuning() throws IOException {
+            Properties rest = new Properties();
+            p.stringPropertyNames().stream().filter(k -> !known.contains(k)).forEach(k -> rest.setProperty(k, p.getProperty(k)));
+            // Hosts that are there anyhow cost nothing while idle, and with few of them none is spared for long after an error.
+            rest.putIfAbsent("fleet.linger-boots", "20");
+            rest.putIfAbsent("workers.quarantine-s", "2");
+            StringWriter w = new StringWriter();
+            rest.store(w, null);
+            return new Tuning().with(new StringReader(w.toString()));
+        }
+
+        private List<String> names(String key) {
+            List<String> l = Arrays.stream(text(key).split(",")).map(String::trim).filter(s -> !s.isEmpty()).toList();
+            if (l.isEmpty() || new HashSet<>(l).size() < l.size()) {
+                throw new Bad(key + ": empty, or a name twice");
+            }
+            for (String n : l) {
+                if (!n.matches("[A-Za-z0-9_-]{1,60}")) {
+                    throw new Bad(key + ": " + n + " is not a name (letters, digits, - and _, at most 60)");
+                }
+            }
+            return l;
+        }
+
+        private List<String> named(String list, String prefix, List<String> fields) {
+            List<String> names = names(list);
+            names.forEach(n -> fields.forEach(f -> known.add(prefix + "." + n + "." + f)));
+            return names;
+        }
+
+        private String text(String key) {
+            String s = p.getProperty(key);
+            if (s == null || s.isBlank()) {
+                throw new Bad(key + ": missing");
+            }
+            return s.trim();
+        }
+
+        private double needed(String key) {
+            text(key);
+            return num(key, 0);
+        }
+
+        private double num(String key, double none) {
+            String s = p.getProperty(key);
+            if (s == null) {
+                return none;
+            }
+            try {
+                double d = Double.parseDouble(s.trim());
+                if (Double.isFinite(d) && d >= 0) {
+                    return d;
+                }
+            } catch (NumberFormatException e) {
+                // falls through to the same complaint
+            }
+            throw new Bad(key + ": not a number of 0 or more");
+        }
+
+        private Address address(String key, String none) {
+            return SettingsReader.parse(p.getProperty(key, none).trim(), key);
+        }
+    }
+}
--- a/src/main/java/birchusher/jobs/Desk.java
+++ b/src/main/java/birchusher/jobs/Desk.java
@@ -61,7 +61,7 @@
         return m;
     }
 
-    private static Map<String, Object> ended(String id, View.Ended e) {
+    static Map<String, Object> ended(String id, View.Ended e) {
         return e.done() ? answer(id, Wire.DONE, e.tasks(), 0) : answer(id, Wire.CANCELLED, 0, 0);
     }
 
@@ -84,6 +84,12 @@
         return answer(j.spec.id(), running > 0 ? Wire.RUNNING : Wire.QUEUED, j.doneCount(), running);
     }
 
+    /** What a poll may be told of a job that is in the view, if the view is new enough. */
+    Map<String, Object> told(Job j) {
+        Map<String, Object> known = finalState(j.spec.id());
+        return known != null ? known : open(j);
+    }
+
     // ---- polls
 
     public void poll(long exchange, String id) {
--- /dev/null
+++ b/src/main/java/birchusher/pool/Programs.java
@@ -0,0 +1,155 @@
+package birchusher.pool;
+
+import birchusher.core.Fields;
+import birchusher.core.Fields.Bad;
+import birchusher.wire.Json;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * What jobs run, as their users upload it: kept durably before the job itself is submitted, served to agents, dropped some time
+ * after the job is over. The first upload for an id stays; another one with the same content is a repeat.
+ *
+ * <pre>
+ * {"command": ["sh", "-c", "..."], "env": {"NAME": "value"}, "save_signal": "TERM"}
+ * </pre>
+ */
+public final class Programs {
+    static final String ROW = "program/";
+    static final int MAX_PROGRAMS = 200_000;
+    /** Of one program, as JSON. */
+    public static final int MAX_BYTES = 48 * 1024;
+    private static final int MAX_WORDS = 1_000;
+    private static final int MAX_ENV = 200;
+    private static final long KEEP_MS = 600_000;
+    /** An upload whose job never came is dropped after this. */
+    private static final long KEEP_UNKNOWN_MS = 86_400_000;
+    private static final Set<String> SIGNALS = Set.of("TERM", "INT", "HUP", "USR1", "USR2");
+
+    /** Time of day of the upload, and the program. */
+    private record Kept(long since, Map<String, Object> program) { }
+
+    private final Outbox out;
+    private final TreeMap<String, Kept> programs = new TreeMap<>();
+    private final Set<String> busy = new HashSet<>();
+    private String swept = "";
+
+    public Programs(Outbox out, Map<String, Map<String, Object>> rows) {
+        this.out = out;
+        rows.forEach((key, row) -> {
+            if (key.startsWith(ROW)) {
+                programs.put(key.substring(ROW.length()),
+                        new Kept(Fields.count(row, "since"), Fields.map(row.get("program"), "program")));
+            }
+        });
+    }
+
+    public int size() {
+        return programs.size();
+    }
+
+    /** Null if there is none. */
+    public Map<String, Object> get(String job) {
+        Kept k = programs.get(job);
+        return k == null ? null : k.program();
+    }
+
+    public void put(long wall, long exchange, String job, Map<String, Object> body) {
+        Map<String, Object> program = checked(body);
+        Kept k = programs.get(job);
+        if (k != null) {
+            if (Json.text(k.program(), false).equals(Json.text(program, false))) {
+                out.answer(exchange, 200, Map.of());
+            } else {
+                out.refuse(exchange, 409, "another program was uploaded for " + job, 0);
+            }
+            return;
+        }
+        if (programs.size() + busy.size() >= MAX_PROGRAMS) {
+            out.refuse(exchange, 503, "as many programs as are kept", 30);
+            return;
+        }
+        if (!busy.add(job)) {
+            out.refuse(exchange, 503, "an upload for this job is under way", 1);
+            return;
+        }
+        out.write(Map.of(ROW + job, Map.of("since", wall, "program", program)), durable -> {
+            busy.remove(job);
+            if (durable) {
+                programs.put(job, new Kept(wall, program));
+                out.answer(exchange, 201, Map.of());
+            } else {
+                out.refuse(exchange, 503, "can't be kept at present", 1);
+            }
+        });
+    }
+
+    /** Only what is known here, so that nobody takes an unknown field for granted. */
+    public static Map<String, Object> checked(Map<String, Object> body) {
+        Map<String, Object> p = new HashMap<>();
+        for (String field : body.keySet()) {
+            if (!Set.of("command", "env", "save_signal").contains(field)) {
+                throw new Bad(field + ": not a field of a program");
+            }
+        }
+        List<?> command = Fields.list(body, "command");
+        if (command.isEmpty() || command.size() > MAX_WORDS
+                || command.stream().anyMatch(w -> !(w instanceof String s) || s.indexOf('\0') >= 0)
+                || ((String) command.get(0)).isEmpty()) {
+            throw new Bad("command: 1 to " + MAX_WORDS + " words, the first not empty");
+        }
+        p.put("command", command);
+        Map<String, Object> env = body.get("env") == null ? Map.of() : Fields.map(body.get("env"), "env");
+        if (env.size() > MAX_ENV) {
+            throw new Bad("env: at most " + MAX_ENV);
+        }
+        env.forEach((k, v) -> {
+            if (!k.matches("[A-Za-z_][A-Za-z0-9_]*") || k.startsWith("BIRCHUSHER_") || !(v instanceof String s)
+                    || s.indexOf('\0') >= 0) {
+                throw new Bad("env." + k + ": not a name, one of ours, or not text");
+            }
+        });
+        p.put("env", env);
+        String signal = body.get("save_signal") == null ? "TERM" : Fields.text(body, "save_signal");
+        if (!SIGNALS.contains(signal)) {
+            throw new Bad("save_signal: one of TERM, INT, HUP, USR1, USR2");
+        }
+        p.put("save_signal", signal);
+        if (Json.size(p) > MAX_BYTES) {
+            throw new Bad("program: over " + MAX_BYTES + " bytes as JSON");
+        }
+        return p;
+    }
+
+    /** The next program old enough to be asked about, null if none is; each is asked about in turn. */
+    public String old(long wall) {
+        for (int i = 0; i < Math.min(100, programs.size()); i++) {
+            String id = programs.higherKey(swept);
+            swept = id == null ? "" : id;
+            if (id != null && wall - programs.get(id).since() > KEEP_MS && !busy.contains(id)) {
+                return id;
+            }
+        }
+        return null;
+    }
+
+    /** What the controller said of a job: a program that nobody can need any more goes. */
+    public void told(long wall, String job, boolean over, boolean unknown) {
+        Kept k = programs.get(job);
+        if (k == null || !over && !(unknown && wall - k.since() > KEEP_UNKNOWN_MS) || !busy.add(job)) {
+            return;
+        }
+        Map<String, Map<String, ?>> rows = new HashMap<>();
+        rows.put(ROW + job, null);
+        out.write(rows, durable -> {
+            busy.remove(job);
+            if (durable) {
+                programs.remove(job);
+            }
+        });
+    }
+}
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -131,6 +131,16 @@
         return true;
     }
 
+    /** Rows under a prefix, after a key or from the first one on ({@code ""}); as with {@link #get}. */
+    public boolean page(String prefix, String after, int most, Effects.Reply reply) {
+        if (!requests.take(fx.now(), 1)) {
+            return false;
+        }
+        call("GET", Wire.STORE + "?" + Wire.PREFIX + "=" + prefix + "&" + Wire.AFTER + "=" + after + "&" + Wire.LIMIT + "=" + most,
+                null, 2_000, reply);
+        return true;
+    }
+
     /** Lease calls are never held back: everything hangs on them. */
     public void lease(String method, String path, Object body, Effects.Reply reply) {
         requests.force(fx.now(), 1);
--- a/src/main/java/birchusher/wire/Wire.java
+++ b/src/main/java/birchusher/wire/Wire.java
@@ -10,6 +10,8 @@
     // paths
     public static final String RUNS = "/v2/runs";
     public static final String WITHDRAW = "/withdraw";
+    public static final String DESCRIBE = "/describe";
+    public static final String TEAMS = "/v2/teams";
     public static final String READY = "/ready";
     public static final String HELLO = "/hello";
     public static final String DO = "/do";
