--- a/src/main/java/birchusher/pool/Programs.java
+++ b/src/main/java/birchusher/pool/Programs.java
@@ -127,7 +127,7 @@
 
     /** The next program old enough to be asked about, null if none is; each is asked about in turn. */
     public String old(long wall) {
-        for (int i = 0; i < Math.min(100, programs.size()); i++) {
+        for (int i = 0; i < Math.min(100, programs.size() + 1); i++) {
             String id = programs.higherKey(swept);
             swept = id == null ? "" : id;
             if (id != null && wall - programs.get(id).since() > KEEP_MS && !busy.contains(id)) {
--- a/src/main/java/birchusher/wal/HostDisk.java
+++ b/src/main/java/birchusher/wal/HostDisk.java
@@ -34,7 +34,7 @@
         }
         if (lock == null) {
             lockFile.close();
-            throw new IOException(dir + ": in use by another daemon");
+            throw new IOException(dir + ": in use by another process");
         }
     }
 
--- a/src/test/java/birchusher/wal/HostDiskTest.java
+++ b/src/test/java/birchusher/wal/HostDiskTest.java
@@ -49,7 +49,7 @@
                     log.prune(log.durable());
                 }
             }
-            assertThatThrownBy(() -> new HostDisk(dir)).hasMessageContaining("in use by another daemon");
+            assertThatThrownBy(() -> new HostDisk(dir)).hasMessageContaining("in use by another process");
         }
         try (HostDisk disk = new HostDisk(dir)) {
             Texts found = new Texts();
