--- a/src/main/java/birchusher/pool/Pool.java
+++ b/src/main/java/birchusher/pool/Pool.java
@@ -190,7 +190,7 @@
         if (free.isEmpty()) {
             // A host on its way back is no lack of hosts: whoever hears of one looks elsewhere for a good while.
             boolean soon = !spot && members.values().stream().anyMatch(m -> now - m.heard <= SILENT_MS && m.boot != null
-                    && (m.busy || m.rental != null && m.rental.stage() == Stage.LEAVING)
+                    && (m.busy || m.rental != null && m.rental.stage() != Stage.RENTED)
                     && m.host.type().equals(type) && m.host.zone().equals(zone));
             out.refuse(exchange, 503, soon ? "trouble" : "no capacity", soon ? 1 : 5);
             return;
