--- a/src/main/java/birchusher/cli/Inspect.java
+++ b/src/main/java/birchusher/cli/Inspect.java
@@ -75,8 +75,8 @@
                 String from = after == null ? "" : Talk.checked(after);
                 boolean more = true;
                 while (more && runs.size() < limit) {
-                    Caller.Got g = talk.call("GET", Wire.RUNS + "?" + Wire.AFTER + "=" + from + param(Wire.STATE, state)
-                            + param(Wire.TEAM, team) + param(Wire.CLASS, cls), null);
+                    Caller.Got g = talk.call("GET", Wire.RUNS + "?" + Wire.AFTER + "=" + from + param("--state", Wire.STATE, state)
+                            + param("--team", Wire.TEAM, team) + param("--class", Wire.CLASS, cls), null);
                     if (!g.fine()) {
                         return Talk.refused(g);
                     }
@@ -99,9 +99,9 @@
             });
         }
 
-        private static String param(String name, String value) {
+        private static String param(String option, String name, String value) {
             if (value != null && !value.matches("[A-Za-z0-9_.-]+")) {
-                throw new Bad("--" + name + ": letters, digits, - _ and .");
+                throw new Bad(option + ": letters, digits, - _ and .");
             }
             return value == null ? "" : "&" + name + "=" + value;
         }
--- a/src/main/java/birchusher/cli/Main.java
+++ b/src/main/java/birchusher/cli/Main.java
@@ -36,17 +36,16 @@
     }
 
     public static void main(String[] args) {
-        CommandLine line = new CommandLine(new Main());
-        if (args.length == 0 || !args[0].equals("serve") && !args[0].equals("check-config")) {
-            all(line);
-        }
-        System.exit(line.execute(args));
+        boolean light = args.length > 0 && (args[0].equals("serve") || args[0].equals("check-config"));
+        System.exit((light ? new CommandLine(new Main()) : all()).execute(args));
     }
 
-    private static void all(CommandLine line) {
+    static CommandLine all() {
+        CommandLine line = new CommandLine(new Main());
         List.of(new Serving.RunDaemon(), new Serving.RunAgent(), new Serving.RunRepair(), new Submit(), new Inspect.Status(),
                 new Inspect.ListJobs(), new Inspect.Describe(), new Inspect.LogsOf(), new Wait(), new Inspect.Cancel(),
                 new Inspect.Machines(), new Inspect.Teams(), new Serving.Completion()).forEach(line::addSubcommand);
+        return line;
     }
 
     @Override
