--- a/src/main/java/birchusher/agent/Agent.java
+++ b/src/main/java/birchusher/agent/Agent.java
@@ -34,6 +34,7 @@
     private static final int POLL_TIMEOUT_MS = 3_000;
     private static final int REPORT_TIMEOUT_MS = 4_000;
     private static final long PRUNE_MS = 600_000;
+    private static final int MAX_ASKED = 32;
     private static final byte[] NOTHING = new byte[0];
 
     /**
@@ -145,6 +146,13 @@
         }
         if (now >= nextPrune) {
             nextPrune = now + PRUNE_MS;
+            for (String job : runner.keptJobs(MAX_ASKED)) {
+                ask("GET", "/v2/descriptions/" + job, null, POLL_TIMEOUT_MS, (status, m) -> {
+                    if (status == 404) {
+                        runner.over(job);
+                    }
+                });
+            }
             Thread t = new Thread(() -> {
                 try {
                     logs.prune();
--- a/src/main/java/birchusher/agent/Runner.java
+++ b/src/main/java/birchusher/agent/Runner.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -246,6 +247,18 @@
         }
     }
 
+    /** Jobs whose saves are kept here and of which nothing runs, at most so many. */
+    List<String> keptJobs(int most) {
+        String[] names = checkpoints.toFile().list();
+        return names == null ? List.of() : Arrays.stream(names)
+                .filter(n -> active.keySet().stream().noneMatch(k -> k.job().equals(n))).limit(most).toList();
+    }
+
+    /** The job is over: nobody will start a task of it again. */
+    void over(String job) {
+        thread("over " + job, () -> remove(checkpoints.resolve(job)));
+    }
+
     private static void remove(Path dir) {
         try (Stream<Path> all = Files.walk(dir)) {
             for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
--- a/src/main/java/birchusher/cli/Inspect.java
+++ b/src/main/java/birchusher/cli/Inspect.java
@@ -144,6 +144,10 @@
                         System.out.println("more tasks behind " + m.get("next"));
                     }
                 }
+                if (m.get("events") instanceof List<?> l && !l.isEmpty()) {
+                    Talk.table(l, new String[] {"ago_s", "index", Wire.ATTEMPT, Wire.MACHINE, "what"},
+                            new String[] {"S AGO", "TASK", "ATTEMPT", "MACHINE", "WHAT"});
+                }
                 return 0;
             });
         }
--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -8,6 +8,7 @@
 import birchusher.fleet.Buyer;
 import birchusher.http.Target;
 import birchusher.jobs.Desk;
+import birchusher.jobs.Events;
 import birchusher.jobs.Listing;
 import birchusher.lease.Hazards;
 import birchusher.lease.LeaseTerms;
@@ -86,7 +87,9 @@
                 (job, grace, reason) -> later[0].stopGang(job, grace, reason),
                 id -> later[0].last().guaranteed().contains(id));
         Hazards hazards = new Hazards();
-        view.follow(book::kind, (c, lost) -> {
+        Events events = new Events();
+        view.follow(book::kind, c -> events.placed(fx.now(), c), (c, lost) -> {
+            events.left(fx.now(), c, lost);
             if (c.kind() >= 0) {
                 hazards.observe(c.kind(), (fx.now() - c.seenAt()) / 1000.0, lost, fx.now());
             }
@@ -95,7 +98,7 @@
         driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send);
         later[0] = driver;
         desk = new Desk(fx, s, catalog, codec, view, store, seats);
-        listing = new Listing(fx, catalog, codec, view, store, desk);
+        listing = new Listing(fx, catalog, codec, view, store, desk, events);
         buyer = new Buyer(fx, s, catalog, view, store, seats, new CloudLink(fx, s), counters, t, this::retire, yard::gone,
                 driver::slots, driver::runningFor);
     }
--- a/src/main/java/birchusher/jobs/Listing.java
+++ b/src/main/java/birchusher/jobs/Listing.java
@@ -36,14 +36,16 @@
     private final View view;
     private final StoreLink store;
     private final Desk desk;
+    private final Events events;
 
-    public Listing(Effects fx, Catalog catalog, JobCodec codec, View view, StoreLink store, Desk desk) {
+    public Listing(Effects fx, Catalog catalog, JobCodec codec, View view, StoreLink store, Desk desk, Events events) {
         this.fx = fx;
         this.catalog = catalog;
         this.codec = codec;
         this.view = view;
         this.store = store;
         this.desk = desk;
+        this.events = events;
     }
 
     private void fresh(long exchange, Runnable then) {
@@ -160,7 +162,7 @@
 
     /**
      * {@code GET /v2/runs/{id}/describe?since=&page=}: a job with its description and the tasks that have a machine, by their
-     * index from {@code since} on, at most 500. Of a job that was put away, only its final state is kept.
+     * index from {@code since} on, at most 500, and its last 50 events. Of a job that was put away, only its final state is kept.
      */
     public void describe(long exchange, String id, Target t) throws Target.Bad {
         long from = t.count(Wire.AFTER, 0);
@@ -186,6 +188,7 @@
                 }
             }
             m.put("pieces", tasks);
+            m.put("events", events.of(fx.now(), id));
             m.put("next", i);
             m.put(Wire.MORE, i < j.spec.tasks());
             fx.answer(exchange, 200, m);
--- a/src/main/java/birchusher/store/View.java
+++ b/src/main/java/birchusher/store/View.java
@@ -56,6 +56,7 @@
     private LongSupplier clock = () -> 0;
     private ToIntFunction<String> kindOf = m -> -1;
     private Left left = (c, lost) -> { };
+    private Consumer<Claim> came = c -> { };
 
     /** Told of each claim that leaves its row, and whether its task has still to run. */
     public interface Left {
@@ -99,9 +100,10 @@
         clock = steady;
     }
 
-    /** Where a machine's kind comes from when a claim is first seen, and who is told of claims that leave. */
-    public void follow(ToIntFunction<String> kinds, Left l) {
+    /** Where a machine's kind comes from when a claim is first seen, and who is told of claims that come and leave. */
+    public void follow(ToIntFunction<String> kinds, Consumer<Claim> c, Left l) {
         kindOf = kinds;
+        came = c;
         left = l;
     }
 
@@ -321,6 +323,7 @@
             for (Claim x : next.claims.values()) {
                 if (old == null || old.claims.get(x.task()) != x) {
                     count(x);
+                    came.accept(x);
                 }
             }
         }
--- a/src/test/java/birchusher/cli/DaemonTest.java
+++ b/src/test/java/birchusher/cli/DaemonTest.java
@@ -226,6 +226,7 @@
             assertThat(c.call("GET", Wire.RUNS + "?stage=done", null).body().get("runs").toString()).contains("wk-beats", "wk-gang");
             submit(c, job("wk-more", "pieces", 3L), "echo out; sleep 600");
             until(p, "three tasks", () -> Fields.list(c.call("GET", Wire.RUNS + "/wk-more/describe", null).body(), "pieces").size() == 3);
+            assertThat(c.call("GET", Wire.RUNS + "/wk-more/describe", null).body().get("events").toString()).contains("placed");
             assertThat(c.call("GET", Wire.RUNS + "?crew=main&stage=running", null).body().get("runs").toString()).contains("wk-more");
             assertThat(c.call("GET", Wire.RUNS + "?crew=other", null).body().get("runs")).isEqualTo(List.of());
             assertThat(c.call("GET", Wire.RUNS + "?stage=what", null).status()).isEqualTo(400);
