The plant of the tests takes ports that outgoing connections never get

Need: a daemon that was killed must get its ports again; a client's call could have been given one of them meanwhile.

--- a/src/test/java/birchusher/cli/Plant.java
+++ b/src/test/java/birchusher/cli/Plant.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
@@ -38,22 +39,33 @@
         properties = Files.write(dir.resolve("daemon.properties"), l);
     }
 
-    private static int[] free(int n) throws IOException {
-        List<ServerSocket> open = new ArrayList<>();
+    /**
+     * Ports below those that the host gives to outgoing connections: a daemon that was killed must get its own again, and a
+     * client that calls meanwhile could have been given one of them.
+     */
+    private static int[] free(int n) {
+        SplittableRandom random = new SplittableRandom(ProcessHandle.current().pid() * 31 + System.nanoTime());
         int[] ports = new int[n];
-        for (int i = 0; i < n; i++) {
-            open.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-            ports[i] = open.get(i).getLocalPort();
-        }
-        for (ServerSocket s : open) {
-            s.close();
+        for (int i = 0; i < n;) {
+            int port = 10_000 + random.nextInt(20_000);
+            try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                boolean taken = false;
+                for (int j = 0; j < i; j++) {
+                    taken |= ports[j] == port;
+                }
+                ports[i] = port;
+                i += taken ? 0 : 1;
+            } catch (IOException e) {
+                // Another process has it.
+                continue;
+            }
         }
         return ports;
     }
 
     private void start(String name, String... args) throws IOException {
         List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"), "-Xmx128m",
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName()));
+                "-XX:TieredStopAtLevel=1", "-Dorg.slf4j.simpleLogger.showDateTime=true", "-cp", System.getProperty("java.class.path"), Main.class.getName()));
         command.addAll(List.of(args));
         ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(dir.resolve(name + ".log").toFile()));
