--- a/src/main/java/birchusher/cli/Serving.java
+++ b/src/main/java/birchusher/cli/Serving.java
@@ -88,7 +88,11 @@
             List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"), "-cp",
                     System.getProperty("java.class.path"), Main.class.getName(), "agent", "--server", d.listen().toString(),
                     "--host", host, "--listen", localListen, "--dir", d.data().resolve("agent-" + host).toString()));
-            return new ProcessBuilder(command).inheritIO().start();
+            Process p = new ProcessBuilder(command).inheritIO().start();
+            // Such as one that still runs since an earlier daemon, which is as good, or an address that is taken, which is not.
+            p.onExit().thenAccept(x -> System.err.println("birchusher: the local agent has ended with " + x.exitValue()
+                    + "; if 'machines' does not show host " + host + " as parked or running, start one"));
+            return p;
         }
     }
 
