--- /dev/null
+++ b/src/main/java/birchusher/server/Core.java
@@ -0,0 +1,315 @@
+package birchusher.server;
+
+import birchusher.cloud.CloudLink;
+import birchusher.core.Effect;
+import birchusher.core.Effects;
+import birchusher.core.Fields;
+import birchusher.core.Fields.Bad;
+import birchusher.fleet.Buyer;
+import birchusher.jobs.Desk;
+import birchusher.lease.Hazards;
+import birchusher.lease.LeaseTerms;
+import birchusher.lease.Speeds;
+import birchusher.mesh.PeerCodec;
+import birchusher.mesh.PeerRecord;
+import birchusher.model.Catalog;
+import birchusher.placement.Driver;
+import birchusher.placement.Planner;
+import birchusher.placement.Slot;
+import birchusher.seats.Seats;
+import birchusher.settings.Settings;
+import birchusher.settings.Tuning;
+import birchusher.store.Chunk;
+import birchusher.store.Claim;
+import birchusher.store.StoreLink;
+import birchusher.store.View;
+import birchusher.wire.JobCodec;
+import birchusher.wire.Pack;
+import birchusher.wire.Wire;
+import birchusher.workers.Counters;
+import birchusher.workers.Outcomes;
+import birchusher.workers.Picture;
+import birchusher.workers.PictureBook;
+import birchusher.workers.Yard;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The whole core as one state machine: inputs with their times go in, effects come out. It has no I/O, no clock and no
+ * thread, so a test or a simulation can drive it as well as the server does.
+ */
+public final class Core {
+    private static final Logger LOG = LoggerFactory.getLogger(Core.class);
+    private static final long HEARTBEAT_MS = 500;
+
+    private final Effects fx = new Effects();
+    private final Settings settings;
+    private final Catalog catalog;
+    private final View view;
+    private final StoreLink store;
+    private final Seats seats;
+    private final Outcomes outcomes;
+    private final Yard yard;
+    private final Desk desk;
+    private final Planner planner;
+    private final Driver driver;
+    private final Buyer buyer;
+    private final Counters counters = new Counters();
+    private final PictureBook book;
+    /** Our machines as last drawn, a quarter of a second old at most when the news of them is told. */
+    private List<Picture> own = List.of();
+    private long nextHeartbeat;
+    private long nextPictures;
+    private long nextLine;
+    private long badLogged = -1_000_000;
+
+    public Core(Settings s, Tuning t, long now, long wall) {
+        fx.time(now, wall);
+        settings = s;
+        catalog = new Catalog(s);
+        JobCodec codec = new JobCodec(catalog);
+        view = new View(catalog, codec);
+        view.clock(fx::now);
+        store = new StoreLink(fx, view, s, t);
+        seats = new Seats(fx, s, catalog, view, store, t);
+        Speeds speeds = new Speeds();
+        Driver[] later = new Driver[1];
+        book = new PictureBook(fx, catalog, seats);
+        outcomes = new Outcomes(fx, view, store, seats, counters, this::send);
+        yard = new Yard(fx, s, catalog, view, store, seats, speeds, t, counters, outcomes, book,
+                (job, grace, reason) -> later[0].stopGang(job, grace, reason),
+                id -> later[0].last().guaranteed().contains(id));
+        Hazards hazards = new Hazards();
+        view.follow(book::kind, (c, lost) -> {
+            if (c.kind() >= 0) {
+                hazards.observe(c.kind(), (fx.now() - c.seenAt()) / 1000.0, lost, fx.now());
+            }
+        });
+        planner = new Planner(catalog, view, speeds, hazards, LeaseTerms.from(t), s.objectives());
+        driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send);
+        later[0] = driver;
+        desk = new Desk(fx, s, catalog, codec, view, store, seats);
+        buyer = new Buyer(fx, s, catalog, view, store, seats, new CloudLink(fx, s), counters, t, this::retire, yard::gone,
+                driver::slots, driver::runningFor);
+    }
+
+    // ---- inputs
+
+    public List<Effect> request(long now, long wall, long exchange, String method, String target, byte[] body) {
+        fx.time(now, wall);
+        try {
+            route(exchange, method, target, body);
+        } catch (Bad e) {
+            if (now - badLogged > 1_000) {
+                badLogged = now;
+                LOG.info("{} {} refused: {}", method, target, e.getMessage());
+            }
+            fx.answer(exchange, 400, Map.of("error", e.getMessage()));
+        }
+        return done();
+    }
+
+    public List<Effect> reply(long now, long wall, long id, int status, byte[] body) {
+        fx.time(now, wall);
+        Map<String, Object> m = Map.of();
+        int got = status;
+        if (body.length > 0) {
+            try {
+                m = Fields.map(Pack.decode(body), "answer");
+            } catch (Bad e) {
+                LOG.info("unreadable answer: {}", e.getMessage());
+                got = 0;
+            }
+        }
+        try {
+            fx.reply(id, got, m);
+        } catch (Bad e) {
+            LOG.error("answer not as agreed: {}", e.getMessage());
+        }
+        return done();
+    }
+
+    public List<Effect> peer(long now, long wall, byte[] record) {
+        fx.time(now, wall);
+        try {
+            PeerCodec.From from = PeerCodec.decode(record);
+            int i = seats.index(from.member());
+            if (i > 0) {
+                heard(i, from.record());
+            }
+        } catch (Bad e) {
+            if (now - badLogged > 1_000) {
+                badLogged = now;
+                LOG.info("peer record refused: {}", e.getMessage());
+            }
+        }
+        return done();
+    }
+
+    public List<Effect> tick(long now, long wall) {
+        fx.time(now, wall);
+        store.tick();
+        seats.tick();
+        yard.tick();
+        desk.tick();
+        boolean plan = driver.due();
+        if (plan || now >= nextPictures) {
+            nextPictures = now + 250;
+            own = yard.pictures();
+            book.draw(own);
+        }
+        if (plan) {
+            driver.tick(book.pictures(), this::coming);
+        }
+        buyer.tick(book.pictures(), driver.last());
+        if (now >= nextHeartbeat) {
+            nextHeartbeat = now + HEARTBEAT_MS;
+            heartbeat();
+        }
+        if (now >= nextLine) {
+            nextLine = now + 30_000;
+            LOG.info("counters takeovers={} jobs={} machines={} {} {} {}", seats.takeovers, view.jobs().size(),
+                    book.pictures().size(), counters.line(), store.line(), driver.line());
+        }
+        return done();
+    }
+
+    private List<Effect> done() {
+        yard.flush();
+        return fx.drain();
+    }
+
+    // ---- users, workers, probers
+
+    private void route(long exchange, String method, String target, byte[] body) {
+        int q = target.indexOf('?');
+        String path = q < 0 ? target : target.substring(0, q);
+        if (path.equals(Wire.HELLO)) {
+            if (only(exchange, method, "POST")) {
+                yard.hello(exchange, Fields.map(Pack.decode(body), "body"));
+            }
+        } else if (path.equals(Wire.READY)) {
+            if (only(exchange, method, "GET")) {
+                if (ready()) {
+                    fx.answer(exchange, 200, Map.of());
+                } else {
+                    fx.later(exchange, 503, 1);
+                }
+            }
+        } else if (path.equals(Wire.RUNS)) {
+            if (only(exchange, method, "POST")) {
+                desk.submit(exchange, body);
+            }
+        } else if (path.startsWith(Wire.RUNS + "/")) {
+            String id = path.substring(Wire.RUNS.length() + 1);
+            if (id.endsWith(Wire.WITHDRAW)) {
+                if (only(exchange, method, "POST")) {
+                    desk.cancel(exchange, id.substring(0, id.length() - Wire.WITHDRAW.length()));
+                }
+            } else if (only(exchange, method, "GET")) {
+                desk.poll(exchange, id);
+            }
+        } else {
+            fx.answer(exchange, 404, Map.of("error", "no such path"));
+        }
+    }
+
+    private boolean only(long exchange, String method, String allowed) {
+        if (method.equals(allowed)) {
+            return true;
+        }
+        fx.answer(exchange, 405, Map.of("error", "only " + allowed));
+        return false;
+    }
+
+    /** In an outage of everybody's, staying ready keeps polls of ended jobs answered; alone refused, we step back. */
+    private boolean ready() {
+        return store.loaded() && catalog.typesKnown() && (store.healthy() || !seats.othersAreServed());
+    }
+
+    // ---- other controllers
+
+    private void send(int member, PeerRecord r) {
+        fx.send(member, PeerCodec.encode(settings.member(), r));
+    }
+
+    private void heartbeat() {
+        List<PeerRecord.Machine> news = book.news(own);
+        PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(seats.incarnation(), store.healthy(), seats.termsSeen(),
+                seats.termsOwned(), news, book.left(), buyer.recentlyGone());
+        byte[] record = PeerCodec.encode(settings.member(), h);
+        for (int i = 1; i < seats.memberCount(); i++) {
+            fx.send(i, record);
+        }
+    }
+
+    private void heard(int from, PeerRecord r) {
+        if (r instanceof PeerRecord.Heartbeat h) {
+            if (seats.heard(from, h.storeOk(), h.incarnation(), h.terms(), h.owned())) {
+                book.tellEverything();
+            }
+            book.heard(from, h);
+            h.gone().forEach(yard::gone);
+        } else if (r instanceof PeerRecord.Offer o) {
+            send(from, driver.judge(o));
+        } else if (r instanceof PeerRecord.CalledOff o) {
+            driver.calledOff(o);
+        } else if (r instanceof PeerRecord.Verdict v) {
+            driver.verdict(v);
+        } else if (r instanceof PeerRecord.Stop s) {
+            driver.stopAsked(s);
+        } else if (r instanceof PeerRecord.Retire x) {
+            send(from, new PeerRecord.Retired(x.machine(), yard.retire(x.machine(), x.withTasks())));
+        } else if (r instanceof PeerRecord.Outcomes o) {
+            outcomes.told(o);
+        } else if (r instanceof PeerRecord.Retired x) {
+            buyer.retired(x.machine(), x.agreed());
+        }
+    }
+
+    private void retire(String machine, boolean withTasks) {
+        Picture p = book.pictures().get(machine);
+        if (p == null) {
+            return;
+        }
+        if (seats.owns(p.shard())) {
+            buyer.retired(machine, yard.retire(machine, withTasks));
+        } else if (seats.liveOwner(p.shard()) > 0) {
+            send(seats.liveOwner(p.shard()), new PeerRecord.Retire(machine, withTasks));
+        }
+    }
+
+    /** Room that will be there before a machine bought now could be up. */
+    private List<Slot> coming() {
+        List<Slot> l = buyer.coming(book.pictures());
+        long now = fx.now();
+        for (Picture p : book.pictures().values()) {
+            Catalog.Type t = catalog.type(p.type());
+            if (!p.usable() || t == null) {
+                continue;
+            }
+            double cpus = 0;
+            double gpus = 0;
+            double mem = 0;
+            long eta = 0;
+            for (Claim c : view.claims(p.machine()).values()) {
+                long end = driver.expectedEnd(c);
+                if (end == Long.MAX_VALUE || end > now + t.soonMs()) {
+                    continue;
+                }
+                eta = Math.max(eta, Math.max(1_000, end - now));
+                cpus += c.job().spec.cpus();
+                gpus += c.job().spec.gpus();
+                mem += c.job().spec.mem();
+            }
+            if (eta > 0) {
+                l.add(new Slot(p.machine(), t, p.zone(), p.spot(), p.session(), p.shard(), p.speed(), p.fetching(),
+                        p.images(), eta, false, cpus, gpus, mem));
+            }
+        }
+        return l;
+    }
+}
