--- a/src/main/java/birchusher/daemon/Front.java
+++ b/src/main/java/birchusher/daemon/Front.java
@@ -92,6 +92,17 @@
         client.tick();
     }
 
+    /** A reply that is not as agreed must not leave its exchange without an answer. */
+    private HttpClient.Reply guarded(long exchange, HttpClient.Reply reply) {
+        return (status, body) -> {
+            try {
+                reply.got(status, body);
+            } catch (Bad e) {
+                refuse(exchange, 503, "an answer was not as agreed: " + e.getMessage(), 5);
+            }
+        };
+    }
+
     /** Asks about one program that may no longer be needed. */
     private void sweep() {
         String id = programs.old(System.currentTimeMillis());
@@ -213,7 +224,7 @@
 
     /** What an agent needs to run a job's tasks; 404 if it is unknown or over. */
     private void describe(long exchange, String id) {
-        call(controller, "GET", Wire.RUNS + "/" + id + Wire.DESCRIBE + "?" + Wire.LIMIT + "=1", NOTHING, (status, body) -> {
+        call(controller, "GET", Wire.RUNS + "/" + id + Wire.DESCRIBE + "?" + Wire.LIMIT + "=1", NOTHING, guarded(exchange, (status, body) -> {
             Map<String, Object> m = status == 200 || status == 404 ? map(body) : Map.of();
             if (status == 200 && m.get("job") != null) {
                 Map<String, Object> d = new HashMap<>();
@@ -225,7 +236,7 @@
             } else {
                 refuse(exchange, 503, "the controller has not answered", 1);
             }
-        });
+        }));
     }
 
     /**
@@ -259,7 +270,7 @@
             done.run();
         }
         for (String h : hosts) {
-            client.call(pool.address(h), "GET", "/logs/" + task, NOTHING, LOG_TIMEOUT_MS, (status, body) -> {
+            client.call(pool.address(h), "GET", "/logs/" + task, NOTHING, LOG_TIMEOUT_MS, guarded(exchange, (status, body) -> {
                 if (status == 400 && open[0] > 0) {
                     open[0] = 0;
                     users.answer(exchange, 400, body, 0);
@@ -274,7 +285,7 @@
                 if (--open[0] == 0) {
                     done.run();
                 }
-            });
+            }));
         }
     }
 }
