After a second reading: what nobody calls is gone, and pieces written twice stand once

Cause: 'gone' of engine, keeper and host, the log's running count beside the keeper's, and some accessors had no caller or no reader; property numbers, page paths, our own paths, empty bodies and daemon threads were written in two to four places. An agent asked for a job's description once for each of its tasks, each a fresh read at the controller: now once a job. Behaviour is otherwise as before.

--- a/src/main/java/birchusher/agent/Agent.java
+++ b/src/main/java/birchusher/agent/Agent.java
@@ -35,7 +35,6 @@
     private static final int REPORT_TIMEOUT_MS = 4_000;
     private static final long PRUNE_MS = 600_000;
     private static final int MAX_ASKED = 32;
-    private static final byte[] NOTHING = new byte[0];
 
     /**
      * @param server the daemon's address
@@ -43,7 +42,11 @@
      * @param address where this agent listens, and is reached by controllers and the daemon
      * @param checkpoints where tasks save; the same for all hosts if tasks are to go on elsewhere
      */
-    public record Options(String server, String host, String address, int port, Path dir, Path checkpoints) { }
+    public record Options(String server, String host, String address, int port, Path dir, Path checkpoints) {
+        private String listens() {
+            return address + ":" + port;
+        }
+    }
 
     private final Options options;
     private final EventLoop loop = new EventLoop();
@@ -76,18 +79,14 @@
         before = kept("boot", "");
         Files.writeString(o.dir().resolve("state").resolve("boot"), boot);
         logs = new Logs(o.dir().resolve("logs"), Logs.Bounds.USUAL);
+        worker = new Worker(o.listens(), new SplittableRandom());
         runner = new Runner(tag, o.dir(), o.checkpoints(), logs,
-                (key, code) -> loop.post(() -> act(worker().exited(EventLoop.now(), key, code))));
+                (key, code) -> loop.post(() -> act(worker.exited(EventLoop.now(), key, code))));
         runner.forgetAll();
-        worker = new Worker(o.address() + ":" + o.port(), new SplittableRandom());
         httpServer = new HttpServer(loop, o.address(), o.port(), MAX_CONNECTIONS, MAX_BODY, this::request);
         client = new HttpClient(loop, MAX_CALLS);
     }
 
-    private Worker worker() {
-        return worker;
-    }
-
     private String kept(String name, String first) throws IOException {
         Path p = options.dir().resolve("state").resolve(name);
         if (!Files.exists(p)) {
@@ -147,21 +146,19 @@
         if (now >= nextPrune) {
             nextPrune = now + PRUNE_MS;
             for (String job : runner.keptJobs(MAX_ASKED)) {
-                ask("GET", "/v2/descriptions/" + job, null, POLL_TIMEOUT_MS, (status, m) -> {
+                ask("GET", Wire.DESCRIPTIONS + job, null, POLL_TIMEOUT_MS, (status, m) -> {
                     if (status == 404) {
                         runner.over(job);
                     }
                 });
             }
-            Thread t = new Thread(() -> {
+            Runner.thread("prune", () -> {
                 try {
                     logs.prune();
                 } catch (IOException e) {
                     LOG.error("logs can't be pruned: {}", e.getMessage());
                 }
-            }, "prune");
-            t.setDaemon(true);
-            t.start();
+            });
         }
         httpServer.tick();
         client.tick();
@@ -176,9 +173,9 @@
         body.put("boot", boot);
         body.put("before", before.isEmpty() ? null : before);
         body.put(Wire.MACHINE, worker.runs());
-        body.put(Wire.ADDR, options.address() + ":" + options.port());
+        body.put(Wire.ADDR, options.listens());
         body.put(Wire.SEQ, ++polls);
-        ask("POST", "/v2/agents", body, POLL_TIMEOUT_MS, (status, m) -> {
+        ask("POST", Wire.AGENTS, body, POLL_TIMEOUT_MS, (status, m) -> {
             polling = false;
             if (status == 200) {
                 act(worker.assigned(EventLoop.now(), now, Assignment.read(m)));
@@ -198,7 +195,7 @@
     }
 
     private void call(String address, String method, String path, Object body, int timeoutMs, Reply reply) {
-        client.call(address, method, path, body == null ? NOTHING : Pack.encode(body), timeoutMs, (status, bytes) -> {
+        client.call(address, method, path, body == null ? HttpClient.NOTHING : Pack.encode(body), timeoutMs, (status, bytes) -> {
             try {
                 reply.got(status, bytes.length == 0 ? Map.of() : Fields.map(Pack.decode(bytes), "answer"));
             } catch (Bad e) {
@@ -221,7 +218,7 @@
         } else if (a instanceof Action.Answer x) {
             httpServer.answer(x.exchange(), x.status(), Pack.encode(x.body()), x.retryAfterS());
         } else if (a instanceof Action.Fetch f) {
-            ask("GET", "/v2/descriptions/" + f.job(), null, POLL_TIMEOUT_MS, (status, m) -> {
+            ask("GET", Wire.DESCRIPTIONS + f.job(), null, POLL_TIMEOUT_MS, (status, m) -> {
                 if (status == 200 || status == 404) {
                     act(worker.described(EventLoop.now(), f.job(), status == 404 ? null : Description.read(m)));
                 }
@@ -250,8 +247,8 @@
 
     private void say(Action.Say s) {
         Map<String, Object> body = Map.of("job", s.key().job(), "try", s.key().attempt(), "index", s.key().index(),
-                "pieces", s.tasks(), "phase", s.phase(), Wire.ADDR, options.address() + ":" + options.port());
-        ask("POST", "/v2/gangs", body, POLL_TIMEOUT_MS, (status, m) -> {
+                "pieces", s.tasks(), "phase", s.phase(), Wire.ADDR, options.listens());
+        ask("POST", Wire.GANGS, body, POLL_TIMEOUT_MS, (status, m) -> {
             if (status == 200) {
                 List<String> hosts = m.get("hosts") == null ? List.of()
                         : Fields.list(m, "hosts").stream().map(String::valueOf).toList();
--- a/src/main/java/birchusher/agent/Guard.java
+++ b/src/main/java/birchusher/agent/Guard.java
@@ -26,10 +26,6 @@
         pipe.flush();
     }
 
-    long pid() {
-        return process.pid();
-    }
-
     /** The agent ends in order. The warden kills what is left, and ends. */
     void close() throws IOException, InterruptedException {
         pipe.close();
--- a/src/main/java/birchusher/agent/Runner.java
+++ b/src/main/java/birchusher/agent/Runner.java
@@ -116,10 +116,12 @@
         });
     }
 
-    private static void thread(String name, Runnable body) {
+    /** Starts a thread that keeps no process alive. */
+    static Thread thread(String name, Runnable body) {
         Thread t = new Thread(body, name);
         t.setDaemon(true);
         t.start();
+        return t;
     }
 
     private int process(Action.Run r, Entry entry) throws IOException, InterruptedException {
@@ -137,15 +139,13 @@
         }
         Process p = entry.process;
         InputStream output = p.getInputStream();
-        Thread copier = new Thread(() -> {
+        Thread copier = thread("log " + k.piece(), () -> {
             try {
                 logs.copy(k, output);
             } catch (IOException e) {
                 LOG.debug("log of {}: {}", k.piece(), e.getMessage());
             }
-        }, "log " + k.piece());
-        copier.setDaemon(true);
-        copier.start();
+        });
         int code = p.waitFor();
         Tagged.killAll(tag);
         copier.join(LOG_MS);
--- a/src/main/java/birchusher/agent/Worker.java
+++ b/src/main/java/birchusher/agent/Worker.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,7 +37,7 @@
     private static final long SOON_MS = 500;
     private static final long NEXT_NODE_MS = 1_000;
     private static final long SAY_MS = 1_000;
-    private static final long FETCH_AGAIN_MS = 1_000;
+    private static final long FETCH_AGAIN_MS = 4_000;
     /** A task that does not save gets this long after SIGTERM, if its stop grants as much. */
     private static final long END_MS = 2_000;
     private static final int MAX_TASKS = 1_000;
@@ -106,7 +107,7 @@
     List<Action> assigned(long at, long asked, Assignment a) {
         poolFrom = Math.max(poolFrom, asked);
         next = a;
-        if (now == null || !clearing && (machine == null ? a.machine() == null : machine.equals(a.machine()))) {
+        if (now == null || !clearing && Objects.equals(machine, a.machine())) {
             now = a;
         }
         become(at);
@@ -198,8 +199,13 @@
             return;
         }
         if (t.stage.equals("fetching") && at >= t.fetchAt) {
-            t.fetchAt = at + FETCH_AGAIN_MS * 4;
-            out.add(new Action.Fetch(t.key.job()));
+            // One description serves all tasks of a job, however many start with one answer.
+            boolean asked = tasks.values().stream()
+                    .anyMatch(x -> x.stage.equals("fetching") && x.fetchAt > at && x.key.job().equals(t.key.job()));
+            t.fetchAt = at + FETCH_AGAIN_MS;
+            if (!asked) {
+                out.add(new Action.Fetch(t.key.job()));
+            }
         }
         if (t.stage.equals("waiting") && at >= t.waitUntil) {
             exit(at, t, "incomplete");
@@ -366,7 +372,6 @@
                     changed(at);
                 }
             }
-            default -> throw new IllegalStateException();
         }
     }
 
--- a/src/main/java/birchusher/cli/Inspect.java
+++ b/src/main/java/birchusher/cli/Inspect.java
@@ -122,7 +122,7 @@
                     return Talk.refused(g);
                 }
                 Map<String, Object> m = new HashMap<>(g.body());
-                Caller.Got program = talk.call("GET", "/v2/programs/" + id, null);
+                Caller.Got program = talk.call("GET", Wire.PROGRAMS + id, null);
                 if (program.fine()) {
                     m.put("program", program.body());
                 }
@@ -160,7 +160,7 @@
 
         @Override
         public Integer call() {
-            return Main.guarded(() -> rows(talk, "/v2/machines", "machines",
+            return Main.guarded(() -> rows(talk, Wire.HOSTS, "machines",
                     new String[] {"agent", Wire.STATE, Wire.MACHINE, Wire.TYPE, Wire.ZONE, "heard_s"},
                     new String[] {"HOST", "STATE", "MACHINE", "TYPE", "ZONE", "HEARD S"}));
         }
@@ -210,7 +210,7 @@
         @Override
         public Integer call() {
             return Main.guarded(() -> {
-                String path = "/v2/logs/" + Talk.checked(id) + "/" + task;
+                String path = Wire.TASK_LOGS + Talk.checked(id) + "/" + task;
                 Map<String, Object> log = null;
                 long from = 0;
                 while (true) {
--- a/src/main/java/birchusher/cli/Submit.java
+++ b/src/main/java/birchusher/cli/Submit.java
@@ -96,7 +96,7 @@
     private int send(Journal journal, String made, Map<String, Object> submission) throws Exception {
         Caller.Got g = null;
         if (submission.get("program") != null) {
-            g = talk.call("POST", "/v2/programs/" + made, submission.get("program"));
+            g = talk.call("POST", Wire.PROGRAMS + made, submission.get("program"));
         }
         if (g == null || g.fine()) {
             g = talk.call("POST", Wire.RUNS, submission.get("job"));
--- a/src/main/java/birchusher/daemon/DaemonSettings.java
+++ b/src/main/java/birchusher/daemon/DaemonSettings.java
@@ -176,18 +176,7 @@
 
         private double num(String key, double none) {
             String s = p.getProperty(key);
-            if (s == null) {
-                return none;
-            }
-            try {
-                double d = Double.parseDouble(s.trim());
-                if (Double.isFinite(d) && d >= 0) {
-                    return d;
-                }
-            } catch (NumberFormatException e) {
-                // falls through to the same complaint
-            }
-            throw new Bad(key + ": not a number of 0 or more");
+            return s == null ? none : Tuning.number(key, s);
         }
 
         private Address address(String key, String none) {
--- a/src/main/java/birchusher/daemon/Front.java
+++ b/src/main/java/birchusher/daemon/Front.java
@@ -35,7 +35,6 @@
     private static final int TIMEOUT_MS = 5_000;
     private static final int LOG_TIMEOUT_MS = 3_000;
     private static final long SWEEP_MS = 500;
-    private static final byte[] NOTHING = new byte[0];
 
     private final Settings settings;
     private final String controller;
@@ -107,7 +106,7 @@
     private void sweep() {
         String id = programs.old(System.currentTimeMillis());
         if (id != null) {
-            call(controller, "GET", Wire.RUNS + "/" + id, NOTHING, (status, body) -> {
+            call(controller, "GET", Wire.RUNS + "/" + id, HttpClient.NOTHING, (status, body) -> {
                 if (status == 200 || status == 404) {
                     Object stage = status == 404 ? null : map(body).get(Wire.STATE);
                     programs.told(System.currentTimeMillis(), id, Wire.DONE.equals(stage) || Wire.CANCELLED.equals(stage),
@@ -179,20 +178,20 @@
         routed(exchange, () -> {
             Target t = Target.parse(target);
             String route = method + " " + t.path();
-            if (route.equals("POST /v2/agents")) {
+            if (route.equals("POST " + Wire.AGENTS)) {
                 pool.poll(EventLoop.now(), exchange, map(body));
-            } else if (route.equals("POST /v2/gangs")) {
+            } else if (route.equals("POST " + Wire.GANGS)) {
                 answer(exchange, 200, gangs.said(EventLoop.now(), map(body)), 0);
-            } else if (route.equals("GET /v2/machines")) {
+            } else if (route.equals("GET " + Wire.HOSTS)) {
                 answer(exchange, 200, Map.of("machines", pool.describe(EventLoop.now())), 0);
-            } else if (route.startsWith("GET /v2/descriptions/")) {
-                describe(exchange, id(t, "/v2/descriptions/"));
-            } else if (route.startsWith("POST /v2/programs/")) {
-                programs.put(System.currentTimeMillis(), exchange, id(t, "/v2/programs/"), map(body));
-            } else if (route.startsWith("GET /v2/programs/")) {
-                Map<String, Object> p = programs.get(id(t, "/v2/programs/"));
+            } else if (route.startsWith("GET " + Wire.DESCRIPTIONS)) {
+                describe(exchange, id(t, Wire.DESCRIPTIONS));
+            } else if (route.startsWith("POST " + Wire.PROGRAMS)) {
+                programs.put(System.currentTimeMillis(), exchange, id(t, Wire.PROGRAMS), map(body));
+            } else if (route.startsWith("GET " + Wire.PROGRAMS)) {
+                Map<String, Object> p = programs.get(id(t, Wire.PROGRAMS));
                 answer(exchange, p == null ? 404 : 200, p == null ? Map.of("error", "no such program") : p, 0);
-            } else if (route.startsWith("GET /v2/logs/")) {
+            } else if (route.startsWith("GET " + Wire.TASK_LOGS)) {
                 logs(exchange, t);
             } else if (route.equals("GET " + Wire.READY) && store.stalled()) {
                 refuse(exchange, 503, "the disk can't be written", 1);
@@ -224,7 +223,7 @@
 
     /** What an agent needs to run a job's tasks; 404 if it is unknown or over. */
     private void describe(long exchange, String id) {
-        call(controller, "GET", Wire.RUNS + "/" + id + Wire.DESCRIBE + "?" + Wire.LIMIT + "=1", NOTHING, guarded(exchange, (status, body) -> {
+        call(controller, "GET", Wire.RUNS + "/" + id + Wire.DESCRIBE + "?" + Wire.LIMIT + "=1", HttpClient.NOTHING, guarded(exchange, (status, body) -> {
             Map<String, Object> m = status == 200 || status == 404 ? map(body) : Map.of();
             if (status == 200 && m.get("job") != null) {
                 Map<String, Object> d = new HashMap<>();
@@ -244,14 +243,14 @@
      * {@code host}, {@code try} and {@code from}: a part of one.
      */
     private void logs(long exchange, Target t) {
-        String task = t.path().substring("/v2/logs/".length());
+        String task = t.path().substring(Wire.TASK_LOGS.length());
         if (t.params().containsKey("host")) {
             String address = pool.address(t.text("host", ""));
             if (address == null) {
                 refuse(exchange, 404, "no host of that name is heard of", 0);
                 return;
             }
-            client.call(address, "GET", "/logs/" + task + "?try=" + t.text("try", "0") + "&from=" + t.text("from", "0"), NOTHING,
+            client.call(address, "GET", "/logs/" + task + "?try=" + t.text("try", "0") + "&from=" + t.text("from", "0"), HttpClient.NOTHING,
                     LOG_TIMEOUT_MS, (status, body) -> {
                         if (status == 0) {
                             refuse(exchange, 503, "the host has not answered", 1);
@@ -270,7 +269,7 @@
             done.run();
         }
         for (String h : hosts) {
-            client.call(pool.address(h), "GET", "/logs/" + task, NOTHING, LOG_TIMEOUT_MS, guarded(exchange, (status, body) -> {
+            client.call(pool.address(h), "GET", "/logs/" + task, HttpClient.NOTHING, LOG_TIMEOUT_MS, guarded(exchange, (status, body) -> {
                 if (status == 400 && open[0] > 0) {
                     open[0] = 0;
                     users.answer(exchange, 400, body, 0);
--- a/src/main/java/birchusher/http/HttpClient.java
+++ b/src/main/java/birchusher/http/HttpClient.java
@@ -21,7 +21,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
     private static final int MAX_BODY = 16 * 1024 * 1024;
     private static final long KEEP_MS = 25_000;
-    private static final byte[] NOTHING = new byte[0];
+    /** The body of a request or an answer that has none. */
+    public static final byte[] NOTHING = new byte[0];
 
     /** One request and who waits for its answer. */
     private record Call(String address, String method, String path, byte[] body, int timeoutMs, Reply reply) { }
--- a/src/main/java/birchusher/kv/Engine.java
+++ b/src/main/java/birchusher/kv/Engine.java
@@ -118,11 +118,6 @@
         return taken();
     }
 
-    /** The client of a waiting watch has gone. */
-    public void gone(long ticket) {
-        watchers.remove(ticket);
-    }
-
     /** Ends leases and watches whose time is over, and tries the disk again after a failure. */
     public List<Output> tick(long now) {
         if (stalled) {
--- a/src/main/java/birchusher/pool/Gangs.java
+++ b/src/main/java/birchusher/pool/Gangs.java
@@ -28,7 +28,7 @@
     private static final long FORGET_MS = 120_000;
 
     /** How a task is: it has its program; its process runs; its process ended well; it ends for any other reason. */
-    public enum Phase { WAITING, RUNNING, ENDED, LEAVING }
+    private enum Phase { WAITING, RUNNING, ENDED, LEAVING }
 
     private static final class Task {
         Phase phase;
@@ -132,7 +132,7 @@
         gangs.values().removeIf(g -> now - g.heard > FORGET_MS);
     }
 
-    public static Phase phase(String s) {
+    private static Phase phase(String s) {
         return switch (s) {
             case "waiting" -> Phase.WAITING;
             case "running" -> Phase.RUNNING;
--- a/src/main/java/birchusher/pool/Outbox.java
+++ b/src/main/java/birchusher/pool/Outbox.java
@@ -36,11 +36,6 @@
         out.add(new Write(id, rows));
     }
 
-    /** Writes under way. */
-    int open() {
-        return writing.size();
-    }
-
     public void written(long id, boolean durable) {
         Consumer<Boolean> then = writing.remove(id);
         if (then != null) {
--- a/src/main/java/birchusher/pool/Programs.java
+++ b/src/main/java/birchusher/pool/Programs.java
@@ -48,10 +48,6 @@
         });
     }
 
-    public int size() {
-        return programs.size();
-    }
-
     /** Null if there is none. */
     public Map<String, Object> get(String job) {
         Kept k = programs.get(job);
--- a/src/main/java/birchusher/server/Loop.java
+++ b/src/main/java/birchusher/server/Loop.java
@@ -17,7 +17,6 @@
 public final class Loop {
     private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
     private static final int MAX_BODY = 64 * 1024;
-    private static final byte[] NOTHING = new byte[0];
 
     private final EventLoop events = new EventLoop();
     private final Core core;
@@ -82,7 +81,7 @@
             if (e instanceof Effect.Answer a) {
                 server.answer(a.exchange(), a.status(), Pack.encode(a.body()), a.retryAfterS());
             } else if (e instanceof Effect.Call c) {
-                client.call(c.address(), c.method(), c.path(), c.body() == null ? NOTHING : Pack.encode(c.body()), c.timeoutMs(),
+                client.call(c.address(), c.method(), c.path(), c.body() == null ? HttpClient.NOTHING : Pack.encode(c.body()), c.timeoutMs(),
                         (status, body) -> reply(c.id(), status, body));
             } else if (e instanceof Effect.Send s) {
                 mesh.send(s.peer(), s.record());
--- a/src/main/java/birchusher/settings/Tuning.java
+++ b/src/main/java/birchusher/settings/Tuning.java
@@ -33,9 +33,13 @@
     }
 
     public double num(String key) {
-        String s = values.getProperty(key);
+        return number(key, values.getProperty(key));
+    }
+
+    /** A property's value as an amount; the complaint names its key. */
+    public static double number(String key, String value) {
         try {
-            double d = Double.parseDouble(s.trim());
+            double d = Double.parseDouble(value.trim());
             if (Double.isFinite(d) && d >= 0) {
                 return d;
             }
--- a/src/main/java/birchusher/statehost/Host.java
+++ b/src/main/java/birchusher/statehost/Host.java
@@ -48,20 +48,12 @@
         });
     }
 
-    /** Exactly one reply comes, now or later, on the loop's thread. Returns what {@link #gone} takes. */
-    public long ask(Request r, Consumer<Reply> reply) {
+    /** Exactly one reply comes, now or later, on the loop's thread. */
+    public void ask(Request r, Consumer<Reply> reply) {
         long ticket = nextTicket++;
         waiting.put(ticket, reply);
         give(keeper.handle(EventLoop.now(), ticket, r));
         kick();
-        return ticket;
-    }
-
-    /** Nobody waits for that reply any more. */
-    public void gone(long ticket) {
-        if (waiting.remove(ticket) != null) {
-            keeper.gone(ticket);
-        }
     }
 
     /** Whether changes can't be made durable at present. */
--- a/src/main/java/birchusher/statehost/Keeper.java
+++ b/src/main/java/birchusher/statehost/Keeper.java
@@ -157,11 +157,6 @@
         return done(engine.tick(now));
     }
 
-    /** The client of a waiting watch has gone. */
-    public void gone(long ticket) {
-        engine.gone(ticket);
-    }
-
     /** What is to be made durable next; null if nothing is, or if a batch is under way. */
     public Batch take() {
         if (underWay != null || pending.isEmpty() && prune == NONE) {
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -136,11 +136,14 @@
         if (!requests.take(fx.now(), 1)) {
             return false;
         }
-        call("GET", Wire.STORE + "?" + Wire.PREFIX + "=" + prefix + "&" + Wire.AFTER + "=" + after + "&" + Wire.LIMIT + "=" + most,
-                null, 2_000, reply);
+        call("GET", pagePath(prefix, after, most), null, 2_000, reply);
         return true;
     }
 
+    private static String pagePath(String prefix, String after, int most) {
+        return Wire.STORE + "?" + Wire.PREFIX + "=" + prefix + "&" + Wire.AFTER + "=" + after + "&" + Wire.LIMIT + "=" + most;
+    }
+
     /** Lease calls are never held back: everything hangs on them. */
     public void lease(String method, String path, Object body, Effects.Reply reply) {
         requests.force(fx.now(), 1);
@@ -236,8 +239,7 @@
 
     private void page(String after, long firstRevision, long gen) {
         requests.force(fx.now(), 1);
-        call("GET", Wire.STORE + "?" + Wire.PREFIX + "=" + Keys.LIVE + "&" + Wire.AFTER + "=" + after + "&"
-                + Wire.LIMIT + "=" + MAX_ROWS, null, 3_000, (status, m) -> {
+        call("GET", pagePath(Keys.LIVE, after, MAX_ROWS), null, 3_000, (status, m) -> {
             if (gen != generation) {
                 return;
             }
--- a/src/main/java/birchusher/wal/Log.java
+++ b/src/main/java/birchusher/wal/Log.java
@@ -64,7 +64,7 @@
     private final List<byte[]> batch = new ArrayList<>();
     private int batchBytes;
     private long durable;
-    private long sinceSnapshot;
+    private final long sinceSnapshot;
     private Disk.Out out;
     private String file;
     /** The durable bytes of {@code file}. */
@@ -121,7 +121,7 @@
         return durable + batch.size();
     }
 
-    /** Bytes of log that a start would have to read beyond the newest snapshot, about. */
+    /** Bytes of log that opening has read beyond the newest snapshot, about. */
     public long sinceSnapshot() {
         return sinceSnapshot;
     }
@@ -155,7 +155,6 @@
             out.sync();
             suspect = false;
             good = out.length();
-            sinceSnapshot += batchBytes;
             durable += batch.size();
         } catch (IOException e) {
             throw new NotWritten(e, !mended());
@@ -220,7 +219,6 @@
         if (snapshot > durable) {
             throw new IllegalArgumentException("snapshot of record " + snapshot + ", durable is " + durable);
         }
-        sinceSnapshot = 0;
         Listing kept = Listing.of(disk);
         List<String> segments = kept.segments();
         List<String> snapshots = kept.snapshots();
--- a/src/main/java/birchusher/wire/Wire.java
+++ b/src/main/java/birchusher/wire/Wire.java
@@ -12,6 +12,12 @@
     public static final String WITHDRAW = "/withdraw";
     public static final String DESCRIBE = "/describe";
     public static final String TEAMS = "/v2/teams";
+    public static final String PROGRAMS = "/v2/programs/";
+    public static final String DESCRIPTIONS = "/v2/descriptions/";
+    public static final String TASK_LOGS = "/v2/logs/";
+    public static final String HOSTS = "/v2/machines";
+    public static final String AGENTS = "/v2/agents";
+    public static final String GANGS = "/v2/gangs";
     public static final String READY = "/ready";
     public static final String HELLO = "/hello";
     public static final String DO = "/do";
--- a/src/test/java/birchusher/agent/WorkerTest.java
+++ b/src/test/java/birchusher/agent/WorkerTest.java
@@ -120,6 +120,19 @@
         assertThat(took()).isEqualTo("lease 16750, forget wk-1/0");
     }
 
+    @Test
+    void oneDescriptionServesAllTasksOfAJobAndIsAskedForAgainIfNoneComes() {
+        act(worker.assigned(1_000, 900, assignment("n-1")));
+        act(worker.tick(1_000));
+        did.clear();
+        act(worker.answered(1_050, report.id(), 200, orders(5, start("wk-1/0", 1), start("wk-1/1", 1), start("wk-2/0", 1))));
+        assertThat(took()).isEqualTo("lease 18350, fetch wk-1, fetch wk-2");
+        act(worker.tick(5_050));
+        assertThat(took()).contains("fetch wk-1, fetch wk-2").doesNotContain("fetch wk-1, fetch wk-1");
+        act(worker.described(5_100, "wk-1", job("sweep", 2, 1, false)));
+        assertThat(took()).isEqualTo("run wk-1/0, run wk-1/1");
+    }
+
     @Test
     void answersThatMustBeDroppedNeitherRenewNorCommand() {
         running(job("sweep", 1, 1, false));
