Yard is split by duty: commands to workers and the room on machines stand apart

Change: Commands (what a worker is told) and Room (what fits, what yields) leave Yard; no behaviour changes.

--- /dev/null
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -0,0 +1,209 @@
+package birchusher.workers;
+
+import birchusher.core.Effect.Target;
+import birchusher.core.Effects;
+import birchusher.core.Fields;
+import birchusher.model.Catalog;
+import birchusher.model.JobSpec;
+import birchusher.seats.Seats;
+import birchusher.settings.Settings;
+import birchusher.store.Claim;
+import birchusher.store.Job;
+import birchusher.store.StoreLink;
+import birchusher.store.View;
+import birchusher.wire.Wire;
+import birchusher.workers.Machine.Run;
+import birchusher.workers.Machine.Stop;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The commands that a machine of ours gets, with the answers to its reports and straight. */
+final class Commands {
+    private static final Logger LOG = LoggerFactory.getLogger(Commands.class);
+    private static final long DO_TIMEOUT_MS = 3_000;
+    /** Room that has not come by then, as a machine hangs or owner and driver disagree, is not waited for. */
+    private static final long HELD_MS = 15_000;
+
+    /** Who follows the machines' attempts and takes their reports. */
+    interface Owner {
+        Run newRun(Machine m, JobSpec j, long now);
+
+        boolean take(Machine m, Report r, int zone);
+    }
+
+    private final Effects fx;
+    private final Settings settings;
+    private final Catalog catalog;
+    private final View view;
+    private final StoreLink store;
+    private final Seats seats;
+    private final Outcomes outcomes;
+    private final Owner owner;
+
+    Commands(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Outcomes outcomes, Owner owner) {
+        this.fx = fx;
+        this.settings = s;
+        this.catalog = catalog;
+        this.view = view;
+        this.store = store;
+        this.seats = seats;
+        this.outcomes = outcomes;
+        this.owner = owner;
+    }
+
+    /** Whether a machine's reports come as they should. */
+    boolean reporting(Machine m, long now) {
+        return now - m.heardAt < settings.reportS() * 1250 + 1_500;
+    }
+
+    /** Whether nobody wants this attempt to run any more. */
+    boolean unwanted(Machine m, Claim c) {
+        return c.job().state() != Job.State.OPEN || broken(c.job())
+                || m != null && (m.stops.containsKey(c.attemptKey()) || m.noticeAt >= 0 || m.gone
+                || fx.now() - m.held.getOrDefault(c.attemptKey(), fx.now()) > HELD_MS);
+    }
+
+    /** A gang attempt that has lost a task can't go on; all its claims were made at once, so a gap means a loss. */
+    private static boolean broken(Job j) {
+        return j.spec.gang() && j.claimCount() < j.spec.tasks() && !j.allDone();
+    }
+
+    List<Object> orders(Machine m, boolean straight) {
+        List<Object> orders = new ArrayList<>();
+        if (!store.loaded() || !seats.settled(m.shard)) {
+            return orders;
+        }
+        long now = fx.now();
+        Map<String, Claim> claims = view.claims(m.name);
+        for (Entry e : m.entries.values()) {
+            Claim c = claims.get(e.key());
+            boolean claimed = c != null && c.attempt() == e.attempt() && c.session() == m.session;
+            if (e.exited()) {
+                if (!claimed && !m.loose.containsKey(e.attemptKey()) && !outcomes.pending(e.attemptKey())) {
+                    orders.add(order(Wire.FORGET, e.key(), e.attempt(), -1));
+                } else if (!claimed) {
+                    fence(m, e.attemptKey(), now);
+                }
+                continue;
+            }
+            Stop stop = m.stops.get(e.attemptKey());
+            boolean must = !claimed || unwanted(m, c) && stop == null && m.noticeAt < 0;
+            if (must) {
+                boolean goneOn = claimed && c.job().allDone();
+                if (!goneOn) {
+                    orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
+                }
+            } else if (stop != null) {
+                boolean overdue = now - stop.since > stop.graceS * 1000 + 4_000;
+                if (e.phase() != Entry.Phase.SAVING) {
+                    orders.add(order(Wire.STOP, e.key(), e.attempt(), stop.graceS));
+                } else if (overdue) {
+                    orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
+                }
+            }
+        }
+        for (Claim c : claims.values()) {
+            String ak = c.attemptKey();
+            if (c.session() != m.session || m.entries.containsKey(ak) || outcomes.pending(ak)) {
+                continue;
+            }
+            Run run = m.runs.get(ak);
+            if (run != null && run.shown) {
+                continue;
+            }
+            if (unwanted(m, c)) {
+                fence(m, ak, now);
+                continue;
+            }
+            if (m.session == m.deadSession || straight && m.loose.containsKey(ak) || m.held.containsKey(ak)) {
+                continue;
+            }
+            if (run == null) {
+                m.runs.put(ak, owner.newRun(m, c.job().spec, now));
+                LOG.info("task {} attempt {} starts on {}", c.key(), c.attempt(), m.name);
+            }
+            orders.add(order(Wire.START, c.key(), c.attempt(), -1));
+            if (straight) {
+                m.loose.put(ak, new long[] {now, seats.term(m.shard)});
+            }
+        }
+        return orders;
+    }
+
+    /** An unanswered start may still arrive; when that must not happen any more, a higher term keeps it out. */
+    private void fence(Machine m, String attemptKey, long now) {
+        long[] l = m.loose.get(attemptKey);
+        if (l != null && now - l[0] > DO_TIMEOUT_MS + 500 && l[1] >= seats.term(m.shard)) {
+            seats.raise(m.shard);
+        }
+    }
+
+    private static Map<String, Object> order(String op, String task, long attempt, double grace) {
+        Map<String, Object> o = new LinkedHashMap<>();
+        o.put(Wire.OP, op);
+        o.put(Wire.TASK, task);
+        o.put(Wire.ATTEMPT, attempt);
+        if (grace >= 0) {
+            o.put(Wire.GRACE, grace);
+        }
+        return o;
+    }
+
+    void push(Machine m) {
+        long now = fx.now();
+        boolean reachable = m.address != null && reporting(m, now);
+        if (m.calling || !reachable || m.token < seats.term(m.shard) && m.token > 0 && now - m.heardAt > 1_000) {
+            return;
+        }
+        List<Object> orders = orders(m, true);
+        if (orders.isEmpty()) {
+            return;
+        }
+        m.calling = true;
+        long session = m.session;
+        long sent = now;
+        List<String> starts = new ArrayList<>();
+        for (Object o : orders) {
+            Map<String, Object> x = Fields.map(o, "order");
+            if (Wire.START.equals(x.get(Wire.OP))) {
+                starts.add(x.get(Wire.TASK) + "#" + x.get(Wire.ATTEMPT));
+            }
+        }
+        fx.call(Target.WORKER, m.address, "POST", Wire.DO,
+                Map.of(Wire.TOKEN, seats.term(m.shard), Wire.SESSION, session, Wire.COMMANDS, orders),
+                (int) DO_TIMEOUT_MS, (status, body) -> {
+                    m.calling = false;
+                    if (status == 0) {
+                        LOG.info("machine {} did not answer {} commands after {} ms", m.name, orders.size(),
+                                fx.now() - sent);
+                        return;
+                    }
+                    for (String ak : starts) {
+                        long[] l = m.loose.get(ak);
+                        if (l != null && l[0] == sent) {
+                            m.loose.remove(ak);
+                        }
+                    }
+                    if ((status == 200 || status == 409) && seats.owns(m.shard)) {
+                        try {
+                            Report r = Report.read(body);
+                            int zone = catalog.zones.find(r.zone());
+                            if (zone >= 0 && r.machine().equals(m.name)) {
+                                boolean held = !m.held.isEmpty();
+                                owner.take(m, r, zone);
+                                if (held) {
+                                    // What was stopped has left: the start need not wait for the next report.
+                                    push(m);
+                                }
+                            }
+                        } catch (Fields.Bad e) {
+                            LOG.info("machine {}: unreadable answer: {}", m.name, e.getMessage());
+                        }
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/src/main/java/birchusher/workers/Room.java
@@ -0,0 +1,189 @@
+package birchusher.workers;
+
+import birchusher.core.Effects;
+import birchusher.model.Catalog;
+import birchusher.model.JobSpec;
+import birchusher.store.Claim;
+import birchusher.store.Job;
+import birchusher.store.View;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** The room on a machine of ours by the truth known here: records, reports, reservations, and what yields to a claim. */
+final class Room {
+    /** Asks for an attempt to be stopped. */
+    interface Stops {
+        void stop(Claim c, double graceS, String reason);
+    }
+
+    private final Effects fx;
+    private final Catalog catalog;
+    private final View view;
+    private final Outcomes outcomes;
+    /** Whether a job, by its id, lies within its team's guarantee. */
+    private final Predicate<String> guaranteed;
+    private final long reserveMs;
+
+    Room(Effects fx, Catalog catalog, View view, Outcomes outcomes, Predicate<String> guaranteed, long reserveMs) {
+        this.fx = fx;
+        this.catalog = catalog;
+        this.view = view;
+        this.outcomes = outcomes;
+        this.guaranteed = guaranteed;
+        this.reserveMs = reserveMs;
+    }
+
+    /**
+     * A claim may stand before its room is there: then work that yields to it is stopped, and its start is held. One sent too
+     * early would be refused by the worker, and a whole gang would end with it.
+     */
+    void make(Machine m, Stops stops) {
+        Catalog.Type t = catalog.type(m.type);
+        double[] used = view.useOf(m.name);
+        if (t == null || used[0] <= t.cpus() + Catalog.EPS && used[1] <= t.gpus() + Catalog.EPS && used[2] <= t.mem() + Catalog.EPS) {
+            m.held.clear();
+            return;
+        }
+        double[] planned = {t.cpus() - used[0], t.gpus() - used[1], t.mem() - used[2]};
+        double[] present = {t.cpus(), t.gpus(), t.mem()};
+        List<Claim> stand = new ArrayList<>();
+        List<Claim> unstarted = new ArrayList<>();
+        for (Claim c : view.claims(m.name).values()) {
+            String ak = c.attemptKey();
+            Entry e = m.entries.get(ak);
+            boolean over = outcomes.pending(ak);
+            boolean ordered = e != null || m.runs.containsKey(ak);
+            if (!over && ordered && (e == null || !e.exited())) {
+                minus(present, c.job().spec);
+            }
+            if (over || m.stops.containsKey(ak)) {
+                plus(planned, c.job().spec);
+                continue;
+            }
+            stand.add(c);
+            if (!ordered) {
+                unstarted.add(c);
+            }
+        }
+        // The youngest lose least.
+        stand.sort(Comparator.comparingLong(c -> -c.seenAt()));
+        for (Claim v : stand) {
+            if (enough(planned)) {
+                break;
+            }
+            for (Claim u : unstarted) {
+                JobSpec j = v.job().spec;
+                if (j.yieldsTo(u.job().spec, guaranteed.test(j.id()), guaranteed.test(u.job().spec.id()))) {
+                    stops.stop(v, j.resumes() ? j.saveS() + 1 : 0, "makes room for " + u.job().spec.id());
+                    plus(planned, j);
+                    break;
+                }
+            }
+        }
+        unstarted.removeIf(c -> m.stops.containsKey(c.attemptKey()));
+        unstarted.sort(Comparator.comparing(c -> c.job().spec.priority()));
+        Map<String, Long> held = new HashMap<>();
+        for (Claim c : unstarted) {
+            if (!fits(present, c.job().spec)) {
+                held.put(c.attemptKey(), m.held.getOrDefault(c.attemptKey(), fx.now()));
+            }
+            minus(present, c.job().spec);
+        }
+        m.held.clear();
+        m.held.putAll(held);
+    }
+
+    private static boolean enough(double[] room) {
+        return room[0] >= -Catalog.EPS && room[1] >= -Catalog.EPS && room[2] >= -Catalog.EPS;
+    }
+
+    private static boolean fits(double[] room, JobSpec j) {
+        return room[0] >= j.cpus() - Catalog.EPS && room[1] >= j.gpus() - Catalog.EPS && room[2] >= j.mem() - Catalog.EPS;
+    }
+
+    /** Free room by the truth known here: records, reports and reservations. */
+    private double[] free(Machine m) {
+        Catalog.Type t = catalog.type(m.type);
+        if (t == null) {
+            return new double[3];
+        }
+        double[] f = {t.cpus(), t.gpus(), t.mem()};
+        Map<String, Claim> claims = view.claims(m.name);
+        for (Claim c : claims.values()) {
+            minus(f, c.job().spec);
+        }
+        double[] stray = stray(m);
+        for (int i = 0; i < 3; i++) {
+            f[i] -= stray[i];
+        }
+        forgetReservations(m);
+        for (Machine.Reservation r : m.reserved.values()) {
+            f[0] -= r.cpus();
+            f[1] -= r.gpus();
+            f[2] -= r.mem();
+        }
+        return f;
+    }
+
+    /** Reservations end by time, or when the claim that they were made for stands. */
+    void forgetReservations(Machine m) {
+        long now = fx.now();
+        Map<String, Claim> claims = view.claims(m.name);
+        m.reserved.values().removeIf(r -> now > r.until() || claims.containsKey(r.key()));
+    }
+
+    /** Room held by tasks that no record covers, such as those being stopped after a late command. */
+    double[] stray(Machine m) {
+        double[] f = new double[3];
+        Map<String, Claim> claims = view.claims(m.name);
+        for (Entry e : m.entries.values()) {
+            if (!e.exited() && !claims.containsKey(e.key())) {
+                Job j = view.job(e.key().substring(0, Math.max(0, e.key().lastIndexOf('/'))));
+                Catalog.Type t = catalog.type(m.type);
+                if (j != null) {
+                    f[0] += j.spec.cpus();
+                    f[1] += j.spec.gpus();
+                    f[2] += j.spec.mem();
+                } else if (t != null) {
+                    f[0] += t.cpus();
+                    f[1] += t.gpus();
+                    f[2] += t.mem();
+                }
+            }
+        }
+        return f;
+    }
+
+    private static void plus(double[] f, JobSpec j) {
+        f[0] += j.cpus();
+        f[1] += j.gpus();
+        f[2] += j.mem();
+    }
+
+    private static void minus(double[] f, JobSpec j) {
+        f[0] -= j.cpus();
+        f[1] -= j.gpus();
+        f[2] -= j.mem();
+    }
+
+    /** Whether a task fits, and if it is offered so, also into room that lower work leaves. */
+    boolean fits(Machine m, JobSpec j, boolean makesRoom) {
+        double[] f = free(m);
+        if (makesRoom) {
+            for (Claim c : view.claims(m.name).values()) {
+                if (c.job().spec.yieldsTo(j, guaranteed.test(c.job().spec.id()), guaranteed.test(j.id()))) {
+                    plus(f, c.job().spec);
+                }
+            }
+        }
+        return fits(f, j);
+    }
+
+    void keep(Machine m, String key, JobSpec j) {
+        m.reserved.put(key, new Machine.Reservation(key, j.cpus(), j.gpus(), j.mem(), fx.now() + reserveMs));
+    }
+}
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -1,8 +1,6 @@
 package birchusher.workers;
 
-import birchusher.core.Effect.Target;
 import birchusher.core.Effects;
-import birchusher.core.Fields;
 import birchusher.lease.LeaseTerms;
 import birchusher.lease.Speeds;
 import birchusher.lease.TaskLease;
@@ -19,8 +17,6 @@
 import birchusher.workers.Machine.Run;
 import birchusher.workers.Machine.Stop;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,9 +32,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Yard.class);
     /** On top of a worker's lease and the clocks' drift, before a silent worker counts as having dropped its tasks. */
     private static final long LEASE_MARGIN_MS = 1_000;
-    private static final long DO_TIMEOUT_MS = 3_000;
-    /** Room that has not come by then, as a machine hangs or owner and driver disagree, is not waited for. */
-    private static final long HELD_MS = 15_000;
 
     /** Events that other slices want to hear of. */
     public interface Listener {
@@ -55,11 +48,11 @@
     private final Speeds speeds;
     private final Counters counters;
     private final Listener listener;
-    /** Whether a job, by its id, lies within its team's guarantee. */
-    private final Predicate<String> guaranteed;
     private final Outcomes outcomes;
     /** What the owners before us told of their machines, so that a new owner starts from what the old one knew. */
     private final PictureBook book;
+    private final Room room;
+    private final Commands commands;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, Long> redirected = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1;
@@ -71,7 +64,6 @@
     };
     private final List<Machine> dirty = new ArrayList<>();
     private final long quarantineMs;
-    private final long reserveMs;
     private long nextSweep;
     private long nextLeaseSweep;
 
@@ -86,12 +78,22 @@
         this.speeds = speeds;
         this.counters = counters;
         this.listener = listener;
-        this.guaranteed = guaranteed;
         this.outcomes = outcomes;
         this.book = book;
         terms = LeaseTerms.from(t);
         quarantineMs = t.ms("workers.quarantine-s");
-        reserveMs = t.ms("placement.reserve-s");
+        room = new Room(fx, catalog, view, outcomes, guaranteed, t.ms("placement.reserve-s"));
+        commands = new Commands(fx, s, catalog, view, store, seats, outcomes, new Commands.Owner() {
+            @Override
+            public Run newRun(Machine m, JobSpec j, long now) {
+                return Yard.this.newRun(m, j, now);
+            }
+
+            @Override
+            public boolean take(Machine m, Report r, int zone) {
+                return Yard.this.take(m, r, zone);
+            }
+        });
         view.onTouched(this::touch);
     }
 
@@ -128,7 +130,7 @@
         if (newer) {
             m.answeredAt = fx.now();
         }
-        fx.answer(exchange, 200, Map.of(Wire.TOKEN, term, Wire.COMMANDS, newer ? orders(m, false) : List.of()));
+        fx.answer(exchange, 200, Map.of(Wire.TOKEN, term, Wire.COMMANDS, newer ? commands.orders(m, false) : List.of()));
     }
 
     private void redirect(long exchange, String machine, int shard) {
@@ -215,7 +217,7 @@
                 Run run = m.runs.get(ak);
                 if (run != null && run.shown && !m.loose.containsKey(ak)) {
                     release(c, Outcomes.Kind.LOST, "absent from a newer report");
-                } else if (unwanted(c) && !m.loose.containsKey(ak) && m.token >= seats.term(m.shard)) {
+                } else if (commands.unwanted(m, c) && !m.loose.containsKey(ak) && m.token >= seats.term(m.shard)) {
                     // Never shown, and nothing of ours or of an earlier owner is under way any more.
                     release(c, Outcomes.Kind.NOT_STARTED, "not started");
                 }
@@ -239,80 +241,12 @@
             any |= !e.exited();
         }
         m.idleSince = any ? -1 : m.idleSince < 0 ? now : m.idleSince;
-        makeRoom(m);
+        room.make(m, this::wishStop);
         if (m.noticeAt >= 0) {
             drain(m, now);
         }
     }
 
-    /**
-     * A claim may stand before its room is there: then work that yields to it is stopped, and its start is held. One sent too
-     * early would be refused by the worker, and a whole gang would end with it.
-     */
-    private void makeRoom(Machine m) {
-        Catalog.Type t = catalog.type(m.type);
-        double[] used = view.useOf(m.name);
-        if (t == null || used[0] <= t.cpus() + Catalog.EPS && used[1] <= t.gpus() + Catalog.EPS && used[2] <= t.mem() + Catalog.EPS) {
-            m.held.clear();
-            return;
-        }
-        double[] planned = {t.cpus() - used[0], t.gpus() - used[1], t.mem() - used[2]};
-        double[] present = {t.cpus(), t.gpus(), t.mem()};
-        List<Claim> stand = new ArrayList<>();
-        List<Claim> unstarted = new ArrayList<>();
-        for (Claim c : view.claims(m.name).values()) {
-            String ak = c.attemptKey();
-            Entry e = m.entries.get(ak);
-            boolean over = outcomes.pending(ak);
-            boolean ordered = e != null || m.runs.containsKey(ak);
-            if (!over && ordered && (e == null || !e.exited())) {
-                minus(present, c.job().spec);
-            }
-            if (over || m.stops.containsKey(ak)) {
-                plus(planned, c.job().spec);
-                continue;
-            }
-            stand.add(c);
-            if (!ordered) {
-                unstarted.add(c);
-            }
-        }
-        // The youngest lose least.
-        stand.sort(Comparator.comparingLong(c -> -c.seenAt()));
-        for (Claim v : stand) {
-            if (enough(planned)) {
-                break;
-            }
-            for (Claim u : unstarted) {
-                JobSpec j = v.job().spec;
-                if (j.yieldsTo(u.job().spec, guaranteed.test(j.id()), guaranteed.test(u.job().spec.id()))) {
-                    wishStop(v, j.resumes() ? j.saveS() + 1 : 0, "makes room for " + u.job().spec.id());
-                    plus(planned, j);
-                    break;
-                }
-            }
-        }
-        unstarted.removeIf(c -> m.stops.containsKey(c.attemptKey()));
-        unstarted.sort(Comparator.comparing(c -> c.job().spec.priority()));
-        Map<String, Long> held = new HashMap<>();
-        for (Claim c : unstarted) {
-            if (!fits(present, c.job().spec)) {
-                held.put(c.attemptKey(), m.held.getOrDefault(c.attemptKey(), fx.now()));
-            }
-            minus(present, c.job().spec);
-        }
-        m.held.clear();
-        m.held.putAll(held);
-    }
-
-    private static boolean enough(double[] room) {
-        return room[0] >= -Catalog.EPS && room[1] >= -Catalog.EPS && room[2] >= -Catalog.EPS;
-    }
-
-    private static boolean fits(double[] room, JobSpec j) {
-        return room[0] >= j.cpus() - Catalog.EPS && room[1] >= j.gpus() - Catalog.EPS && room[2] >= j.mem() - Catalog.EPS;
-    }
-
     private boolean claimed(Machine m, String attemptKey) {
         Claim c = view.claims(m.name).get(attemptKey.substring(0, attemptKey.lastIndexOf('#')));
         return c != null && c.attemptKey().equals(attemptKey);
@@ -428,102 +362,8 @@
         }
     }
 
-    /** Whether nobody wants this attempt to run any more. */
-    private boolean unwanted(Claim c) {
-        Machine m = machines.get(c.machine());
-        return c.job().state() != Job.State.OPEN || broken(c.job())
-                || m != null && (m.stops.containsKey(c.attemptKey()) || m.noticeAt >= 0 || m.gone
-                || fx.now() - m.held.getOrDefault(c.attemptKey(), fx.now()) > HELD_MS);
-    }
-
-    /** A gang attempt that has lost a task can't go on; all its claims were made at once, so a gap means a loss. */
-    private static boolean broken(Job j) {
-        return j.spec.gang() && j.claimCount() < j.spec.tasks() && !j.allDone();
-    }
-
     // ---- commands
 
-    private List<Object> orders(Machine m, boolean straight) {
-        List<Object> orders = new ArrayList<>();
-        if (!store.loaded() || !seats.settled(m.shard)) {
-            return orders;
-        }
-        long now = fx.now();
-        Map<String, Claim> claims = view.claims(m.name);
-        for (Entry e : m.entries.values()) {
-            Claim c = claims.get(e.key());
-            boolean claimed = c != null && c.attempt() == e.attempt() && c.session() == m.session;
-            if (e.exited()) {
-                if (!claimed && !m.loose.containsKey(e.attemptKey()) && !outcomes.pending(e.attemptKey())) {
-                    orders.add(order(Wire.FORGET, e.key(), e.attempt(), -1));
-                } else if (!claimed) {
-                    fence(m, e.attemptKey(), now);
-                }
-                continue;
-            }
-            Stop stop = m.stops.get(e.attemptKey());
-            boolean must = !claimed || unwanted(c) && stop == null && m.noticeAt < 0;
-            if (must) {
-                boolean goneOn = claimed && c.job().allDone();
-                if (!goneOn) {
-                    orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
-                }
-            } else if (stop != null) {
-                boolean overdue = now - stop.since > stop.graceS * 1000 + 4_000;
-                if (e.phase() != Entry.Phase.SAVING) {
-                    orders.add(order(Wire.STOP, e.key(), e.attempt(), stop.graceS));
-                } else if (overdue) {
-                    orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
-                }
-            }
-        }
-        for (Claim c : claims.values()) {
-            String ak = c.attemptKey();
-            if (c.session() != m.session || m.entries.containsKey(ak) || outcomes.pending(ak)) {
-                continue;
-            }
-            Run run = m.runs.get(ak);
-            if (run != null && run.shown) {
-                continue;
-            }
-            if (unwanted(c)) {
-                fence(m, ak, now);
-                continue;
-            }
-            if (m.session == m.deadSession || straight && m.loose.containsKey(ak) || m.held.containsKey(ak)) {
-                continue;
-            }
-            if (run == null) {
-                m.runs.put(ak, newRun(m, c.job().spec, now));
-                LOG.info("task {} attempt {} starts on {}", c.key(), c.attempt(), m.name);
-            }
-            orders.add(order(Wire.START, c.key(), c.attempt(), -1));
-            if (straight) {
-                m.loose.put(ak, new long[] {now, seats.term(m.shard)});
-            }
-        }
-        return orders;
-    }
-
-    /** An unanswered start may still arrive; when that must not happen any more, a higher term keeps it out. */
-    private void fence(Machine m, String attemptKey, long now) {
-        long[] l = m.loose.get(attemptKey);
-        if (l != null && now - l[0] > DO_TIMEOUT_MS + 500 && l[1] >= seats.term(m.shard)) {
-            seats.raise(m.shard);
-        }
-    }
-
-    private static Map<String, Object> order(String op, String task, long attempt, double grace) {
-        Map<String, Object> o = new LinkedHashMap<>();
-        o.put(Wire.OP, op);
-        o.put(Wire.TASK, task);
-        o.put(Wire.ATTEMPT, attempt);
-        if (grace >= 0) {
-            o.put(Wire.GRACE, grace);
-        }
-        return o;
-    }
-
     /** Sends starts and stops straight to machines whose state changed, so that they need not wait for a report. */
     public void flush() {
         if (dirty.isEmpty()) {
@@ -535,63 +375,9 @@
             m.dirty = false;
             if (seats.owns(m.shard) && m.heardAt >= 0) {
                 reconcile(m);
-                push(m);
-            }
-        }
-    }
-
-    private void push(Machine m) {
-        long now = fx.now();
-        boolean reachable = m.address != null && reporting(m, now);
-        if (m.calling || !reachable || m.token < seats.term(m.shard) && m.token > 0 && now - m.heardAt > 1_000) {
-            return;
-        }
-        List<Object> orders = orders(m, true);
-        if (orders.isEmpty()) {
-            return;
-        }
-        m.calling = true;
-        long session = m.session;
-        long sent = now;
-        List<String> starts = new ArrayList<>();
-        for (Object o : orders) {
-            Map<String, Object> x = Fields.map(o, "order");
-            if (Wire.START.equals(x.get(Wire.OP))) {
-                starts.add(x.get(Wire.TASK) + "#" + x.get(Wire.ATTEMPT));
+                commands.push(m);
             }
         }
-        fx.call(Target.WORKER, m.address, "POST", Wire.DO,
-                Map.of(Wire.TOKEN, seats.term(m.shard), Wire.SESSION, session, Wire.COMMANDS, orders),
-                (int) DO_TIMEOUT_MS, (status, body) -> {
-                    m.calling = false;
-                    if (status == 0) {
-                        LOG.info("machine {} did not answer {} commands after {} ms", m.name, orders.size(),
-                                fx.now() - sent);
-                        return;
-                    }
-                    for (String ak : starts) {
-                        long[] l = m.loose.get(ak);
-                        if (l != null && l[0] == sent) {
-                            m.loose.remove(ak);
-                        }
-                    }
-                    if ((status == 200 || status == 409) && seats.owns(m.shard)) {
-                        try {
-                            Report r = Report.read(body);
-                            int zone = catalog.zones.find(r.zone());
-                            if (zone >= 0 && r.machine().equals(m.name)) {
-                                boolean held = !m.held.isEmpty();
-                                take(m, r, zone);
-                                if (held) {
-                                    // What was stopped has left: the start need not wait for the next report.
-                                    push(m);
-                                }
-                            }
-                        } catch (Fields.Bad e) {
-                            LOG.info("machine {}: unreadable answer: {}", m.name, e.getMessage());
-                        }
-                    }
-                });
     }
 
     /** Asks for an attempt to be stopped; repeated until it is seen to be saving or gone. */
@@ -631,81 +417,11 @@
 
     // ---- offers
 
-    /** Free room by the truth known here: records, reports and reservations. */
-    private double[] free(Machine m) {
-        Catalog.Type t = catalog.type(m.type);
-        if (t == null) {
-            return new double[3];
-        }
-        double[] f = {t.cpus(), t.gpus(), t.mem()};
-        Map<String, Claim> claims = view.claims(m.name);
-        for (Claim c : claims.values()) {
-            minus(f, c.job().spec);
-        }
-        double[] stray = stray(m);
-        for (int i = 0; i < 3; i++) {
-            f[i] -= stray[i];
-        }
-        forgetReservations(m);
-        for (Machine.Reservation r : m.reserved.values()) {
-            f[0] -= r.cpus();
-            f[1] -= r.gpus();
-            f[2] -= r.mem();
-        }
-        return f;
-    }
-
-    /** Reservations end by time, or when the claim that they were made for stands. */
-    private void forgetReservations(Machine m) {
-        long now = fx.now();
-        Map<String, Claim> claims = view.claims(m.name);
-        m.reserved.values().removeIf(r -> now > r.until() || claims.containsKey(r.key()));
-    }
-
-    /** Room held by tasks that no record covers, such as those being stopped after a late command. */
-    private double[] stray(Machine m) {
-        double[] f = new double[3];
-        Map<String, Claim> claims = view.claims(m.name);
-        for (Entry e : m.entries.values()) {
-            if (!e.exited() && !claims.containsKey(e.key())) {
-                Job j = view.job(e.key().substring(0, Math.max(0, e.key().lastIndexOf('/'))));
-                Catalog.Type t = catalog.type(m.type);
-                if (j != null) {
-                    f[0] += j.spec.cpus();
-                    f[1] += j.spec.gpus();
-                    f[2] += j.spec.mem();
-                } else if (t != null) {
-                    f[0] += t.cpus();
-                    f[1] += t.gpus();
-                    f[2] += t.mem();
-                }
-            }
-        }
-        return f;
-    }
-
-    private static void plus(double[] f, JobSpec j) {
-        f[0] += j.cpus();
-        f[1] += j.gpus();
-        f[2] += j.mem();
-    }
-
-    private static void minus(double[] f, JobSpec j) {
-        f[0] -= j.cpus();
-        f[1] -= j.gpus();
-        f[2] -= j.mem();
-    }
-
-    /** Whether a machine's reports come as they should. */
-    private boolean reporting(Machine m, long now) {
-        return now - m.heardAt < settings.reportS() * 1250 + 1_500;
-    }
-
     private boolean usable(Machine m) {
         long now = fx.now();
         return m.heardAt >= 0 && seats.owns(m.shard) && !m.condemned && !m.leaving && !m.gone && m.noticeAt < 0
                 && m.session != m.deadSession && m.token >= seats.term(m.shard)
-                && reporting(m, now) && now >= m.quarantineUntil;
+                && commands.reporting(m, now) && now >= m.quarantineUntil;
     }
 
     /** Checks a task offered to one of our machines and keeps room for it; returns why not, or null. */
@@ -726,18 +442,10 @@
                 return "still here";
             }
         }
-        double[] f = free(m);
-        if (makesRoom) {
-            for (Claim c : view.claims(machine).values()) {
-                if (c.job().spec.yieldsTo(j, guaranteed.test(c.job().spec.id()), guaranteed.test(j.id()))) {
-                    plus(f, c.job().spec);
-                }
-            }
-        }
-        if (!fits(f, j)) {
+        if (!room.fits(m, j, makesRoom)) {
             return "no room";
         }
-        m.reserved.put(key, new Machine.Reservation(key, j.cpus(), j.gpus(), j.mem(), fx.now() + reserveMs));
+        room.keep(m, key, j);
         return null;
     }
 
@@ -756,7 +464,7 @@
             return false;
         }
         // Without this, one old reservation kept a machine rented for good.
-        forgetReservations(m);
+        room.forgetReservations(m);
         if (m.condemned || view.claims(machine).isEmpty() && m.reserved.isEmpty()) {
             m.leaving = true;
             return true;
@@ -827,7 +535,7 @@
                 move(m);
             }
             if (!m.stops.isEmpty() || hasUnstarted(m)) {
-                push(m);
+                commands.push(m);
             }
         }
     }
@@ -901,9 +609,9 @@
             if (m.heardAt < 0 || m.gone || !seats.owns(m.shard)) {
                 continue;
             }
-            forgetReservations(m);
+            room.forgetReservations(m);
             l.add(new Picture(m.name, m.type, m.zone, m.spot, m.session, m.shard, usable(m), m.condemned, m.leaving,
-                    reporting(m, now) ? 0 : (int) (now - m.heardAt), m.idleSince, m.speed.value(), stray(m), fetching(m, now),
+                    commands.reporting(m, now) ? 0 : (int) (now - m.heardAt), m.idleSince, m.speed.value(), room.stray(m), fetching(m, now),
                     m.images.stream().mapToInt(i -> i).toArray(), m.reserved.isEmpty() ? List.of() : List.copyOf(m.reserved.keySet())));
         }
         return l;
