--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -286,7 +286,7 @@
             double[] f = {t.cpus() - p.strayUse()[0] - used[0], t.gpus() - p.strayUse()[1] - used[1],
                 t.mem() - p.strayUse()[2] - used[2]};
             for (Planner.Choice c : underway.getOrDefault(p.machine(), List.of())) {
-                Claim stands = c.job().claim(c.task());
+                Claim stands = c.job().placed(c.task()) ? c.job().claim(c.task()) : null;
                 if (stands == null || !stands.machine().equals(p.machine())) {
                     minus(f, c.job().spec);
                 }
@@ -307,7 +307,7 @@
     /** Whether a reservation is already counted: as a claim that stands, or as an offer of our own. */
     private boolean asked(Job j, String task, String machine, Map<String, List<Planner.Choice>> underway) {
         int n = Integer.parseInt(task);
-        if (n >= j.spec.tasks() || j.claim(n) != null) {
+        if (n >= j.spec.tasks() || j.placed(n)) {
             return true;
         }
         for (Planner.Choice c : underway.getOrDefault(machine, List.of())) {
@@ -596,7 +596,7 @@
     private List<Planner.Choice> allowed(Tx tx, Group g, List<Planner.Choice> list) {
         JobSpec s = g.job.spec;
         Job j = view.job(s.id());
-        if (j == null || j.state() != Job.State.OPEN || s.gang() && j.claimCount() > 0 || tx.writes(Keys.JOB + s.id())) {
+        if (j == null || j.state() != Job.State.OPEN || s.gang() && j.claimCount() > replaceable(j) || tx.writes(Keys.JOB + s.id())) {
             return List.of();
         }
         Settings.Team team = catalog.team(s.team());
@@ -604,7 +604,8 @@
         double cpus = view.cpusOf(s.team()) + extra[0];
         double gpus = view.gpusOf(s.team()) + extra[1];
         // Another change of this same transaction may already have placed tasks of this job.
-        Map<Integer, Integer> zones = Planner.zones(j, seats::zoneOf, i -> tx.peek(j, i));
+        // With a single row, what may be replaced leaves it by the same writing; of several rows, some may stay as they are.
+        Map<Integer, Integer> zones = Planner.zones(j, seats::zoneOf, i -> tx.peek(j, i), x -> j.chunks.size() == 1 && replaceable(x));
         List<Planner.Choice> ok = new ArrayList<>();
         for (Planner.Choice c : list) {
             Slot slot = c.slot();
@@ -613,7 +614,8 @@
             cpus += s.cpus();
             gpus += s.gpus();
             Chunk before = tx.peek(j, c.task() / j.chunkSize);
-            boolean fine = !j.isDone(c.task()) && (before == null || !before.claims.containsKey(c.task()))
+            Claim recorded = before == null ? null : before.claims.get(c.task());
+            boolean fine = !j.isDone(c.task()) && (recorded == null || replaceable(recorded))
                     && seats.term(shard) == g.accepted.get(c.task()) && slot.allows(s) && zone == slot.zone
                     && !Catalog.over(team.cpusMax(), cpus) && !Catalog.over(team.gpusMax(), gpus)
                     && !(s.oneZone() && !zones.isEmpty() && !zones.containsKey(zone))
@@ -632,12 +634,40 @@
         return ok;
     }
 
+    /** Whether a claim may be replaced in the transaction that writes its task's next one: the owner's proof must still be good. */
+    private boolean replaceable(Claim c) {
+        Job.Gone g = c.job().gone(c.task());
+        return g != null && g.claim() == c && (g.own() ? seats.owns(c.shard()) : g.term() == seats.term(c.shard()));
+    }
+
+    private int replaceable(Job j) {
+        int n = 0;
+        for (Job.Gone g : j.gone()) {
+            n += replaceable(g.claim()) ? 1 : 0;
+        }
+        return n;
+    }
+
+    /** What is proven gone leaves the row with the writing that places something in it: one row for a loss and its restart. */
+    private void clear(Tx tx, Job j, Chunk chunk) {
+        for (Job.Gone g : j.gone()) {
+            Claim c = g.claim();
+            if (c.task() / j.chunkSize == chunk.index && replaceable(c) && chunk.claims.get(c.task()) == c) {
+                tx.require(seats.shardKey(c.shard()));
+                chunk.claims.remove(c.task());
+                chunk.restarts += g.started() ? 1 : 0;
+            }
+        }
+    }
+
     private void record(Tx tx, JobSpec s, List<Planner.Choice> ok) {
         Job j = view.job(s.id());
         tx.require(Keys.JOB + s.id());
         long attempt = j.attempts();
         for (Planner.Choice c : ok) {
-            attempt = Math.max(attempt, tx.chunk(j, c.task() / j.chunkSize).attempts);
+            Chunk chunk = tx.chunk(j, c.task() / j.chunkSize);
+            clear(tx, j, chunk);
+            attempt = Math.max(attempt, chunk.attempts);
         }
         attempt++;
         for (Planner.Choice c : ok) {
@@ -730,12 +760,12 @@
         Job j = u.job();
         Set<String> refused = marks.refused(j.spec.id());
         if (j.spec.gang()) {
-            return j.claimCount() > 0 ? null : preemption.gang(j, u.guaranteed(), u.delayS(),
+            return j.placedCount() > 0 ? null : preemption.gang(j, u.guaranteed(), u.delayS(),
                     planner.spareMs(j, fx.wall()), plan, slots, catalog.zones.size(), refused);
         }
         IntPredicate taken = marks.held(j.spec.id());
         for (int task = 0; task < j.spec.tasks(); task++) {
-            if (!j.isDone(task) && j.claim(task) == null && (taken == null || !taken.test(task))) {
+            if (!j.isDone(task) && !j.placed(task) && (taken == null || !taken.test(task))) {
                 Planner.Choice c = preemption.single(j, task, u.guaranteed(), u.delayS(), plan, slots,
                         planner.zones(j, underway()), refused);
                 return c == null ? null : List.of(c);
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -23,6 +23,7 @@
 import java.util.function.IntFunction;
 import java.util.function.IntPredicate;
 import java.util.function.IntUnaryOperator;
+import java.util.function.Predicate;
 
 /**
  * Works out, for all jobs in one global order, where each waiting task would go. Every controller computes the same
@@ -104,6 +105,11 @@
     private static final double HARM = 1.5;
     /** A start may be this much later on a fuller machine, as an empty one can be returned. */
     private static final double PACK_MS = 2_500;
+    /**
+     * What was lost comes back where it ran if nothing speaks against it. Three controllers that each chose the fullest machine for
+     * a thousand lost tasks met on the same ones; more than packing is worth, less than half a fetch.
+     */
+    private static final double IN_PLACE_MS = 3_000;
     /** By how many times the time that a job would take all machines it counts as due later. */
     private static final double SIZE_WEIGHT = 10;
     private final LeaseTerms terms;
@@ -182,7 +188,7 @@
     }
 
     private static boolean waits(Job j) {
-        return j.state() == Job.State.OPEN && j.doneCount() + j.claimCount() < j.spec.tasks();
+        return j.state() == Job.State.OPEN && j.doneCount() + j.placedCount() < j.spec.tasks();
     }
 
     /** Whether any task has no place yet. */
@@ -276,10 +282,11 @@
             if (marks.paused(j)) {
                 continue;
             }
+            homes = homes(j);
             IntPredicate held = marks.held(s.id());
             Set<String> refused = marks.refused(s.id());
             if (s.gang()) {
-                if (j.claimCount() > 0 || held != null && held.test(0)) {
+                if (j.placedCount() > 0 || held != null && held.test(0)) {
                     continue;
                 }
                 List<Choice> gang = hopeless(s, misfits) ? null : gang(j, slots, refused, use[s.team()]);
@@ -297,7 +304,7 @@
             int missing = 0;
             int placed = 0;
             for (int task = 0; task < s.tasks(); task++) {
-                if (j.isDone(task) || j.claim(task) != null) {
+                if (j.isDone(task) || j.placed(task)) {
                     continue;
                 }
                 if (held != null && held.test(task)) {
@@ -322,7 +329,7 @@
                 }
                 if (slot == null) {
                     // Its tasks are all alike: the rest finds no room either, and need not be looked at one by one.
-                    missing = withinLimit(s, use[s.team()], s.tasks() - j.doneCount() - j.claimCount() - placed);
+                    missing = withinLimit(s, use[s.team()], s.tasks() - j.doneCount() - j.placedCount() - placed);
                     use[s.team()][0] += missing * s.cpus();
                     use[s.team()][1] += missing * s.gpus();
                     break;
@@ -460,13 +467,15 @@
     }
 
     /** How many tasks of a job are recorded in each zone; whatever is not proven gone counts. */
-    public static Map<Integer, Integer> zones(Job j, IntUnaryOperator zoneOfShard, IntFunction<Chunk> chunks) {
+    static Map<Integer, Integer> zones(Job j, IntUnaryOperator zoneOfShard, IntFunction<Chunk> chunks, Predicate<Claim> gone) {
         Map<Integer, Integer> n = new HashMap<>();
         for (int i = 0; i < j.chunks.size(); i++) {
             Chunk c = chunks.apply(i);
             if (c != null) {
                 for (Claim x : c.claims.values()) {
-                    n.merge(zoneOfShard.applyAsInt(x.shard()), 1, Integer::sum);
+                    if (!gone.test(x)) {
+                        n.merge(zoneOfShard.applyAsInt(x.shard()), 1, Integer::sum);
+                    }
                 }
             }
         }
@@ -481,9 +490,9 @@
 
     /** Zones of a job's recorded tasks, and of those on their way into a record. */
     public Map<Integer, Integer> zones(Job j, Iterable<Choice> underway) {
-        Map<Integer, Integer> n = zones(j, zoneOfShard, j.chunks::get);
+        Map<Integer, Integer> n = zones(j, zoneOfShard, j.chunks::get, x -> !j.placed(x.task()));
         for (Choice c : underway) {
-            if (c.job().spec.id().equals(j.spec.id()) && j.claim(c.task()) == null) {
+            if (c.job().spec.id().equals(j.spec.id()) && !j.placed(c.task())) {
                 n.merge(c.slot().zone, 1, Integer::sum);
             }
         }
@@ -568,6 +577,18 @@
         }
     }
 
+    /** Where the job that is being planned ran until its tasks were lost. */
+    private Set<String> homes = Set.of();
+
+    private static Set<String> homes(Job j) {
+        if (j.gone().isEmpty()) {
+            return Set.of();
+        }
+        Set<String> l = new HashSet<>();
+        j.gone().forEach(g -> l.add(g.claim().machine()));
+        return l;
+    }
+
     /** Lower is better, in ms of expected delay; ties go to full machines, so that others become empty. */
     private double score(Job j, Slot s, Map<Integer, Integer> zones) {
         JobSpec spec = j.spec;
@@ -587,6 +608,9 @@
             // The gate: such a machine is taken only when no capable one has room.
             score += 3_600_000;
         }
+        if (!homes.isEmpty() && homes.contains(s.machine)) {
+            score -= IN_PLACE_MS;
+        }
         double left = Math.max((s.cpus - spec.cpus()) / s.type.cpus(),
                 s.type.gpus() > 0 ? (s.gpus - spec.gpus()) / s.type.gpus() : 0);
         score += left * PACK_MS;
--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -43,7 +43,8 @@
     private final long suspectMs;
     private final long settleMs;
     private final int perZone;
-    private final long startedAt;
+    /** When the state was first read; -1: not yet. */
+    private long readAt = -1;
     private final List<Settings.Peer> members = new ArrayList<>();
     private final long[] heardAt;
     private final long[] aliveSince;
@@ -87,7 +88,6 @@
         suspectMs = t.ms("seats.suspect-s");
         settleMs = t.ms("seats.settle-s");
         perZone = shardsPerZone(s, (int) t.num("seats.shards-per-zone"));
-        startedAt = fx.now();
         members.add(new Settings.Peer(s.member(), s.zone(), s.mesh()));
         members.addAll(s.peers());
         heardAt = new long[members.size()];
@@ -449,6 +449,7 @@
         if (!store.loaded()) {
             return;
         }
+        readAt = readAt < 0 ? now : readAt;
         if (lease == 0) {
             if (!leaseBusy && now >= nextLease) {
                 grant();
@@ -654,7 +655,9 @@
         if (taking) {
             return;
         }
-        boolean hopeful = now - startedAt < suspectMs + 500;
+        // Counted from the reading, not from the start: after a start inside an outage whoever read first once took all shards, 0.1 s
+        // before the others, and handed them over six seconds later, in the middle of squaring their workers' reports.
+        boolean hopeful = now - readAt < suspectMs + 500;
         List<Integer> take = new ArrayList<>();
         for (int s = 0; s < giving.length; s++) {
             if (owns(s) || giving[s] || preferred(s, hopeful) != 0) {
--- a/src/main/java/birchusher/store/Job.java
+++ b/src/main/java/birchusher/store/Job.java
@@ -2,7 +2,10 @@
 
 import birchusher.model.JobSpec;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** A job that has not been put away yet, with its placement. */
 public final class Job {
@@ -19,6 +22,8 @@
     public final List<Chunk> chunks = new ArrayList<>();
     private int done;
     private int claims;
+    /** Claims that are proven gone while their row still shows them; by task. Small: only between a proof and its writing. */
+    private final Map<Integer, Gone> gone = new HashMap<>(2);
 
     public Job(JobSpec spec, int chunkSize, long acceptedAt, State state, long age) {
         this.spec = spec;
@@ -61,6 +66,39 @@
         claims += (c == null ? 0 : c.claims.size()) - (old == null ? 0 : old.claims.size());
     }
 
+    /**
+     * A claim whose task is proven gone. The proof is its owner's, and good for writing only while that owner's term stands; our
+     * {@code own} proof holds as long as we own the shard, whatever its term. {@code started}: the task had been ordered to start.
+     */
+    public record Gone(Claim claim, long term, boolean own, boolean started) { }
+
+    /** The proof that a task's recorded claim is over, or null. */
+    public Gone gone(int task) {
+        return gone.isEmpty() ? null : gone.get(task);
+    }
+
+    public Collection<Gone> gone() {
+        return gone.values();
+    }
+
+    /** Whether a task has a machine, as far as is known: a claim that is not proven gone. */
+    public boolean placed(int task) {
+        return claim(task) != null && gone(task) == null;
+    }
+
+    public int placedCount() {
+        return claims - gone.size();
+    }
+
+    void mark(Gone g) {
+        gone.put(g.claim().task(), g);
+    }
+
+    boolean unmark(Claim c) {
+        Gone g = gone(c.task());
+        return g != null && g.claim() == c && gone.remove(c.task()) != null;
+    }
+
     public int doneCount() {
         return done;
     }
--- a/src/main/java/birchusher/store/View.java
+++ b/src/main/java/birchusher/store/View.java
@@ -73,6 +73,9 @@
             use[1] = 0;
             use[2] = 0;
             for (Claim c : claims.values()) {
+                if (c.job().gone(c.task()) != null) {
+                    continue;
+                }
                 JobSpec j = c.job().spec;
                 use[0] += j.cpus();
                 use[1] += j.gpus();
@@ -341,8 +344,39 @@
         touched.accept(x.machine());
     }
 
+    /**
+     * A claim's task is proven gone: its room is free and it may be placed anew, though the row still shows it. The mark leaves with
+     * the claim, or when the proof can't be written.
+     */
+    public void gone(Job.Gone g) {
+        Claim c = g.claim();
+        Job j = c.job();
+        if (jobs.get(j.spec.id()) == j && j.claim(c.task()) == c && j.gone(c.task()) == null) {
+            j.mark(g);
+            changes++;
+            resum(c);
+        }
+    }
+
+    /** Takes such a mark back. */
+    public void notGone(Claim c) {
+        if (c.job().unmark(c)) {
+            changes++;
+            resum(c);
+        }
+    }
+
+    private void resum(Claim c) {
+        OnMachine on = byMachine.get(c.machine());
+        if (on != null) {
+            on.sum();
+        }
+        touched.accept(c.machine());
+    }
+
     private void uncount(Claim x) {
         JobSpec s = x.job().spec;
+        x.job().unmark(x);
         claimed--;
         cpus[s.team()] -= s.cpus();
         gpus[s.team()] -= s.gpus();
--- a/src/main/java/birchusher/workers/Outcomes.java
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -26,7 +26,10 @@
 
     private static final long DRIVER_MS = 4_000;
     private static final int MAX_ITEMS = 400;
-    /** A task of an array that is done is in no hurry: its worker keeps the result, and others of its job end as well. */
+    /**
+     * A task of an array that is done is in no hurry: its worker keeps the result, and others of its job end as well. One that is lost
+     * is placed anew meanwhile, and leaves its row with the same writing.
+     */
     private static final long PATIENCE_MS = 2_000;
     private static final long SHORT_PATIENCE_MS = 300;
 
@@ -65,6 +68,9 @@
         if (pending.containsKey(c.attemptKey())) {
             return false;
         }
+        if (kind == Kind.LOST || kind == Kind.NOT_STARTED) {
+            view.gone(new Job.Gone(c, seats.term(c.shard()), true, kind == Kind.LOST));
+        }
         int driver = seats.driver(c.job().spec.id());
         if (driver > 0) {
             pending.put(c.attemptKey(), new Pending(c, kind, fx.now() + DRIVER_MS, false));
@@ -82,6 +88,7 @@
                 seats.term(c.shard()), kind, true));
         if (!queued) {
             pending.remove(c.attemptKey());
+            view.notGone(c);
         }
     }
 
@@ -112,6 +119,7 @@
                 over(p);
             } else if (!seats.owns(p.claim.shard())) {
                 // Not ours to say any more; the new owner finds its own proof.
+                view.notGone(p.claim);
                 it.remove();
             } else if (!p.queued && fx.now() > p.writeBy) {
                 late = late == null ? new ArrayList<>() : late;
@@ -127,8 +135,14 @@
     public void told(PeerRecord.Outcomes r) {
         for (PeerRecord.Ended e : r.items()) {
             if (e.shard() >= 0 && e.shard() < seats.shardCount() && e.kind() >= 0 && e.kind() < Kind.values().length) {
-                store.offer(new Settle(e.job(), e.task(), e.attempt(), e.machine(), e.shard(), e.term(),
-                        Kind.values()[e.kind()], false));
+                Kind kind = Kind.values()[e.kind()];
+                boolean queued = store.offer(new Settle(e.job(), e.task(), e.attempt(), e.machine(), e.shard(), e.term(), kind, false));
+                Job j = view.job(e.job());
+                Claim c = j == null || e.task() >= j.spec.tasks() ? null : j.claim(e.task());
+                if (queued && c != null && c.attempt() == e.attempt() && c.machine().equals(e.machine()) && c.shard() == e.shard()
+                        && (kind == Kind.LOST || kind == Kind.NOT_STARTED)) {
+                    view.gone(new Job.Gone(c, e.term(), false, kind == Kind.LOST));
+                }
             }
         }
     }
@@ -174,7 +188,7 @@
 
         @Override
         public long patienceMs() {
-            return lasts ? 0 : kind == Kind.DONE && array ? PATIENCE_MS : SHORT_PATIENCE_MS;
+            return lasts ? 0 : kind == Kind.DONE && array || kind == Kind.LOST ? PATIENCE_MS : SHORT_PATIENCE_MS;
         }
 
         @Override
@@ -199,8 +213,13 @@
             if (now == null || now.attempt() != attempt || !now.machine().equals(machine) || now.shard() != shard) {
                 return false;
             }
-            tx.require(seats.shardKey(shard));
             Chunk chunk = tx.chunk(j, task / j.chunkSize);
+            Claim there = chunk.claims.get(task);
+            if (there == null || there.attempt() != attempt) {
+                // The same transaction places the task anew, and has taken this claim out for that.
+                return true;
+            }
+            tx.require(seats.shardKey(shard));
             chunk.claims.remove(task);
             if (kind == Kind.DONE) {
                 if (j.spec.gang()) {
@@ -229,6 +248,12 @@
             if (own) {
                 pending.remove(Claim.attemptKey(id, task, attempt));
             }
+            Job j = view.job(id);
+            Claim now = j == null || task >= j.spec.tasks() ? null : j.claim(task);
+            if (now != null && now.attempt() == attempt && !pending.containsKey(now.attemptKey())) {
+                // It can't be written: whoever plans must see the place taken again.
+                view.notGone(now);
+            }
         }
     }
 }
--- a/src/main/java/birchusher/workers/Room.java
+++ b/src/main/java/birchusher/workers/Room.java
@@ -54,6 +54,9 @@
         List<Claim> unstarted = new ArrayList<>();
         for (Claim c : view.claims(m.name).values()) {
             String ak = c.attemptKey();
+            if (c.job().gone(c.task()) != null) {
+                continue;
+            }
             Entry e = m.entries.get(ak);
             boolean over = outcomes.pending(ak);
             boolean ordered = e != null || m.runs.containsKey(ak);
@@ -114,7 +117,9 @@
         double[] f = {t.cpus(), t.gpus(), t.mem()};
         Map<String, Claim> claims = view.claims(m.name);
         for (Claim c : claims.values()) {
-            minus(f, c.job().spec);
+            if (c.job().gone(c.task()) == null) {
+                minus(f, c.job().spec);
+            }
         }
         double[] stray = stray(m);
         for (int i = 0; i < 3; i++) {
@@ -133,7 +138,10 @@
     void forgetReservations(Machine m) {
         long now = fx.now();
         Map<String, Claim> claims = view.claims(m.name);
-        m.reserved.values().removeIf(r -> now > r.until() || claims.containsKey(r.key()));
+        m.reserved.values().removeIf(r -> {
+            Claim c = claims.get(r.key());
+            return now > r.until() || c != null && c.job().gone(c.task()) == null;
+        });
     }
 
     /** Room held by tasks that no record covers, such as those being stopped after a late command. */
@@ -175,7 +183,7 @@
         double[] f = free(m);
         if (makesRoom) {
             for (Claim c : view.claims(m.name).values()) {
-                if (c.job().spec.yieldsTo(j, guaranteed.test(c.job().spec.id()), guaranteed.test(j.id()))) {
+                if (c.job().gone(c.task()) == null && c.job().spec.yieldsTo(j, guaranteed.test(c.job().spec.id()), guaranteed.test(j.id()))) {
                     plus(f, c.job().spec);
                 }
             }
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -176,7 +176,9 @@
             m.stops.clear();
             m.loose.clear();
         }
-        if (m.heardAt < 0) {
+        boolean later = r.session() > m.session;
+        boolean followed = m.heardAt >= 0;
+        if (!followed) {
             LOG.info("machine {} reports: {} in {}, session {}, {} tasks", m.name, r.type(), r.zone(), r.session(),
                     r.tasks().size());
         }
@@ -195,11 +197,25 @@
             counters.notices++;
             LOG.info("machine {} will be taken back in {} s", m.name, r.noticeS());
         }
+        if (later) {
+            view.claims(m.name).values().forEach(c -> remember(m, c, followed));
+        }
         m.entries = r.tasks();
         reconcile(m);
         return true;
     }
 
+    /**
+     * A worker keeps its images though its lease is over, and nothing but the records of what ran there tells a new owner of them.
+     * Without this, a fleet full of warm caches fetched everything anew after a crash of all controllers.
+     */
+    private void remember(Machine m, Claim c, boolean followed) {
+        Entry e = m.entries.get(c.attemptKey());
+        if (e == null ? !followed : e.phase() != Entry.Phase.FETCHING) {
+            m.image(c.job().spec.image(), catalog);
+        }
+    }
+
     // ---- what the report and the records say together
 
     private void reconcile(Machine m) {
@@ -597,6 +613,7 @@
         }
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
             if (m.session == 0 || c.session() <= m.session) {
+                remember(m, c, m.heardAt >= 0);
                 release(c, Outcomes.Kind.LOST, "worker's lease over");
             }
         }
