--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -467,7 +467,7 @@
     }
 
     /** How many tasks of a job are recorded in each zone; whatever is not proven gone counts. */
-    static Map<Integer, Integer> zones(Job j, IntUnaryOperator zoneOfShard, IntFunction<Chunk> chunks, Predicate<Claim> gone) {
+    public static Map<Integer, Integer> zones(Job j, IntUnaryOperator zoneOfShard, IntFunction<Chunk> chunks, Predicate<Claim> gone) {
         Map<Integer, Integer> n = new HashMap<>();
         for (int i = 0; i < j.chunks.size(); i++) {
             Chunk c = chunks.apply(i);
--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -143,8 +143,8 @@
         Tx tx = new Tx(view);
         Chunk chunk = tx.chunk(web, 0);
         chunk.claims.put(0, new Claim(web, 0, 1, "a", 1, 0));
-        assertThat(Planner.zones(web, s -> s, web.chunks::get)).isEmpty();
-        assertThat(Planner.zones(web, s -> s, i -> tx.peek(web, i))).containsEntry(0, 1);
+        assertThat(Planner.zones(web, s -> s, web.chunks::get, c -> false)).isEmpty();
+        assertThat(Planner.zones(web, s -> s, i -> tx.peek(web, i), c -> false)).containsEntry(0, 1);
     }
 
     @Test
