--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -19,6 +19,8 @@
 import birchusher.placement.Driver;
 import birchusher.placement.Planner;
 import birchusher.placement.Slot;
+import birchusher.recovery.Census;
+import birchusher.recovery.Orders;
 import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
@@ -63,6 +65,8 @@
     private final Buyer buyer;
     private final Counters counters = new Counters();
     private final PictureBook book;
+    private final Orders orders = new Orders();
+    private final Census census;
     /** Our machines as last drawn, a quarter of a second old at most when the news of them is told. */
     private List<Picture> own = List.of();
     private long nextHeartbeat;
@@ -83,7 +87,7 @@
         Driver[] later = new Driver[1];
         book = new PictureBook(fx, catalog, seats);
         outcomes = new Outcomes(fx, view, store, seats, counters, this::send);
-        yard = new Yard(fx, s, catalog, view, store, seats, speeds, t, counters, outcomes, book,
+        yard = new Yard(fx, s, catalog, view, store, seats, speeds, t, counters, outcomes, book, orders,
                 (job, grace, reason) -> later[0].stopGang(job, grace, reason),
                 id -> later[0].last().guaranteed().contains(id));
         Hazards hazards = new Hazards();
@@ -95,12 +99,13 @@
             }
         });
         planner = new Planner(catalog, view, speeds, hazards, LeaseTerms.from(t), s.objectives());
-        driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send);
+        census = new Census(view, Math.round(s.reportS() * 1000), 1 + s.peers().size());
+        driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send, census::known);
         later[0] = driver;
         desk = new Desk(fx, s, catalog, codec, view, store, seats);
         listing = new Listing(fx, catalog, codec, view, store, desk, events);
-        buyer = new Buyer(fx, s, catalog, view, store, seats, new CloudLink(fx, s), counters, t, this::retire, yard::gone,
-                driver::slots, driver::runningFor);
+        buyer = new Buyer(fx, s, catalog, view, store, seats, new CloudLink(fx, s), counters, orders, census::known, t, this::retire,
+                yard::gone, driver::slots, driver::runningFor);
     }
 
     // ---- inputs
@@ -167,6 +172,7 @@
             nextPictures = now + 250;
             own = yard.pictures();
             book.draw(own);
+            census.look(now, store.loaded(), book.pictures()::containsKey, buyer::leaves, buyer.strangers());
         }
         if (plan) {
             driver.tick(book.pictures(), this::coming);
@@ -178,8 +184,9 @@
         }
         if (now >= nextLine) {
             nextLine = now + 30_000;
-            LOG.info("counters takeovers={} jobs={} machines={} {} {} {}", seats.takeovers, view.jobs().size(),
-                    book.pictures().size(), counters.line(), store.line(), driver.line());
+            LOG.info("counters takeovers={} jobs={} machines={} {} {} {} recovery={} open={} gone={} {}", seats.takeovers, view.jobs().size(),
+                    book.pictures().size(), counters.line(), store.line(), driver.line(), census.phase(), census.open(),
+                    view.goneCount(), orders.line());
         }
         return done();
     }
--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -7,6 +7,7 @@
 import birchusher.model.JobSpec;
 import birchusher.placement.Planner;
 import birchusher.placement.Slot;
+import birchusher.recovery.Orders;
 import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
@@ -27,6 +28,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
@@ -52,6 +54,9 @@
     private final Seats seats;
     private final CloudLink cloud;
     private final Counters counters;
+    private final Orders orders;
+    /** Until then nothing is rented, returned or emptied: the next reports may show that it was there, or needed. */
+    private final BooleanSupplier fleetKnown;
     private final Settings settings;
     private final BiConsumer<String, Boolean> retire;
     private final Consolidation consolidation;
@@ -82,7 +87,7 @@
     private long lostAt = -1_000_000;
 
     public Buyer(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, CloudLink cloud,
-            Counters counters, Tuning t, BiConsumer<String, Boolean> retire, Consumer<String> gone,
+            Counters counters, Orders orders, BooleanSupplier fleetKnown, Tuning t, BiConsumer<String, Boolean> retire, Consumer<String> gone,
             Function<Map<String, Picture>, List<Slot>> free, ToLongFunction<Claim> runningFor) {
         this.fx = fx;
         this.settings = s;
@@ -92,6 +97,8 @@
         this.seats = seats;
         this.cloud = cloud;
         this.counters = counters;
+        this.orders = orders;
+        this.fleetKnown = fleetKnown;
         this.retire = retire;
         this.gone = gone;
         reserve = new Reserve(catalog, view, s.objectives());
@@ -104,7 +111,7 @@
         list = new MachineList(fx, s, catalog, view, seats, cloud, giveUp, new MachineList.Known() {
             @Override
             public boolean leaves(String machine) {
-                return recentlyGone.containsKey(machine) || deleting.contains(machine);
+                return Buyer.this.leaves(machine);
             }
 
             @Override
@@ -124,6 +131,16 @@
         });
     }
 
+    /** Whether a machine was deleted lately, or is about to be. */
+    public boolean leaves(String machine) {
+        return recentlyGone.containsKey(machine) || deleting.contains(machine);
+    }
+
+    /** Machines that the cloud lists as running and nobody tells of. */
+    public Set<String> strangers() {
+        return list.running();
+    }
+
     public boolean isBuyer() {
         Map<String, Object> row = view.row(Keys.BUYER);
         return seats.holding() && row != null && seats.memberName(0).equals(row.get("m"))
@@ -161,6 +178,10 @@
         settleAsks(pictures, now);
         known = pictures;
         list.tick();
+        if (!fleetKnown.getAsBoolean()) {
+            deleteNow();
+            return;
+        }
         giveBack(pictures, now);
         if (catalog.typesKnown() && !reserving && now - buyerSince > 1_500) {
             buy(plan, pictures, now);
@@ -349,6 +370,7 @@
             if (status == 200) {
                 List<Object> hosts = new ArrayList<>(Fields.list(m, Wire.MACHINES));
                 counters.rentals += hosts.size();
+                orders.rent(kind(a.type(), a.zone(), a.spot()), hosts.size(), Math.round(catalog.type(a.type()).bootS() * 1000), fx.now());
                 LOG.info("rented {} of {} {} in {}{}: {}", hosts.size(), a.count(), catalog.typeNames.name(a.type()),
                         catalog.zones.name(a.zone()), a.spot() ? " (spot)" : "", hosts);
                 if (hosts.size() < a.count()) {
@@ -569,10 +591,18 @@
     public void retired(String machine, boolean agreed) {
         if (agreed && isBuyer()) {
             LOG.info("machine {} is returned", machine);
+            Picture p = known.get(machine);
+            if (p != null) {
+                orders.giveBack(kind(p.type(), p.zone(), p.spot()), fx.now());
+            }
             delete(machine);
         }
     }
 
+    private int kind(int type, int zone, boolean spot) {
+        return (type * catalog.zones.size() + zone) * 2 + (spot ? 1 : 0);
+    }
+
     private void delete(String machine) {
         if (deleting.add(machine)) {
             toDelete.add(machine);
--- a/src/main/java/birchusher/fleet/MachineList.java
+++ b/src/main/java/birchusher/fleet/MachineList.java
@@ -43,6 +43,7 @@
     private final Known buyer;
     /** Listed machines that report to nobody, since when. */
     private final Map<String, Long> strangers = new HashMap<>();
+    private final Set<String> running = new HashSet<>();
     private boolean listing;
     private long nextList;
 
@@ -57,6 +58,11 @@
         this.buyer = buyer;
     }
 
+    /** The strangers that are listed as running. */
+    Set<String> running() {
+        return running;
+    }
+
     void tick() {
         if (fx.now() < nextList || listing) {
             return;
@@ -85,6 +91,7 @@
                     } else {
                         listing = false;
                         strangers.keySet().retainAll(seen);
+                        running.retainAll(strangers.keySet());
                     }
                 });
         if (!sent) {
@@ -104,6 +111,7 @@
         }
         if (buyer.known(machine)) {
             strangers.remove(machine);
+            running.remove(machine);
             return;
         }
         if (buyer.awaited(machine)) {
@@ -113,10 +121,14 @@
             if (!seats.live(i)) {
                 // It may well report to a controller that we can't hear.
                 strangers.clear();
+                running.clear();
                 return;
             }
         }
         long since = strangers.computeIfAbsent(machine, k -> now);
+        if (state.equals("running")) {
+            running.add(machine);
+        }
         double bootS = 60;
         for (Catalog.Type t : catalog.types()) {
             bootS = Math.max(bootS, t.bootS());
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -29,6 +29,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntPredicate;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -86,6 +87,8 @@
     private final Preemption preemption;
     private final Counters counters;
     private final Mesh mesh;
+    /** Whether the machines that the rows speak of have been heard of: until then work is not stopped for want of room. */
+    private final BooleanSupplier fleetKnown;
     /** Per job and task: until when it is on its way and must not be planned again. */
     private final Map<String, Map<Integer, Long>> held = new HashMap<>();
     private int heldCount;
@@ -107,7 +110,7 @@
     private Planner.Plan last = new Planner.Plan(List.of(), List.of(), Set.of(), 0, 0, List.of());
 
     public Driver(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Yard yard,
-            Planner planner, Counters counters, Tuning t, Mesh mesh) {
+            Planner planner, Counters counters, Tuning t, Mesh mesh, BooleanSupplier fleetKnown) {
         this.fx = fx;
         this.settings = s;
         this.catalog = catalog;
@@ -120,6 +123,7 @@
         preemption = new Preemption(view, this::runningFor);
         this.counters = counters;
         this.mesh = mesh;
+        this.fleetKnown = fleetKnown;
         offerMs = t.ms("placement.offer-s");
         preemptDelay = t.num("placement.preempt-delay-s") * 1000;
         planGap = t.ms("placement.plan-gap-s");
@@ -169,7 +173,9 @@
         counters.speedLimited += plan.speedLimited();
         if (seats.holding() && store.healthy()) {
             act(plan, pictures, now);
-            preempt(plan, pictures, now);
+            if (fleetKnown.getAsBoolean()) {
+                preempt(plan, pictures, now);
+            }
         }
     }
 
--- /dev/null
+++ b/src/main/java/birchusher/recovery/Census.java
@@ -0,0 +1,119 @@
+package birchusher.recovery;
+
+import birchusher.store.View;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which machines are to be heard of, and for how long that is waited for. Every claim's machine is expected, by the rows, and every
+ * machine that the cloud lists as running; each is heard (its owner tells of it), gone (the cloud confirmed it), or open. While any
+ * is open, what the next report may overturn is not ordered: renting, returning, moving. Each machine is waited for only as long as
+ * a worker that lost its controller may need to find another one; a machine silent for longer is a matter of its lease. Orders that
+ * keep a rule (stops of cancelled work, starts kept out) never ask here.
+ *
+ * <p>It needs no talk: all rows are known to every controller, and owners tell of the machines they have heard anyway.
+ */
+public final class Census {
+    private static final Logger LOG = LoggerFactory.getLogger(Census.class);
+    /** By the protocol a worker waits for an answer for 4 s, and tries the next controller 1 s later. */
+    private static final long NO_ANSWER_MS = 4_000;
+    private static final long NEXT_MS = 1_000;
+
+    /** Of a cluster's return; each ends by evidence, or when nothing more is waited for. */
+    public enum Phase {
+        /** The rows are not read yet. */
+        READING,
+        /** Machines are expected that nobody has told of. */
+        HEARING,
+        /** All are heard or given up; losses are known that their rows do not show yet. */
+        RESTORING,
+        ORDINARY
+    }
+
+    private final View view;
+    private final long patienceMs;
+    /** Expected machines that nobody tells of, since when; those waited for long enough stay, so that they are not begun again. */
+    private final Map<String, Long> open = new HashMap<>();
+    private Phase phase = Phase.READING;
+    private int waitedFor;
+    private long since;
+    private int most;
+
+    /**
+     * @param reportMs the workers' mean report interval; it may be a quarter longer
+     * @param controllers how many a worker may have to ask until it finds its owner
+     */
+    public Census(View view, long reportMs, int controllers) {
+        this.view = view;
+        patienceMs = patience(reportMs, controllers);
+    }
+
+    static long patience(long reportMs, int controllers) {
+        return reportMs * 5 / 4 + NO_ANSWER_MS + NEXT_MS * (controllers + 1);
+    }
+
+    /**
+     * @param read whether the rows are read
+     * @param heard whether some owner tells of a machine
+     * @param gone whether a machine is known to be gone
+     * @param listed machines that the cloud's list shows as running though nobody tells of them
+     */
+    public void look(long now, boolean read, Predicate<String> heard, Predicate<String> gone, Iterable<String> listed) {
+        if (!read) {
+            next(Phase.READING, now);
+            return;
+        }
+        Map<String, Long> before = Map.copyOf(open);
+        open.clear();
+        for (String machine : view.claimedMachines()) {
+            expect(machine, heard, gone, before, now);
+        }
+        for (String machine : listed) {
+            expect(machine, heard, gone, before, now);
+        }
+        waitedFor = 0;
+        for (long at : open.values()) {
+            waitedFor += now - at < patienceMs ? 1 : 0;
+        }
+        most = Math.max(most, waitedFor);
+        next(waitedFor > 0 ? Phase.HEARING : view.goneCount() > 0 ? Phase.RESTORING : Phase.ORDINARY, now);
+    }
+
+    private void expect(String machine, Predicate<String> heard, Predicate<String> gone, Map<String, Long> before, long now) {
+        if (!heard.test(machine) && !gone.test(machine)) {
+            open.put(machine, before.getOrDefault(machine, now));
+        }
+    }
+
+    private void next(Phase p, long now) {
+        if (p == phase) {
+            return;
+        }
+        if (phase == Phase.HEARING && most >= 10) {
+            LOG.info("recovery: {} machines were waited for, {} of them in vain, for {} ms; {} losses to be written", most, open.size(),
+                    now - since, view.goneCount());
+        }
+        if (p == Phase.HEARING) {
+            most = waitedFor;
+        }
+        phase = p;
+        since = now;
+    }
+
+    public Phase phase() {
+        return phase;
+    }
+
+    /** Whether what is known of the fleet is complete enough to rent, return or empty machines by it. */
+    public boolean known() {
+        return phase == Phase.RESTORING || phase == Phase.ORDINARY;
+    }
+
+    /** Expected machines that are still waited for. */
+    public int open() {
+        return waitedFor;
+    }
+}
--- a/src/main/java/birchusher/store/View.java
+++ b/src/main/java/birchusher/store/View.java
@@ -52,6 +52,7 @@
     private long asks;
     private long rowChanges;
     private int claimed;
+    private int goneMarks;
     private Consumer<String> touched = m -> { };
     private LongSupplier clock = () -> 0;
     private ToIntFunction<String> kindOf = m -> -1;
@@ -171,6 +172,11 @@
         return claimed;
     }
 
+    /** Claims that are proven gone while their rows still show them. */
+    public int goneCount() {
+        return goneMarks;
+    }
+
     /** Counts changes of rental rows. */
     public long askChanges() {
         return asks;
@@ -263,6 +269,7 @@
         rows.clear();
         byMachine.clear();
         claimed = 0;
+        goneMarks = 0;
         orphans.clear();
         java.util.Arrays.fill(cpus, 0);
         java.util.Arrays.fill(gpus, 0);
@@ -353,6 +360,7 @@
         Job j = c.job();
         if (jobs.get(j.spec.id()) == j && j.claim(c.task()) == c && j.gone(c.task()) == null) {
             j.mark(g);
+            goneMarks++;
             changes++;
             resum(c);
         }
@@ -361,6 +369,7 @@
     /** Takes such a mark back. */
     public void notGone(Claim c) {
         if (c.job().unmark(c)) {
+            goneMarks--;
             changes++;
             resum(c);
         }
@@ -376,7 +385,7 @@
 
     private void uncount(Claim x) {
         JobSpec s = x.job().spec;
-        x.job().unmark(x);
+        goneMarks -= x.job().unmark(x) ? 1 : 0;
         claimed--;
         cpus[s.team()] -= s.cpus();
         gpus[s.team()] -= s.gpus();
--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -5,6 +5,8 @@
 import birchusher.core.Fields;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
+import birchusher.recovery.Orders;
+import birchusher.recovery.Squaring;
 import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.store.Claim;
@@ -42,9 +44,11 @@
     private final StoreLink store;
     private final Seats seats;
     private final Outcomes outcomes;
+    private final Orders account;
     private final Owner owner;
 
-    Commands(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Outcomes outcomes, Owner owner) {
+    Commands(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Outcomes outcomes, Orders account,
+            Owner owner) {
         this.fx = fx;
         this.settings = s;
         this.catalog = catalog;
@@ -52,6 +56,7 @@
         this.store = store;
         this.seats = seats;
         this.outcomes = outcomes;
+        this.account = account;
         this.owner = owner;
     }
 
@@ -81,49 +86,39 @@
         Map<String, Claim> claims = view.claims(m.name);
         for (Entry e : m.entries.values()) {
             Claim c = claims.get(e.key());
-            boolean claimed = c != null && c.attempt() == e.attempt() && c.session() == m.session;
-            if (e.exited()) {
-                if (!claimed && !m.loose.containsKey(e.attemptKey()) && !outcomes.pending(e.attemptKey())) {
-                    orders.add(order(Wire.FORGET, e.key(), e.attempt(), -1));
-                } else if (!claimed) {
-                    fence(m, e.attemptKey(), now);
-                }
-                continue;
-            }
             Stop stop = m.stops.get(e.attemptKey());
-            boolean must = !claimed || unwanted(m, c) && stop == null && m.noticeAt < 0;
-            if (must) {
-                boolean goneOn = claimed && c.job().allDone();
-                if (!goneOn) {
-                    orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
-                }
-            } else if (stop != null) {
-                boolean overdue = now - stop.since > stop.graceS * 1000 + 4_000;
-                if (e.phase() != Entry.Phase.SAVING) {
-                    orders.add(order(Wire.STOP, e.key(), e.attempt(), stop.graceS));
-                } else if (overdue) {
-                    orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
+            Squaring.Row row = c == null || c.attempt() != e.attempt() ? Squaring.Row.NONE : row(m, c);
+            if (row == Squaring.Row.UNWANTED && (stop != null || m.noticeAt >= 0 || c.job().allDone())) {
+                // A wish to stop has its own grace, and what is done elsewhere ends by itself.
+                row = Squaring.Row.CLAIMED;
+            }
+            switch (Squaring.order(row, shown(e), known(m, e.attemptKey()))) {
+                case REAP -> orders.add(order(Wire.FORGET, e.key(), e.attempt(), -1));
+                case FENCE -> fence(m, e.attemptKey(), now);
+                case STOP -> orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
+                default -> {
+                    if (row == Squaring.Row.CLAIMED && stop != null && !e.exited()) {
+                        stop(orders, e, stop, now);
+                    }
                 }
             }
         }
         for (Claim c : claims.values()) {
             String ak = c.attemptKey();
-            if (c.session() != m.session || m.entries.containsKey(ak) || outcomes.pending(ak)) {
-                continue;
-            }
-            Run run = m.runs.get(ak);
-            if (run != null && run.shown) {
+            Squaring.Row row = row(m, c);
+            if (m.entries.containsKey(ak) || row == Squaring.Row.EARLIER) {
                 continue;
             }
-            if (unwanted(m, c)) {
+            Squaring.Order must = Squaring.order(row, Squaring.Shown.ABSENT, known(m, ak));
+            if (must == Squaring.Order.FENCE) {
                 fence(m, ak, now);
-                continue;
             }
-            if (m.session == m.deadSession || straight && m.loose.containsKey(ak) || m.held.containsKey(ak)) {
+            if (must != Squaring.Order.START || m.session == m.deadSession || straight && m.loose.containsKey(ak) || m.held.containsKey(ak)) {
                 continue;
             }
-            if (run == null) {
+            if (!m.runs.containsKey(ak)) {
                 m.runs.put(ak, owner.newRun(m, c.job().spec, now));
+                account.start(ak, c.attempt() > 1, now);
                 LOG.info("task {} attempt {} starts on {}", c.key(), c.attempt(), m.name);
             }
             orders.add(order(Wire.START, c.key(), c.attempt(), -1));
@@ -134,6 +129,42 @@
         return orders;
     }
 
+    private static void stop(List<Object> orders, Entry e, Stop stop, long now) {
+        boolean overdue = now - stop.since > stop.graceS * 1000 + 4_000;
+        if (e.phase() != Entry.Phase.SAVING) {
+            orders.add(order(Wire.STOP, e.key(), e.attempt(), stop.graceS));
+        } else if (overdue) {
+            orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
+        }
+    }
+
+    // ---- what the squaring table asks for
+
+    /** What the rows say of a claim on a machine of ours, by its session and by whether anybody wants it any more. */
+    Squaring.Row row(Machine m, Claim c) {
+        if (c.session() != m.session) {
+            return c.session() < m.session ? Squaring.Row.EARLIER : Squaring.Row.LATER;
+        }
+        return unwanted(m, c) ? Squaring.Row.UNWANTED : Squaring.Row.CLAIMED;
+    }
+
+    static Squaring.Shown shown(Entry e) {
+        return e == null ? Squaring.Shown.ABSENT : switch (e.phase()) {
+            case FETCHING -> Squaring.Shown.FETCHING;
+            case WAITING -> Squaring.Shown.WAITING;
+            case RUNNING -> Squaring.Shown.RUNNING;
+            case SAVING -> Squaring.Shown.SAVING;
+            case EXITED -> e.why() == Entry.Why.DONE ? Squaring.Shown.DONE
+                    : e.why() == Entry.Why.ERROR ? Squaring.Shown.ERROR : Squaring.Shown.ENDED;
+        };
+    }
+
+    Squaring.Known known(Machine m, String ak) {
+        Run run = m.runs.get(ak);
+        return new Squaring.Known(run != null && run.shown, m.loose.containsKey(ak), m.token >= seats.term(m.shard),
+                outcomes.pending(ak));
+    }
+
     /** An unanswered start may still arrive; when that must not happen any more, a higher term keeps it out. */
     private void fence(Machine m, String attemptKey, long now) {
         long[] l = m.loose.get(attemptKey);
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -6,6 +6,8 @@
 import birchusher.lease.TaskLease;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
+import birchusher.recovery.Orders;
+import birchusher.recovery.Squaring;
 import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
@@ -53,6 +55,7 @@
     private final PictureBook book;
     private final Room room;
     private final Commands commands;
+    private final Orders orders;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, Long> redirected = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1;
@@ -68,7 +71,7 @@
     private long nextLeaseSweep;
 
     public Yard(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Speeds speeds, Tuning t,
-            Counters counters, Outcomes outcomes, PictureBook book, Listener listener, Predicate<String> guaranteed) {
+            Counters counters, Outcomes outcomes, PictureBook book, Orders orders, Listener listener, Predicate<String> guaranteed) {
         this.fx = fx;
         this.settings = s;
         this.catalog = catalog;
@@ -80,10 +83,11 @@
         this.listener = listener;
         this.outcomes = outcomes;
         this.book = book;
+        this.orders = orders;
         terms = LeaseTerms.from(t);
         quarantineMs = t.ms("workers.quarantine-s");
         room = new Room(fx, catalog, view, outcomes, guaranteed, t.ms("placement.reserve-s"));
-        commands = new Commands(fx, s, catalog, view, store, seats, outcomes, new Commands.Owner() {
+        commands = new Commands(fx, s, catalog, view, store, seats, outcomes, orders, new Commands.Owner() {
             @Override
             public Run newRun(Machine m, JobSpec j, long now) {
                 return Yard.this.newRun(m, j, now);
@@ -223,17 +227,14 @@
         boolean any = false;
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
             String ak = c.attemptKey();
-            if (c.session() < m.session) {
-                release(c, Outcomes.Kind.LOST, "a later session");
-                continue;
-            }
-            any = true;
             Entry e = m.entries.get(ak);
-            if (e == null) {
-                Run run = m.runs.get(ak);
-                if (run != null && run.shown && !m.loose.containsKey(ak)) {
-                    release(c, Outcomes.Kind.LOST, "absent from a newer report");
-                } else if (commands.unwanted(m, c) && !m.loose.containsKey(ak) && m.token >= seats.term(m.shard)) {
+            Squaring.Row row = commands.row(m, c);
+            Squaring.Write write = Squaring.write(row, Commands.shown(e), commands.known(m, ak));
+            any |= row != Squaring.Row.EARLIER;
+            if (e == null || row == Squaring.Row.EARLIER || row == Squaring.Row.LATER) {
+                if (write == Squaring.Write.LOST) {
+                    release(c, Outcomes.Kind.LOST, row == Squaring.Row.EARLIER ? "a later session" : "absent from a newer report");
+                } else if (write == Squaring.Write.NOT_STARTED) {
                     // Never shown, and nothing of ours or of an earlier owner is under way any more.
                     release(c, Outcomes.Kind.NOT_STARTED, "not started");
                 }
@@ -242,7 +243,7 @@
             Run run = m.runs.computeIfAbsent(ak, k -> newRun(m, c.job().spec, now));
             run.shown = true;
             if (e.exited()) {
-                exited(m, c, e, run);
+                exited(m, c, e, run, write);
             } else {
                 follow(m, c, e, run, now);
             }
@@ -335,10 +336,10 @@
         }
     }
 
-    private void exited(Machine m, Claim c, Entry e, Run run) {
+    private void exited(Machine m, Claim c, Entry e, Run run, Squaring.Write write) {
         JobSpec j = c.job().spec;
         long now = fx.now();
-        switch (e.why()) {
+        switch (write) {
             case DONE -> {
                 if (run.lease.runningSince() >= 0 && c.attempt() == 1 && !run.countedAtCap && j.estimateS() > 0
                         && !outcomes.pending(e.attemptKey())) {
@@ -407,6 +408,7 @@
         if (old == null || old.graceS > graceS) {
             m.stops.put(ak, new Stop(graceS, reason, fx.now()));
             counters.stops++;
+            orders.stop(ak, reason, fx.now());
             LOG.info("task {} attempt {} on {} is to stop: {}", c.key(), c.attempt(), m.name, reason);
             touch(m.name);
         }
