--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -20,6 +20,7 @@
 import birchusher.placement.Planner;
 import birchusher.placement.Slot;
 import birchusher.recovery.Census;
+import birchusher.recovery.Losses;
 import birchusher.recovery.Orders;
 import birchusher.seats.Seats;
 import birchusher.settings.Settings;
@@ -67,6 +68,7 @@
     private final PictureBook book;
     private final Orders orders = new Orders();
     private final Census census;
+    private final Losses losses;
     /** Our machines as last drawn, a quarter of a second old at most when the news of them is told. */
     private List<Picture> own = List.of();
     private long nextHeartbeat;
@@ -86,19 +88,23 @@
         Speeds speeds = new Speeds();
         Driver[] later = new Driver[1];
         book = new PictureBook(fx, catalog, seats);
-        outcomes = new Outcomes(fx, view, store, seats, counters, this::send);
+        losses = new Losses();
+        outcomes = new Outcomes(fx, view, store, seats, counters, losses, this::send);
         yard = new Yard(fx, s, catalog, view, store, seats, speeds, t, counters, outcomes, book, orders,
                 (job, grace, reason) -> later[0].stopGang(job, grace, reason),
                 id -> later[0].last().guaranteed().contains(id));
         Hazards hazards = new Hazards();
         Events events = new Events();
-        view.follow(book::kind, c -> events.placed(fx.now(), c), (c, lost) -> {
+        view.follow(book::kind, c -> {
+            events.placed(fx.now(), c);
+            losses.back(c);
+        }, (c, lost) -> {
             events.left(fx.now(), c, lost);
             if (c.kind() >= 0) {
                 hazards.observe(c.kind(), (fx.now() - c.seenAt()) / 1000.0, lost, fx.now());
             }
         });
-        planner = new Planner(catalog, view, speeds, hazards, LeaseTerms.from(t), s.objectives());
+        planner = new Planner(catalog, view, speeds, hazards, losses, LeaseTerms.from(t), s.objectives());
         census = new Census(view, Math.round(s.reportS() * 1000), 1 + s.peers().size());
         driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send, census::known);
         later[0] = driver;
@@ -167,6 +173,7 @@
         seats.tick();
         yard.tick();
         desk.tick();
+        losses.tick(now);
         boolean plan = driver.due();
         if (plan || now >= nextPictures) {
             nextPictures = now + 250;
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -6,6 +6,7 @@
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
 import birchusher.model.Priority;
+import birchusher.recovery.Losses;
 import birchusher.settings.Settings;
 import birchusher.store.Chunk;
 import birchusher.store.Claim;
@@ -100,16 +101,12 @@
     private final View view;
     private final Speeds speeds;
     private final Hazards hazards;
+    private final Losses losses;
     private static final double DEFAULT_DUE_S = 600;
     /** Batch work that slows down fetches mostly holds up several tasks, often replicas. */
     private static final double HARM = 1.5;
     /** A start may be this much later on a fuller machine, as an empty one can be returned. */
     private static final double PACK_MS = 2_500;
-    /**
-     * What was lost comes back where it ran if nothing speaks against it. Three controllers that each chose the fullest machine for
-     * a thousand lost tasks met on the same ones; more than packing is worth, less than half a fetch.
-     */
-    private static final double IN_PLACE_MS = 3_000;
     /** By how many times the time that a job would take all machines it counts as due later. */
     private static final double SIZE_WEIGHT = 10;
     private final LeaseTerms terms;
@@ -118,12 +115,13 @@
 
     private final Int2ObjectOpenHashMap<List<Aim>> aims = new Int2ObjectOpenHashMap<>();
 
-    public Planner(Catalog catalog, View view, Speeds speeds, Hazards hazards, LeaseTerms terms,
+    public Planner(Catalog catalog, View view, Speeds speeds, Hazards hazards, Losses losses, LeaseTerms terms,
             List<Settings.Objective> objectives) {
         this.catalog = catalog;
         this.view = view;
         this.speeds = speeds;
         this.hazards = hazards;
+        this.losses = losses;
         this.terms = terms;
         for (Settings.Objective o : objectives) {
             boolean start = o.kind().equals("wait");
@@ -226,15 +224,20 @@
         List<Ranked> ranked = new ArrayList<>();
         for (Job j : view.jobs()) {
             if (waits(j)) {
-                ranked.add(new Ranked(j, j.spec.priority() == Priority.PRODUCTION, guaranteed.contains(j.spec.id()),
-                        rank(startBy(j, wall), drainMs(j, cpus, gpus))));
+                Ranked r = new Ranked(j, j.spec.priority() == Priority.PRODUCTION, guaranteed.contains(j.spec.id()), false,
+                        rank(startBy(j, wall), drainMs(j, cpus, gpus)));
+                ranked.add(r);
+                if (losses.any(j.spec.id())) {
+                    ranked.add(new Ranked(j, r.production, r.guaranteed, true, r.startBy));
+                }
             }
         }
         ranked.sort(Planner::compare);
         return ranked;
     }
 
-    private record Ranked(Job job, boolean production, boolean guaranteed, long startBy) { }
+    /** {@code back}: only the tasks that their workers dropped, and only where they ran. */
+    private record Ranked(Job job, boolean production, boolean guaranteed, boolean back, long startBy) { }
 
     private static int compare(Ranked a, Ranked b) {
         // Production goes before guarantees: a replica beyond its team's guarantee must not starve behind batch work.
@@ -248,6 +251,10 @@
         if (p != 0) {
             return p;
         }
+        if (a.back != b.back) {
+            // It starts at once where it ran; given to others first, its room waits for their images, and it for another room and image.
+            return a.back ? -1 : 1;
+        }
         if (a.startBy < 0 != b.startBy < 0) {
             return a.startBy < 0 ? 1 : -1;
         }
@@ -276,17 +283,26 @@
         Map<String, List<Choice>> underwayOf = new HashMap<>();
         underway.forEach(c -> underwayOf.computeIfAbsent(c.job().spec.id(), k -> new ArrayList<>()).add(c));
         work = all.size();
+        Map<String, Set<Integer>> back = new HashMap<>();
         for (Ranked r : order) {
             Job j = r.job;
             JobSpec s = j.spec;
             if (marks.paused(j)) {
                 continue;
             }
-            homes = homes(j);
             IntPredicate held = marks.held(s.id());
             Set<String> refused = marks.refused(s.id());
+            if (r.back) {
+                List<Choice> home = home(j, all, held, refused, zones(j, underwayOf.getOrDefault(s.id(), List.of())), use[s.team()]);
+                home.forEach(c -> back.computeIfAbsent(s.id(), k -> new HashSet<>()).add(c.task()));
+                choices.addAll(home);
+                use[s.team()][0] += home.size() * s.cpus();
+                use[s.team()][1] += home.size() * s.gpus();
+                continue;
+            }
+            Set<Integer> isBack = back.getOrDefault(s.id(), Set.of());
             if (s.gang()) {
-                if (j.placedCount() > 0 || held != null && held.test(0)) {
+                if (j.placedCount() > 0 || !isBack.isEmpty() || held != null && held.test(0)) {
                     continue;
                 }
                 List<Choice> gang = hopeless(s, misfits) ? null : gang(j, slots, refused, use[s.team()]);
@@ -300,6 +316,11 @@
                 continue;
             }
             Map<Integer, Integer> zones = zones(j, underwayOf.getOrDefault(s.id(), List.of()));
+            for (Choice c : isBack.isEmpty() ? List.<Choice>of() : choices) {
+                if (c.job() == j) {
+                    zones.merge(c.slot().zone, 1, Integer::sum);
+                }
+            }
             Candidates candidates = null;
             int missing = 0;
             int placed = 0;
@@ -307,7 +328,7 @@
                 if (j.isDone(task) || j.placed(task)) {
                     continue;
                 }
-                if (held != null && held.test(task)) {
+                if (held != null && held.test(task) || isBack.contains(task)) {
                     // On its way already: not to be bought for.
                     placed++;
                     continue;
@@ -499,6 +520,43 @@
         return n;
     }
 
+    /** What goes back where it ran, as far as there is room and the rules allow it; of a gang, all or nothing. */
+    private List<Choice> home(Job j, List<Slot> all, IntPredicate held, Set<String> refused, Map<Integer, Integer> zones, double[] use) {
+        JobSpec s = j.spec;
+        Map<Integer, String> homes = losses.of(s.id());
+        if (s.gang() && (homes.size() < s.tasks() || j.placedCount() > 0)) {
+            return List.of();
+        }
+        Map<String, Slot> byName = new HashMap<>();
+        Set<String> names = new HashSet<>(homes.values());
+        for (Slot slot : all) {
+            if (slot.real && names.contains(slot.machine)) {
+                byName.put(slot.machine, slot);
+            }
+        }
+        List<Choice> l = new ArrayList<>();
+        List<Slot.Mark> trial = new ArrayList<>();
+        homes.forEach((task, machine) -> {
+            Slot slot = byName.get(machine);
+            boolean waits = task < s.tasks() && !j.isDone(task) && !j.placed(task) && (held == null || !held.test(task));
+            if (waits && slot != null && slot.fits(s) && slot.allows(s) && (refused == null || !refused.contains(machine))
+                    && !(s.oneZone() && !zones.isEmpty() && !zones.containsKey(slot.zone))
+                    && !(s.spread() && zones.getOrDefault(slot.zone, 0) >= s.zoneLimit()) && !overLimit(s, use, l.size() + 1)) {
+                trial.add(slot.mark());
+                l.add(new Choice(j, task, slot, slot.startDelay(s)));
+                slot.take(s);
+                zones.merge(slot.zone, 1, Integer::sum);
+            }
+        });
+        if (s.gang() && l.size() < s.tasks()) {
+            for (int i = trial.size() - 1; i >= 0; i--) {
+                l.get(i).slot().reset(trial.get(i));
+            }
+            return List.of();
+        }
+        return l;
+    }
+
     private List<Choice> gang(Job j, Slot[] slots, Set<String> refused, double[] use) {
         if (overLimit(j.spec, use, j.spec.tasks())) {
             return null;
@@ -577,18 +635,6 @@
         }
     }
 
-    /** Where the job that is being planned ran until its tasks were lost. */
-    private Set<String> homes = Set.of();
-
-    private static Set<String> homes(Job j) {
-        if (j.gone().isEmpty()) {
-            return Set.of();
-        }
-        Set<String> l = new HashSet<>();
-        j.gone().forEach(g -> l.add(g.claim().machine()));
-        return l;
-    }
-
     /** Lower is better, in ms of expected delay; ties go to full machines, so that others become empty. */
     private double score(Job j, Slot s, Map<Integer, Integer> zones) {
         JobSpec spec = j.spec;
@@ -608,9 +654,6 @@
             // The gate: such a machine is taken only when no capable one has room.
             score += 3_600_000;
         }
-        if (!homes.isEmpty() && homes.contains(s.machine)) {
-            score -= IN_PLACE_MS;
-        }
         double left = Math.max((s.cpus - spec.cpus()) / s.type.cpus(),
                 s.type.gpus() > 0 ? (s.gpus - spec.gpus()) / s.type.gpus() : 0);
         score += left * PACK_MS;
--- a/src/main/java/birchusher/workers/Outcomes.java
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -3,6 +3,7 @@
 import birchusher.core.Effects;
 import birchusher.mesh.PeerRecord;
 import birchusher.model.Shape;
+import birchusher.recovery.Losses;
 import birchusher.seats.Seats;
 import birchusher.store.Change;
 import birchusher.store.Chunk;
@@ -22,7 +23,14 @@
  * get it done in time, the owner writes by itself: both conditions are the same, so it can happen only once.
  */
 public final class Outcomes {
-    public enum Kind { DONE, LOST, ERROR, NOT_STARTED }
+    /** {@code DROPPED}: lost together with all that was on the machine, as its worker's lease ended. */
+    public enum Kind {
+        DONE, LOST, ERROR, NOT_STARTED, DROPPED;
+
+        boolean isLoss() {
+            return this == LOST || this == DROPPED;
+        }
+    }
 
     private static final long DRIVER_MS = 4_000;
     private static final int MAX_ITEMS = 400;
@@ -46,15 +54,18 @@
     private final Seats seats;
     private final Counters counters;
     private final Mesh mesh;
+    private final Losses losses;
     private final Map<String, Pending> pending = new LinkedHashMap<>();
     private final Map<Integer, List<PeerRecord.Ended>> outbox = new LinkedHashMap<>();
 
-    public Outcomes(Effects fx, View view, StoreLink store, Seats seats, Counters counters, Mesh mesh) {
+    public Outcomes(Effects fx, View view, StoreLink store, Seats seats, Counters counters, Losses losses,
+            Mesh mesh) {
         this.fx = fx;
         this.view = view;
         this.store = store;
         this.seats = seats;
         this.counters = counters;
+        this.losses = losses;
         this.mesh = mesh;
     }
 
@@ -68,9 +79,7 @@
         if (pending.containsKey(c.attemptKey())) {
             return false;
         }
-        if (kind == Kind.LOST || kind == Kind.NOT_STARTED) {
-            view.gone(new Job.Gone(c, seats.term(c.shard()), true, kind == Kind.LOST));
-        }
+        gone(c, kind, seats.term(c.shard()), true);
         int driver = seats.driver(c.job().spec.id());
         if (driver > 0) {
             pending.put(c.attemptKey(), new Pending(c, kind, fx.now() + DRIVER_MS, false));
@@ -82,6 +91,16 @@
         return true;
     }
 
+    /** The task may be placed anew before its row is written; errors first count against its machine and its job. */
+    private void gone(Claim c, Kind kind, long term, boolean own) {
+        if (kind.isLoss() || kind == Kind.NOT_STARTED) {
+            view.gone(new Job.Gone(c, term, own, kind.isLoss()));
+        }
+        if (kind == Kind.DROPPED) {
+            losses.dropped(c.job().spec.id(), c.task(), c.machine(), fx.now());
+        }
+    }
+
     private void write(Claim c, Kind kind) {
         pending.put(c.attemptKey(), new Pending(c, kind, Long.MAX_VALUE, true));
         boolean queued = store.offer(new Settle(c.job().spec.id(), c.task(), c.attempt(), c.machine(), c.shard(),
@@ -139,9 +158,8 @@
                 boolean queued = store.offer(new Settle(e.job(), e.task(), e.attempt(), e.machine(), e.shard(), e.term(), kind, false));
                 Job j = view.job(e.job());
                 Claim c = j == null || e.task() >= j.spec.tasks() ? null : j.claim(e.task());
-                if (queued && c != null && c.attempt() == e.attempt() && c.machine().equals(e.machine()) && c.shard() == e.shard()
-                        && (kind == Kind.LOST || kind == Kind.NOT_STARTED)) {
-                    view.gone(new Job.Gone(c, e.term(), false, kind == Kind.LOST));
+                if (queued && c != null && c.attempt() == e.attempt() && c.machine().equals(e.machine()) && c.shard() == e.shard()) {
+                    gone(c, kind, e.term(), false);
                 }
             }
         }
@@ -188,7 +206,7 @@
 
         @Override
         public long patienceMs() {
-            return lasts ? 0 : kind == Kind.DONE && array || kind == Kind.LOST ? PATIENCE_MS : SHORT_PATIENCE_MS;
+            return lasts ? 0 : kind == Kind.DONE && array || kind.isLoss() ? PATIENCE_MS : SHORT_PATIENCE_MS;
         }
 
         @Override
@@ -232,7 +250,7 @@
             } else if (kind == Kind.ERROR) {
                 chunk.errors++;
             }
-            if (kind == Kind.LOST || kind == Kind.ERROR) {
+            if (kind.isLoss() || kind == Kind.ERROR) {
                 chunk.restarts++;
             }
             return true;
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -233,7 +233,9 @@
             any |= row != Squaring.Row.EARLIER;
             if (e == null || row == Squaring.Row.EARLIER || row == Squaring.Row.LATER) {
                 if (write == Squaring.Write.LOST) {
-                    release(c, Outcomes.Kind.LOST, row == Squaring.Row.EARLIER ? "a later session" : "absent from a newer report");
+                    boolean dropped = row == Squaring.Row.EARLIER;
+                    release(c, dropped ? Outcomes.Kind.DROPPED : Outcomes.Kind.LOST,
+                            dropped ? "a later session" : "absent from a newer report");
                 } else if (write == Squaring.Write.NOT_STARTED) {
                     // Never shown, and nothing of ours or of an earlier owner is under way any more.
                     release(c, Outcomes.Kind.NOT_STARTED, "not started");
@@ -616,7 +618,7 @@
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
             if (m.session == 0 || c.session() <= m.session) {
                 remember(m, c, m.heardAt >= 0);
-                release(c, Outcomes.Kind.LOST, "worker's lease over");
+                release(c, Outcomes.Kind.DROPPED, "worker's lease over");
             }
         }
     }
