Offers keep to what can be claimed in time; dropped work is written with its restart

Change: such losses go after all claims and wait for them, 12 s at most; a driver offers no more than it may write in an offer's time.

--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -24,6 +24,7 @@
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +40,8 @@
 public final class Driver {
     private static final Logger LOG = LoggerFactory.getLogger(Driver.class);
     private static final int MAX_OFFERED = 400;
+    /** Offers under way that are always allowed, however scarce changes are. */
+    private static final int MIN_OUT = 8;
     /** Waiting jobs for which one plan looks for work to stop. */
     private static final int MAX_WISHES = 12;
     private static final int MAX_PREEMPTING = 8;
@@ -95,6 +98,8 @@
     /** Per job and machine: until when an offer there is not repeated. */
     private final Map<String, Map<String, Long>> refusals = new HashMap<>();
     private final Map<Long, Asked> asked = new HashMap<>();
+    /** Offered, and not yet claimed or given up. Each takes a row or more. */
+    private final Set<Group> out = new HashSet<>();
     /** Jobs that have asked for others' room: until when they don't ask again. */
     private final Map<String, Long> preempting = new HashMap<>();
     private final Map<String, long[]> errorSeen = new HashMap<>();
@@ -195,6 +200,7 @@
             // An owner that died answers no offer: forgetting it only with the next offer once left a replica waiting for
             // good, as its own old offer took the one place its zone rule allowed.
             asked.values().removeIf(a -> now - a.group.since > offerMs);
+            out.removeIf(g -> g.waiting > 0 && now - g.since > offerMs);
             errorSeen.keySet().removeIf(id -> view.job(id) == null);
         }
     }
@@ -353,7 +359,13 @@
             String key = s.gang() ? s.id() : s.id() + "/" + c.task() / c.job().chunkSize;
             groups.computeIfAbsent(key, k -> new ArrayList<>()).add(c);
         }
+        // No more than can be claimed before the offers end, the first in the plan's order: after a crash of all, ten times as many were
+        // offered, and most of them only kept room from the others until they were given up.
+        int most = Math.max(MIN_OUT, store.rowsWithin(offerMs));
         for (List<Planner.Choice> choices : groups.values()) {
+            if (out.size() >= most) {
+                return;
+            }
             Job j = choices.get(0).job();
             if (j.spec.gang() && (!whole.getOrDefault(j.spec.id(), true) || choices.size() < j.spec.tasks())) {
                 continue;
@@ -395,7 +407,11 @@
         for (Planner.Choice c : g.choices) {
             hold(c, fx.now() + offerMs);
         }
+        out.add(g);
         g.waiting = byOwner.size();
+        if (g.waiting == 0) {
+            out.remove(g);
+        }
         byOwner.forEach((owner, items) -> {
             long id = nextId++;
             asked.put(id, new Asked(g, items));
@@ -484,6 +500,7 @@
             return;
         }
         if (g.job.spec.gang() && g.refused || g.accepted.isEmpty()) {
+            out.remove(g);
             g.choices.forEach(this::letGo);
             preempting.remove(g.job.spec.id());
             callOff(g.choices.stream().filter(c -> g.accepted.containsKey(c.task())).toList());
@@ -580,6 +597,7 @@
             }
 
             private void over() {
+                out.remove(g);
                 List<Planner.Choice> not = new ArrayList<>(list);
                 not.removeAll(made);
                 callOff(not);
@@ -590,6 +608,7 @@
             }
         });
         if (!queued) {
+            out.remove(g);
             callOff(list);
             list.forEach(c -> {
                 claiming.remove(key(c));
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -374,6 +374,11 @@
         return patience == 0 ? q.since : q.since + Math.min(patience, 50 + Math.round(PATIENCE_MS * writes.shortage(fx.now())));
     }
 
+    /** How many rows this controller may expect to write within a time, at its present part of the changes. */
+    public int rowsWithin(long ms) {
+        return (int) Math.round(writes.perSecond() * ms / 1000);
+    }
+
     /** How the state service was used: transactions, rows written, conflicts, refusals, queue, present rates. */
     public String line() {
         return "txns=" + transactions + " rows=" + rowsWritten + " conflicts=" + conflicts + " too_many=" + tooMany + " queue="
--- a/src/main/java/birchusher/workers/Outcomes.java
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -2,6 +2,7 @@
 
 import birchusher.core.Effects;
 import birchusher.mesh.PeerRecord;
+import birchusher.model.Priority;
 import birchusher.model.Shape;
 import birchusher.recovery.Losses;
 import birchusher.seats.Seats;
@@ -33,7 +34,11 @@
     }
 
     private static final long DRIVER_MS = 4_000;
+    /** A thousand tasks dropped at once need longer: written by their owners meanwhile, each loss once cost a row of its own. */
+    private static final long DROPPED_MS = 12_000;
     private static final int MAX_ITEMS = 400;
+    /** Claims have ranks up to 4 and the last priority. */
+    private static final int AFTER_CLAIMS = 4 + Priority.values().length;
     /**
      * A task of an array that is done is in no hurry: its worker keeps the result, and others of its job end as well. One that is lost
      * is placed anew meanwhile, and leaves its row with the same writing.
@@ -82,7 +87,7 @@
         gone(c, kind, seats.term(c.shard()), true);
         int driver = seats.driver(c.job().spec.id());
         if (driver > 0) {
-            pending.put(c.attemptKey(), new Pending(c, kind, fx.now() + DRIVER_MS, false));
+            pending.put(c.attemptKey(), new Pending(c, kind, fx.now() + (kind == Kind.DROPPED ? DROPPED_MS : DRIVER_MS), false));
             outbox.computeIfAbsent(driver, k -> new ArrayList<>()).add(new PeerRecord.Ended(c.job().spec.id(), c.task(),
                     c.attempt(), c.machine(), c.shard(), seats.term(c.shard()), kind.ordinal()));
         } else {
@@ -177,7 +182,7 @@
         private final boolean own;
         private final boolean array;
         private final boolean lasts;
-        private final long until = fx.now() + 10_000;
+        private final long until;
 
         Settle(String id, int task, long attempt, String machine, int shard, long term, Kind kind, boolean own) {
             this.id = id;
@@ -188,6 +193,7 @@
             this.term = term;
             this.kind = kind;
             this.own = own;
+            until = fx.now() + (kind == Kind.DROPPED ? DROPPED_MS : 10_000);
             Job j = view.job(id);
             array = j != null && j.spec.shape() == Shape.ARRAY;
             // With the last ones the job is over, and its user waits for that.
@@ -196,7 +202,8 @@
 
         @Override
         public int rank() {
-            return 3;
+            // What was dropped leaves its row with the claim that brings it back: going first, it took the changes those need.
+            return kind == Kind.DROPPED ? AFTER_CLAIMS : 3;
         }
 
         @Override
