Nothing is rented for dropped work that is about to find its room again

Cause: in a simulated return of seven controllers the buyer rented 12 machines for replicas whose old room only their drivers saw free. Change: drivers tell how many dropped tasks they bring back; as many of the tasks without room are not bought for, for as long as a worker may take to be heard. A task waits 1.5 s for its machine to be told of as usable. RecoveryTest plays whole returns. Result: seven and three controllers: 96 of 120 replicas or more back where they ran, no machine rented, each shard taken once.

--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -71,6 +71,7 @@
     private final Losses losses;
     /** Our machines as last drawn, a quarter of a second old at most when the news of them is told. */
     private List<Picture> own = List.of();
+    private boolean toldRestoring;
     private long nextHeartbeat;
     private long nextPictures;
     private long nextLine;
@@ -88,7 +89,8 @@
         Speeds speeds = new Speeds();
         Driver[] later = new Driver[1];
         book = new PictureBook(fx, catalog, seats);
-        losses = new Losses();
+        long patience = Census.patience(Math.round(s.reportS() * 1000), 1 + s.peers().size());
+        losses = new Losses(patience, 1 + s.peers().size());
         outcomes = new Outcomes(fx, view, store, seats, counters, losses, this::send);
         yard = new Yard(fx, s, catalog, view, store, seats, speeds, t, counters, outcomes, book, orders,
                 (job, grace, reason) -> later[0].stopGang(job, grace, reason),
@@ -105,12 +107,12 @@
             }
         });
         planner = new Planner(catalog, view, speeds, hazards, losses, LeaseTerms.from(t), s.objectives());
-        census = new Census(view, Math.round(s.reportS() * 1000), 1 + s.peers().size());
+        census = new Census(view, patience);
         driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send, census::known);
         later[0] = driver;
         desk = new Desk(fx, s, catalog, codec, view, store, seats);
         listing = new Listing(fx, catalog, codec, view, store, desk, events);
-        buyer = new Buyer(fx, s, catalog, view, store, seats, new CloudLink(fx, s), counters, orders, census::known, t, this::retire,
+        buyer = new Buyer(fx, s, catalog, view, store, seats, new CloudLink(fx, s), counters, orders, census::known, () -> losses.returningOfAll(fx.now()), t, this::retire,
                 yard::gone, driver::slots, driver::runningFor);
     }
 
@@ -272,8 +274,13 @@
         PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(seats.incarnation(), store.healthy(), seats.termsSeen(),
                 seats.termsOwned(), news, book.left(), buyer.recentlyGone());
         byte[] record = PeerCodec.encode(settings.member(), h);
+        byte[] restoring = losses.returning() > 0 || toldRestoring ? PeerCodec.encode(settings.member(), new PeerRecord.Restoring(losses.returning())) : null;
+        toldRestoring = losses.returning() > 0;
         for (int i = 1; i < seats.memberCount(); i++) {
             fx.send(i, record);
+            if (restoring != null) {
+                fx.send(i, restoring);
+            }
         }
     }
 
@@ -298,6 +305,8 @@
             outcomes.told(o);
         } else if (r instanceof PeerRecord.Retired x) {
             buyer.retired(x.machine(), x.agreed());
+        } else if (r instanceof PeerRecord.Restoring x) {
+            losses.told(from, x.tasks(), fx.now());
         }
     }
 
--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -31,6 +31,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import java.util.function.ToLongFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -57,6 +58,8 @@
     private final Orders orders;
     /** Until then nothing is rented, returned or emptied: the next reports may show that it was there, or needed. */
     private final BooleanSupplier fleetKnown;
+    /** Tasks that are expected to find their old room again. */
+    private final IntSupplier returning;
     private final Settings settings;
     private final BiConsumer<String, Boolean> retire;
     private final Consolidation consolidation;
@@ -87,7 +90,7 @@
     private long lostAt = -1_000_000;
 
     public Buyer(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, CloudLink cloud,
-            Counters counters, Orders orders, BooleanSupplier fleetKnown, Tuning t, BiConsumer<String, Boolean> retire, Consumer<String> gone,
+            Counters counters, Orders orders, BooleanSupplier fleetKnown, IntSupplier returning, Tuning t, BiConsumer<String, Boolean> retire, Consumer<String> gone,
             Function<Map<String, Picture>, List<Slot>> free, ToLongFunction<Claim> runningFor) {
         this.fx = fx;
         this.settings = s;
@@ -99,6 +102,7 @@
         this.counters = counters;
         this.orders = orders;
         this.fleetKnown = fleetKnown;
+        this.returning = returning;
         this.retire = retire;
         this.gone = gone;
         reserve = new Reserve(catalog, view, s.objectives());
@@ -448,10 +452,13 @@
             }
         });
         int opened = 0;
+        int expected = returning.getAsInt();
         for (Planner.Unplaced u : plan.wanted(fx.wall())) {
             JobSpec s = u.job().spec;
             int jobZone = -1;
-            for (int n = 0; n < Math.min(u.tasks(), 400); n++) {
+            int spared = Math.min(u.tasks(), expected);
+            expected -= spared;
+            for (int n = spared; n < Math.min(u.tasks(), 400); n++) {
                 int at = -1;
                 for (int i = 0; i < room.size() && at < 0; i++) {
                     double[] r = room.get(i);
--- a/src/main/java/birchusher/mesh/PeerCodec.java
+++ b/src/main/java/birchusher/mesh/PeerCodec.java
@@ -8,6 +8,7 @@
 import birchusher.mesh.PeerRecord.Machine;
 import birchusher.mesh.PeerRecord.Offer;
 import birchusher.mesh.PeerRecord.Outcomes;
+import birchusher.mesh.PeerRecord.Restoring;
 import birchusher.mesh.PeerRecord.Retire;
 import birchusher.mesh.PeerRecord.Retired;
 import birchusher.mesh.PeerRecord.Stop;
@@ -95,6 +96,9 @@
             } else if (r instanceof CalledOff x) {
                 out.writeByte(8);
                 list(out, x.items(), PeerCodec::item);
+            } else if (r instanceof Restoring x) {
+                out.writeByte(9);
+                out.writeInt(x.tasks());
             }
         } catch (IOException e) {
             throw new IllegalStateException(e);
@@ -121,6 +125,7 @@
                 case 7 -> new Outcomes(list(in, d -> new Ended(d.readUTF(), d.readInt(), d.readLong(), d.readUTF(),
                         d.readInt(), d.readLong(), d.readByte())));
                 case 8 -> new CalledOff(list(in, PeerCodec::item));
+                case 9 -> new Restoring(Math.max(0, in.readInt()));
                 default -> throw new Bad("peer record of unknown kind");
             };
             if (in.available() > 0) {
--- a/src/main/java/birchusher/mesh/PeerRecord.java
+++ b/src/main/java/birchusher/mesh/PeerRecord.java
@@ -55,4 +55,10 @@
     record Ended(String job, int task, long attempt, String machine, int shard, long term, int kind) { }
 
     record Outcomes(List<Ended> items) implements PeerRecord { }
+
+    /**
+     * How many tasks that the sender drives were dropped by their workers lately and have no place yet. Sent with the heartbeats while
+     * there are any, and once more as 0; a controller of the version before refuses it, and goes on as it did.
+     */
+    record Restoring(int tasks) implements PeerRecord { }
 }
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -284,6 +284,12 @@
         underway.forEach(c -> underwayOf.computeIfAbsent(c.job().spec.id(), k -> new ArrayList<>()).add(c));
         work = all.size();
         Map<String, Set<Integer>> back = new HashMap<>();
+        Set<String> present = new HashSet<>();
+        for (Slot s : losses.count() > 0 ? all : List.<Slot>of()) {
+            if (s.real) {
+                present.add(s.machine);
+            }
+        }
         for (Ranked r : order) {
             Job j = r.job;
             JobSpec s = j.spec;
@@ -302,7 +308,7 @@
             }
             Set<Integer> isBack = back.getOrDefault(s.id(), Set.of());
             if (s.gang()) {
-                if (j.placedCount() > 0 || !isBack.isEmpty() || held != null && held.test(0)) {
+                if (j.placedCount() > 0 || !isBack.isEmpty() || held != null && held.test(0) || awaited(s.id(), 0, present, now)) {
                     continue;
                 }
                 List<Choice> gang = hopeless(s, misfits) ? null : gang(j, slots, refused, use[s.team()]);
@@ -328,7 +334,7 @@
                 if (j.isDone(task) || j.placed(task)) {
                     continue;
                 }
-                if (held != null && held.test(task) || isBack.contains(task)) {
+                if (held != null && held.test(task) || isBack.contains(task) || awaited(s.id(), task, present, now)) {
                     // On its way already: not to be bought for.
                     placed++;
                     continue;
@@ -520,6 +526,12 @@
         return n;
     }
 
+    /** Whether the machine that a task was dropped on is about to be there again. */
+    private boolean awaited(String job, int task, Set<String> present, long now) {
+        String home = losses.awaits(job, task, now);
+        return home != null && !present.contains(home);
+    }
+
     /** What goes back where it ran, as far as there is room and the rules allow it; of a gang, all or nothing. */
     private List<Choice> home(Job j, List<Slot> all, IntPredicate held, Set<String> refused, Map<Integer, Integer> zones, double[] use) {
         JobSpec s = j.spec;
--- a/src/main/java/birchusher/recovery/Census.java
+++ b/src/main/java/birchusher/recovery/Census.java
@@ -42,16 +42,18 @@
     private long since;
     private int most;
 
+    public Census(View view, long patienceMs) {
+        this.view = view;
+        this.patienceMs = patienceMs;
+    }
+
     /**
+     * How long a worker that lost its controller may need to be heard by another one, in ms.
+     *
      * @param reportMs the workers' mean report interval; it may be a quarter longer
      * @param controllers how many a worker may have to ask until it finds its owner
      */
-    public Census(View view, long reportMs, int controllers) {
-        this.view = view;
-        patienceMs = patience(reportMs, controllers);
-    }
-
-    static long patience(long reportMs, int controllers) {
+    public static long patience(long reportMs, int controllers) {
         return reportMs * 5 / 4 + NO_ANSWER_MS + NEXT_MS * (controllers + 1);
     }
 
--- a/src/main/java/birchusher/recovery/Losses.java
+++ b/src/main/java/birchusher/recovery/Losses.java
@@ -15,12 +15,33 @@
     /** What found no way back for so long is no longer there where it ran. */
     private static final long KEPT_MS = 60_000;
 
+    /**
+     * For so long a task waits until its machine is told of as usable again: half a second until the worker shows the new term, and
+     * as long again for its owner's picture and for the news of it.
+     */
+    private static final long AWAIT_MS = 1_500;
+
     private record Home(String machine, long at) { }
 
     private final Map<String, TreeMap<Integer, Home>> homes = new HashMap<>();
     private int kept;
+    private int returning;
+    private final long patienceMs;
+    /** What the others tell of theirs, by member. */
+    private final int[] elsewhere;
+    private final long[] toldAt;
     private long nextForget;
 
+    /**
+     * @param patienceMs for how long what was dropped is expected to find its place again by itself, see {@link Census}
+     * @param members of the cluster, ourselves included
+     */
+    public Losses(long patienceMs, int members) {
+        this.patienceMs = patienceMs;
+        elsewhere = new int[members];
+        toldAt = new long[members];
+    }
+
     public void dropped(String job, int task, String machine, long now) {
         if (kept < MAX_KEPT && homes.computeIfAbsent(job, k -> new TreeMap<>()).put(task, new Home(machine, now)) == null) {
             kept++;
@@ -42,6 +63,13 @@
         return homes.containsKey(job);
     }
 
+    /** The machine on which a task may be expected back although it is not in the picture yet, or null. */
+    public String awaits(String job, int task, long now) {
+        TreeMap<Integer, Home> of = homes.get(job);
+        Home h = of == null ? null : of.get(task);
+        return h == null || now - h.at > AWAIT_MS ? null : h.machine;
+    }
+
     /** Task and machine, by task. */
     public Map<Integer, String> of(String job) {
         TreeMap<Integer, String> l = new TreeMap<>();
@@ -58,7 +86,36 @@
             of.values().removeIf(h -> now - h.at > KEPT_MS);
             return of.isEmpty();
         });
-        kept = homes.values().stream().mapToInt(TreeMap::size).sum();
+        kept = 0;
+        returning = 0;
+        for (TreeMap<Integer, Home> of : homes.values()) {
+            kept += of.size();
+            for (Home h : of.values()) {
+                returning += now - h.at < patienceMs ? 1 : 0;
+            }
+        }
+    }
+
+    /** Our own tasks that were dropped lately and have no place yet. */
+    public int returning() {
+        return returning;
+    }
+
+    public void told(int member, int tasks, long now) {
+        elsewhere[member] = tasks;
+        toldAt[member] = now;
+    }
+
+    /**
+     * The same of the whole cluster. Nothing is rented for as many tasks: the room that they left is theirs, or somebody's whom they
+     * make room for, but only their drivers see it before their rows are written.
+     */
+    public int returningOfAll(long now) {
+        int n = returning;
+        for (int i = 0; i < elsewhere.length; i++) {
+            n += now - toldAt[i] < patienceMs ? elsewhere[i] : 0;
+        }
+        return n;
     }
 
     public int count() {
--- a/src/main/java/birchusher/workers/Outcomes.java
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -84,8 +84,8 @@
         if (pending.containsKey(c.attemptKey())) {
             return false;
         }
-        gone(c, kind, seats.term(c.shard()), true);
         int driver = seats.driver(c.job().spec.id());
+        gone(c, kind, seats.term(c.shard()), true, driver == 0);
         if (driver > 0) {
             pending.put(c.attemptKey(), new Pending(c, kind, fx.now() + (kind == Kind.DROPPED ? DROPPED_MS : DRIVER_MS), false));
             outbox.computeIfAbsent(driver, k -> new ArrayList<>()).add(new PeerRecord.Ended(c.job().spec.id(), c.task(),
@@ -97,11 +97,11 @@
     }
 
     /** The task may be placed anew before its row is written; errors first count against its machine and its job. */
-    private void gone(Claim c, Kind kind, long term, boolean own) {
+    private void gone(Claim c, Kind kind, long term, boolean own, boolean ours) {
         if (kind.isLoss() || kind == Kind.NOT_STARTED) {
             view.gone(new Job.Gone(c, term, own, kind.isLoss()));
         }
-        if (kind == Kind.DROPPED) {
+        if (kind == Kind.DROPPED && ours) {
             losses.dropped(c.job().spec.id(), c.task(), c.machine(), fx.now());
         }
     }
@@ -164,7 +164,7 @@
                 Job j = view.job(e.job());
                 Claim c = j == null || e.task() >= j.spec.tasks() ? null : j.claim(e.task());
                 if (queued && c != null && c.attempt() == e.attempt() && c.machine().equals(e.machine()) && c.shard() == e.shard()) {
-                    gone(c, kind, e.term(), false);
+                    gone(c, kind, e.term(), false, true);
                 }
             }
         }
--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -33,7 +33,7 @@
             .getBytes(StandardCharsets.UTF_8)));
     private final View view = new View(catalog, new JobCodec(catalog));
     private final Hazards hazards = new Hazards();
-    private final Planner planner = new Planner(catalog, view, new Speeds(), hazards, new birchusher.recovery.Losses(), new LeaseTerms(90_000, 30_000, 4, 5_000), List.of());
+    private final Planner planner = new Planner(catalog, view, new Speeds(), hazards, new birchusher.recovery.Losses(10_000, 1), new LeaseTerms(90_000, 30_000, 4, 5_000), List.of());
     private final Catalog.Type type = new Catalog.Type(catalog.typeNames.add("g4"), "g4", 8, 4, 64, 50, 1, 4, 1, 40, new int[] {0, 1});
     private long revision;
 
--- /dev/null
+++ b/src/test/java/birchusher/sim/RecoveryTest.java
@@ -0,0 +1,178 @@
+package birchusher.sim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** All controllers go down and come back: what their workers still do is found again, and what was dropped goes back in order. */
+class RecoveryTest {
+    /** Longer than a worker's lease, so that every machine drops its tasks. */
+    private static final long LONG_MS = World.LEASE_MS + 6_000;
+
+    @BeforeAll
+    static void quiet() {
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", System.getProperty("sim.log", "off"));
+    }
+
+    /** 40 services of three replicas in a fleet that is up and settled. */
+    private static World busy(long seed, int controllers) {
+        World w = new World(seed, controllers, 240);
+        w.machines = 80;
+        for (int i = 0; i < 40; i++) {
+            w.submit("wk-s" + i, "standing", 3, "production", true, false);
+        }
+        w.run(60_000);
+        assertThat(places(w)).hasSize(120);
+        return w;
+    }
+
+    /** Where each task is, by its key. */
+    private static Map<String, String> places(World w) {
+        Map<String, String> l = new TreeMap<>();
+        w.workers.values().forEach(m -> m.tasks.values().forEach(t -> {
+            if (!t.exited() && m.alive(w.now)) {
+                l.put(t.key, m.name);
+            }
+        }));
+        return l;
+    }
+
+    private static void crashAll(World w, int controllers, long ms) {
+        for (int i = 0; i < controllers; i++) {
+            w.crash(i, ms);
+        }
+    }
+
+    private static long term(World w) {
+        Matcher m = Pattern.compile("t=(\\d+)").matcher(w.term());
+        assertThat(m.find()).isTrue();
+        return Long.parseLong(m.group(1));
+    }
+
+    private static long same(Map<String, String> before, Map<String, String> after) {
+        return before.entrySet().stream().filter(e -> e.getValue().equals(after.get(e.getKey()))).count();
+    }
+
+    /** Started inside an outage, whoever read the rows first took all shards, and handed them over in the middle of squaring. */
+    @ParameterizedTest
+    @CsvSource({"3, 201", "3, 202", "7, 203", "7, 204"})
+    void afterACrashInAnOutageEachTakesItsOwnShardsOnceAndDroppedWorkGoesBackWhereItRan(int controllers, long seed) {
+        World w = busy(seed, controllers);
+        Map<String, String> before = places(w);
+        int rented = w.workers.size();
+        long term = term(w);
+        w.store.outage(true, w.now);
+        w.run(1_000);
+        crashAll(w, controllers, 3_000);
+        w.run(LONG_MS);
+        assertThat(places(w)).isEmpty();
+        w.store.outage(false, w.now);
+        w.run(20_000);
+        assertThat(w.broken).isEmpty();
+        Map<String, String> after = places(w);
+        assertThat(after).hasSize(120);
+        assertThat(same(before, after)).isGreaterThanOrEqualTo(96);
+        assertThat(w.workers.size()).isEqualTo(rented);
+        int shards = 2 * Math.max(2, (controllers + 1) / 2);
+        assertThat(term(w) - term).isEqualTo(shards);
+    }
+
+    /** Without a loss nothing is ordered: no start, no stop, no machine more or less. */
+    @ParameterizedTest
+    @CsvSource({"3, 211", "7, 212"})
+    void aCrashShorterThanTheWorkersLeasesOrdersNothing(int controllers, long seed) {
+        World w = busy(seed, controllers);
+        Map<String, String> before = places(w);
+        List<String> machines = new ArrayList<>(w.workers.keySet());
+        int starts = w.starts;
+        crashAll(w, controllers, 4_000);
+        w.run(25_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(places(w)).isEqualTo(before);
+        assertThat(w.starts).isEqualTo(starts);
+        assertThat(w.workers.keySet()).containsExactlyElementsOf(machines);
+    }
+
+    /** Reading, hearing, restoring: a second crash finds each of them half done. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 300, 700, 1_500, 3_000, 5_000})
+    void aSecondCrashInAnyPhaseIsTheOrdinaryCase(long after) {
+        World w = busy(220 + after, 3);
+        w.store.outage(true, w.now);
+        crashAll(w, 3, 3_000);
+        w.run(LONG_MS);
+        w.store.outage(false, w.now);
+        w.run(after);
+        crashAll(w, 3, 2_000 + after);
+        w.run(40_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(places(w)).hasSize(120);
+    }
+
+    /** Ten machines die while nobody listens, one controller is back 20 s after the others, reports and commands come late. */
+    @ParameterizedTest
+    @ValueSource(longs = {231, 232, 233})
+    void machinesThatDiedMeanwhileAndALateControllerLoseNothing(long seed) {
+        World w = busy(seed, 3);
+        w.late = 0.01;
+        w.submit("wk-arr", "sweep", 60, "standard", false, false);
+        w.submit("wk-gang", "gang", 3, "standard", false, true);
+        w.run(6_000);
+        w.crash(0, 5_000);
+        w.crash(1, 5_000);
+        w.crash(2, 25_000);
+        new ArrayList<>(w.workers.keySet()).subList(0, 10).forEach(m -> w.workers.remove(m).deleted = true);
+        w.cancel("wk-s7");
+        w.run(150_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(places(w)).hasSizeGreaterThanOrEqualTo(117);
+        assertThat(w.state("wk-arr")).isEqualTo("done");
+        assertThat(w.state("wk-gang")).isEqualTo("done");
+        assertThat(w.cancelled("wk-s7")).isTrue();
+    }
+
+    /** A team at its limit: what was dropped still counts until its row is written, and all of it comes back. */
+    @Test
+    void aTeamAtItsLimitGetsAllOfItsWorkBackAndNeverMore() {
+        World w = new World(241, 3, 24);
+        for (int i = 0; i < 8; i++) {
+            w.submit("wk-s" + i, "standing", 3, "production", true, false);
+        }
+        w.run(60_000);
+        assertThat(places(w)).hasSize(24);
+        w.store.outage(true, w.now);
+        crashAll(w, 3, 3_000);
+        w.run(LONG_MS);
+        w.store.outage(false, w.now);
+        w.run(40_000);
+        assertThat(w.broken).isEmpty();
+        assertThat(places(w)).hasSize(24);
+    }
+
+    /** A new owner knows of the images only what the rows of dropped work tell. */
+    @Test
+    void theImagesOfDroppedWorkAreToldAtOnce() {
+        World w = busy(251, 3);
+        Map<String, String> before = places(w);
+        w.store.outage(true, w.now);
+        crashAll(w, 3, 3_000);
+        w.run(LONG_MS);
+        w.store.outage(false, w.now);
+        Map<String, List<String>> first = new HashMap<>();
+        w.toldImages = first::putIfAbsent;
+        w.run(8_000);
+        assertThat(first.keySet()).containsAll(before.values());
+        assertThat(before.values()).allSatisfy(m -> assertThat(first.get(m)).as(m).contains("img"));
+    }
+}
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -3,6 +3,8 @@
 import birchusher.core.Effect;
 import birchusher.core.Fields;
 import birchusher.controller.Core;
+import birchusher.mesh.PeerCodec;
+import birchusher.mesh.PeerRecord;
 import birchusher.settings.Settings;
 import birchusher.settings.SettingsReader;
 import birchusher.settings.Tuning;
@@ -76,6 +78,8 @@
     int starts;
     /** Starts that a worker refused for want of room. */
     int refusedStarts;
+    /** Hears which images an owner tells others that a machine has. */
+    java.util.function.BiConsumer<String, List<String>> toldImages;
     /** What the cloud has at most; 0: as many as the team may use. */
     int machines;
 
@@ -285,6 +289,9 @@
                 }
             } else if (e instanceof Effect.Send s) {
                 int to = member(i, s.peer());
+                if (toldImages != null && PeerCodec.decode(s.record()).record() instanceof PeerRecord.Heartbeat h) {
+                    h.machines().forEach(m -> toldImages.accept(m.name(), m.images()));
+                }
                 if (!cut[i][to] && !lost()) {
                     at(now + 1 + random.nextInt(3), () -> {
                         if (nodes[to].core != null) {
