--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -6,6 +6,7 @@
 import birchusher.lease.LeaseTerms;
 import birchusher.lease.Speeds;
 import birchusher.model.Catalog;
+import birchusher.recovery.Losses;
 import birchusher.placement.Planner;
 import birchusher.placement.Slot;
 import birchusher.settings.SettingsReader;
@@ -33,7 +34,8 @@
             .getBytes(StandardCharsets.UTF_8)));
     private final View view = new View(catalog, new JobCodec(catalog));
     private final Hazards hazards = new Hazards();
-    private final Planner planner = new Planner(catalog, view, new Speeds(), hazards, new birchusher.recovery.Losses(10_000, 1), new LeaseTerms(90_000, 30_000, 4, 5_000), List.of());
+    private final Losses losses = new Losses(10_000, 1);
+    private final Planner planner = new Planner(catalog, view, new Speeds(), hazards, losses, new LeaseTerms(90_000, 30_000, 4, 5_000), List.of());
     private final Catalog.Type type = new Catalog.Type(catalog.typeNames.add("g4"), "g4", 8, 4, 64, 50, 1, 4, 1, 40, new int[] {0, 1});
     private long revision;
 
@@ -162,4 +164,69 @@
         Planner.Plan none = planner.plan(new ArrayList<>(), marks(t -> false), List.of(), 0, NOW);
         assertThat(none.unplaced()).singleElement().satisfies(u -> assertThat(u.tasks()).isEqualTo(8));
     }
+
+    /** A job of one row whose tasks are recorded on these machines, in the order of the tasks. */
+    private Job placed(String id, Map<String, Object> changes, String... machines) {
+        Job j = job(id, changes);
+        Tx tx = new Tx(view);
+        for (int i = 0; i < machines.length; i++) {
+            tx.chunk(j, 0).claims.put(i, new Claim(j, i, 1, machines[i], 1, 0));
+        }
+        tx.body();
+        tx.applyTo(view, ++revision);
+        return j;
+    }
+
+    private void dropped(Job j, int task) {
+        view.gone(new Job.Gone(j.claim(task), 1, true, true));
+        losses.dropped(j.spec.id(), task, j.claim(task).machine(), 0);
+    }
+
+    /** Seen on both larger fleets after a crash of all: 10 % came back where they ran, the queue had taken their room. */
+    @Test
+    void whatWasDroppedGoesBackWhereItRanBeforeTheQueueOfItsPriorityButNotBeforeMoreUrgentWork() {
+        Job lost = placed("wk-lost", Map.of("pieces", 1L, "due_s", 900.0), "home");
+        job("wk-sooner", Map.of("due_s", 60.0));
+        assertThat(plan(NOW, List.of(), slot("home", 0, 1, 1))).containsExactly("wk-sooner/0 on home");
+        dropped(lost, 0);
+        assertThat(plan(NOW, List.of(), slot("home", 0, 1, 1))).containsExactly("wk-lost/0 on home");
+        job("wk-web", Map.of("shape", "standing", "rank", "production", "expect_s", 0.0));
+        assertThat(plan(NOW, List.of(), slot("home", 0, 1, 1))).containsExactly("wk-web/0 on home");
+    }
+
+    @Test
+    void aDroppedTaskWaitsAMomentForItsMachineAndNoLonger() {
+        dropped(placed("wk-lost", Map.of("pieces", 1L), "home"), 0);
+        assertThat(plan(NOW, List.of(), slot("other", 0, 4, 1))).isEmpty();
+        Planner.Plan later = planner.plan(new ArrayList<>(List.of(slot("other", 0, 4, 1))), marks(t -> false), List.of(), 1_600, NOW);
+        assertThat(later.choices()).singleElement().satisfies(c -> assertThat(c.slot().machine()).isEqualTo("other"));
+    }
+
+    @Test
+    void aDroppedGangGoesBackWholeOrIsPlannedLikeAnyOther() {
+        Job gang = placed("wk-gang", Map.of("shape", "gang", "pieces", 2L), "a", "b");
+        dropped(gang, 0);
+        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 0, 1, 1))).isEmpty();
+        dropped(gang, 1);
+        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 0, 1, 1))).containsExactly("wk-gang/0 on a", "wk-gang/1 on b");
+        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 0, 0, 1))).containsExactly("wk-gang/0 on a", "wk-gang/1 on a");
+    }
+
+    /** Proven gone, a task leaves its machine's room and its zone; its team's use only with its row. */
+    @Test
+    void aMarkFreesRoomAndZoneAtOnceAndLeavesWithItsClaim() {
+        Job web = placed("wk-web", Map.of("shape", "standing", "pieces", 2L, "scatter", true, "expect_s", 0.0), "a", "b");
+        view.gone(new Job.Gone(web.claim(0), 1, true, true));
+        assertThat(view.useOf("a")).containsExactly(0, 0, 0);
+        assertThat(view.gpusOf(web.spec.team())).isEqualTo(2);
+        assertThat(planner.zones(web, List.of())).containsEntry(0, 1);
+        assertThat(view.goneCount()).isEqualTo(1);
+        Tx tx = new Tx(view);
+        tx.chunk(web, 0).claims.put(0, new Claim(web, 0, 2, "a", 2, 0));
+        tx.body();
+        tx.applyTo(view, ++revision);
+        assertThat(view.goneCount()).isZero();
+        assertThat(web.placed(0)).isTrue();
+        assertThat(view.useOf("a")[1]).isEqualTo(1);
+    }
 }
