--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -1,7 +1,6 @@
 package birchusher.placement;
 
 import birchusher.core.Effects;
-import birchusher.lease.LeaseTerms;
 import birchusher.mesh.PeerRecord;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
