--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -343,7 +343,7 @@
             long eta = 0;
             for (Claim c : view.claims(p.machine()).values()) {
                 long end = driver.expectedEnd(c);
-                if (end == Long.MAX_VALUE || end > now + t.soonMs()) {
+                if (end == Long.MAX_VALUE || end > now + t.soonMs() || !c.job().placed(c.task())) {
                     continue;
                 }
                 eta = Math.max(eta, Math.max(1_000, end - now));
--- a/src/main/java/birchusher/placement/Preemption.java
+++ b/src/main/java/birchusher/placement/Preemption.java
@@ -35,7 +35,7 @@
         List<Claim> l = new ArrayList<>();
         for (Claim c : view.claims(slot.machine).values()) {
             JobSpec v = c.job().spec;
-            if (v.yieldsTo(to, plan.guaranteed().contains(v.id()), guaranteed)) {
+            if (c.job().placed(c.task()) && v.yieldsTo(to, plan.guaranteed().contains(v.id()), guaranteed)) {
                 l.add(c);
             }
         }
--- a/src/main/java/birchusher/store/View.java
+++ b/src/main/java/birchusher/store/View.java
@@ -358,9 +358,10 @@
     public void gone(Job.Gone g) {
         Claim c = g.claim();
         Job j = c.job();
-        if (jobs.get(j.spec.id()) == j && j.claim(c.task()) == c && j.gone(c.task()) == null) {
+        if (jobs.get(j.spec.id()) == j && j.claim(c.task()) == c) {
+            // A later proof goes before one whose owner has lost the shard meanwhile.
+            goneMarks += j.gone(c.task()) == null ? 1 : 0;
             j.mark(g);
-            goneMarks++;
             changes++;
             resum(c);
         }
--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -220,6 +220,8 @@
         assertThat(view.useOf("a")).containsExactly(0, 0, 0);
         assertThat(view.gpusOf(web.spec.team())).isEqualTo(2);
         assertThat(planner.zones(web, List.of())).containsEntry(0, 1);
+        view.gone(new Job.Gone(web.claim(0), 2, false, true));
+        assertThat(web.gone(0).term()).isEqualTo(2);
         assertThat(view.goneCount()).isEqualTo(1);
         Tx tx = new Tx(view);
         tx.chunk(web, 0).claims.put(0, new Claim(web, 0, 2, "a", 2, 0));
