--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -106,7 +106,7 @@
         });
         planner = new Planner(catalog, view, speeds, hazards, losses, LeaseTerms.from(t), s.objectives());
         census = new Census(view, patience);
-        driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send, census::known);
+        driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send, census::returned);
         later[0] = driver;
         desk = new Desk(fx, s, catalog, codec, view, store, seats);
         listing = new Listing(fx, catalog, codec, view, store, desk, events);
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -89,7 +89,7 @@
     private final Preemption preemption;
     private final Counters counters;
     private final Mesh mesh;
-    /** Whether the machines that the rows speak of have been heard of: until then work is not stopped for want of room. */
+    /** Whether the fleet has been heard since the rows were read: until then work is not stopped for want of room. */
     private final BooleanSupplier fleetKnown;
     /** Per job and task: until when it is on its way and must not be planned again. */
     private final Map<String, Map<Integer, Long>> held = new HashMap<>();
--- a/src/main/java/birchusher/recovery/Census.java
+++ b/src/main/java/birchusher/recovery/Census.java
@@ -49,6 +49,7 @@
     /** Machines that were fit since they were first told of: what makes one unfit later is not a matter of this. */
     private final Set<String> fit = new HashSet<>();
     private long knownFrom;
+    private boolean returned;
     private long now;
     private Phase phase = Phase.READING;
     private int waitedFor;
@@ -121,6 +122,7 @@
         if (phase == Phase.READING || phase == Phase.HEARING) {
             knownFrom = now + PLAN_MS;
         }
+        returned = p != Phase.READING && (returned || p != Phase.HEARING);
         if (phase == Phase.HEARING && most >= 10) {
             LOG.info("recovery: {} machines were waited for, {} of them in vain, for {} ms; {} losses to be written", most, open.size(),
                     now - since, view.goneCount());
@@ -141,6 +143,14 @@
         return now >= knownFrom && (phase == Phase.RESTORING || phase == Phase.ORDINARY);
     }
 
+    /**
+     * Whether the fleet was known once since the rows were read. Work is stopped for want of room from then on: held back as well whenever
+     * one of the other controllers restarted, it made gangs late that had always found their room.
+     */
+    public boolean returned() {
+        return returned;
+    }
+
     /** Expected machines that are still waited for. */
     public int open() {
         return waitedFor;
--- a/src/main/java/birchusher/workers/Outcomes.java
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -40,8 +40,9 @@
     /** Claims have ranks up to 4 and the last priority. */
     private static final int AFTER_CLAIMS = 4 + Priority.values().length;
     /**
-     * A task of an array that is done is in no hurry: its worker keeps the result, and others of its job end as well. One that is lost
-     * is placed anew meanwhile, and leaves its row with the same writing.
+     * A task of an array that is done is in no hurry: its worker keeps the result, and others of its job end as well. One that
+     * was dropped is placed anew meanwhile, and leaves its row with the same writing. Any other loss is written soon: its room is free to
+     * other drivers only then.
      */
     private static final long PATIENCE_MS = 2_000;
     private static final long SHORT_PATIENCE_MS = 300;
@@ -213,7 +214,7 @@
 
         @Override
         public long patienceMs() {
-            return lasts ? 0 : kind == Kind.DONE && array || kind.isLoss() ? PATIENCE_MS : SHORT_PATIENCE_MS;
+            return lasts ? 0 : kind == Kind.DONE && array || kind == Kind.DROPPED ? PATIENCE_MS : SHORT_PATIENCE_MS;
         }
 
         @Override
