Offers are limited only in a return; single machines that stay silent do not hold up rentals

Change: a driver limits its offers while more dropped tasks are expected back than it can write rows for; the census ends its hearing when no more than one machine in fifty is open.

--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -106,7 +106,8 @@
         });
         planner = new Planner(catalog, view, speeds, hazards, losses, LeaseTerms.from(t), s.objectives());
         census = new Census(view, patience);
-        driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send, census::returned);
+        driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send, census::returned,
+                () -> losses.returningOfAll(fx.now()));
         later[0] = driver;
         desk = new Desk(fx, s, catalog, codec, view, store, seats);
         listing = new Listing(fx, catalog, codec, view, store, desk, events);
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -31,6 +31,7 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntPredicate;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -39,7 +40,7 @@
 public final class Driver {
     private static final Logger LOG = LoggerFactory.getLogger(Driver.class);
     private static final int MAX_OFFERED = 400;
-    /** Offers under way that are always allowed, however scarce changes are. */
+    /** Offers under way that are always allowed in a return, however scarce changes are. */
     private static final int MIN_OUT = 8;
     /** Waiting jobs for which one plan looks for work to stop. */
     private static final int MAX_WISHES = 12;
@@ -91,6 +92,8 @@
     private final Mesh mesh;
     /** Whether the fleet has been heard since the rows were read: until then work is not stopped for want of room. */
     private final BooleanSupplier fleetKnown;
+    /** Dropped tasks of the cluster that are to find their places again. */
+    private final IntSupplier returning;
     /** Per job and task: until when it is on its way and must not be planned again. */
     private final Map<String, Map<Integer, Long>> held = new HashMap<>();
     private int heldCount;
@@ -114,7 +117,8 @@
     private Planner.Plan last = new Planner.Plan(List.of(), List.of(), Set.of(), 0, 0, List.of());
 
     public Driver(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Yard yard,
-            Planner planner, Counters counters, Tuning t, Mesh mesh, BooleanSupplier fleetKnown) {
+            Planner planner, Counters counters, Tuning t, Mesh mesh, BooleanSupplier fleetKnown,
+            IntSupplier returning) {
         this.fx = fx;
         this.settings = s;
         this.catalog = catalog;
@@ -128,6 +132,7 @@
         this.counters = counters;
         this.mesh = mesh;
         this.fleetKnown = fleetKnown;
+        this.returning = returning;
         offerMs = t.ms("placement.offer-s");
         preemptDelay = t.num("placement.preempt-delay-s") * 1000;
         planGap = t.ms("placement.plan-gap-s");
@@ -358,9 +363,10 @@
             String key = s.gang() ? s.id() : s.id() + "/" + c.task() / c.job().chunkSize;
             groups.computeIfAbsent(key, k -> new ArrayList<>()).add(c);
         }
-        // No more than can be claimed before the offers end, the first in the plan's order: after a crash of all, ten times as many were
-        // offered, and most of them only kept room from the others until they were given up.
-        int most = Math.max(MIN_OUT, store.rowsWithin(offerMs));
+        // In a return no more than can be claimed before the offers end, the first in the plan's order: ten times as many were offered,
+        // and most of them only kept room from the others until they were given up. On other days the limit made arrays late.
+        int rows = Math.max(MIN_OUT, store.rowsWithin(offerMs));
+        int most = returning.getAsInt() > rows ? rows : Integer.MAX_VALUE;
         for (List<Planner.Choice> choices : groups.values()) {
             if (out.size() >= most) {
                 return;
--- a/src/main/java/birchusher/recovery/Census.java
+++ b/src/main/java/birchusher/recovery/Census.java
@@ -25,6 +25,8 @@
     private static final long NO_ANSWER_MS = 4_000;
     private static final long NEXT_MS = 1_000;
     private static final int MAX_FIT = 50_000;
+    /** One in so many may be open: waiting for single machines held up rentals on days when many are taken back. */
+    private static final int FEW = 50;
     /** So old may a plan be: one made before the last machine was heard knows nothing of its room. */
     private static final long PLAN_MS = 1_000;
 
@@ -53,6 +55,7 @@
     private long now;
     private Phase phase = Phase.READING;
     private int waitedFor;
+    private int expected;
     private long since;
     private int most;
 
@@ -85,6 +88,7 @@
         }
         Map<String, Long> before = Map.copyOf(open);
         open.clear();
+        expected = 0;
         if (fit.size() > MAX_FIT) {
             // Machines long gone: those that are still there are noted again at once.
             fit.clear();
@@ -100,10 +104,11 @@
             waitedFor += now - at < patienceMs ? 1 : 0;
         }
         most = Math.max(most, waitedFor);
-        next(waitedFor > 0 ? Phase.HEARING : view.goneCount() > 0 ? Phase.RESTORING : Phase.ORDINARY, now);
+        next(waitedFor * FEW > expected ? Phase.HEARING : view.goneCount() > 0 ? Phase.RESTORING : Phase.ORDINARY, now);
     }
 
     private void expect(String machine, Function<String, Told> told, Predicate<String> gone, Map<String, Long> before, long now) {
+        expected++;
         Told t = told.apply(machine);
         if (t == Told.NOTHING) {
             fit.remove(machine);
