Losses of machines that say nothing are not expected back

Change: an end by silence is a kind of its own; only a worker that is back has a place to go back to.

--- a/src/main/java/birchusher/workers/Outcomes.java
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -24,18 +24,25 @@
  * get it done in time, the owner writes by itself: both conditions are the same, so it can happen only once.
  */
 public final class Outcomes {
-    /** {@code DROPPED}: lost together with all that was on the machine, as its worker's lease ended. */
+    /**
+     * {@code DROPPED}, {@code SILENT}: lost together with all that was on the machine, as its worker's lease ended; the first by a worker that
+     * is back with a later session, the second by one that says nothing.
+     */
     public enum Kind {
-        DONE, LOST, ERROR, NOT_STARTED, DROPPED;
+        DONE, LOST, ERROR, NOT_STARTED, DROPPED, SILENT;
 
         boolean isLoss() {
-            return this == LOST || this == DROPPED;
+            return this == LOST || ofMany();
+        }
+
+        boolean ofMany() {
+            return this == DROPPED || this == SILENT;
         }
     }
 
     private static final long DRIVER_MS = 4_000;
     /** A thousand tasks dropped at once need longer: written by their owners meanwhile, each loss once cost a row of its own. */
-    private static final long DROPPED_MS = 12_000;
+    private static final long MANY_MS = 12_000;
     private static final int MAX_ITEMS = 400;
     /** Claims have ranks up to 4 and the last priority. */
     private static final int AFTER_CLAIMS = 4 + Priority.values().length;
@@ -88,7 +95,7 @@
         int driver = seats.driver(c.job().spec.id());
         gone(c, kind, seats.term(c.shard()), true, driver == 0);
         if (driver > 0) {
-            pending.put(c.attemptKey(), new Pending(c, kind, fx.now() + (kind == Kind.DROPPED ? DROPPED_MS : DRIVER_MS), false));
+            pending.put(c.attemptKey(), new Pending(c, kind, fx.now() + (kind.ofMany() ? MANY_MS : DRIVER_MS), false));
             outbox.computeIfAbsent(driver, k -> new ArrayList<>()).add(new PeerRecord.Ended(c.job().spec.id(), c.task(),
                     c.attempt(), c.machine(), c.shard(), seats.term(c.shard()), kind.ordinal()));
         } else {
@@ -103,6 +110,7 @@
             view.gone(new Job.Gone(c, term, own, kind.isLoss()));
         }
         if (kind == Kind.DROPPED && ours) {
+            // Only a machine that lives has their room and images: nothing was rented for the losses of dead ones while they counted here.
             losses.dropped(c.job().spec.id(), c.task(), c.machine(), fx.now());
         }
     }
@@ -194,7 +202,7 @@
             this.term = term;
             this.kind = kind;
             this.own = own;
-            until = fx.now() + (kind == Kind.DROPPED ? DROPPED_MS : 10_000);
+            until = fx.now() + (kind.ofMany() ? MANY_MS : 10_000);
             Job j = view.job(id);
             array = j != null && j.spec.shape() == Shape.ARRAY;
             // With the last ones the job is over, and its user waits for that.
@@ -204,7 +212,7 @@
         @Override
         public int rank() {
             // What was dropped leaves its row with the claim that brings it back: going first, it took the changes those need.
-            return kind == Kind.DROPPED ? AFTER_CLAIMS : 3;
+            return kind.ofMany() ? AFTER_CLAIMS : 3;
         }
 
         @Override
@@ -214,7 +222,7 @@
 
         @Override
         public long patienceMs() {
-            return lasts ? 0 : kind == Kind.DONE && array || kind == Kind.DROPPED ? PATIENCE_MS : SHORT_PATIENCE_MS;
+            return lasts ? 0 : kind == Kind.DONE && array || kind.ofMany() ? PATIENCE_MS : SHORT_PATIENCE_MS;
         }
 
         @Override
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -618,7 +618,7 @@
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
             if (m.session == 0 || c.session() <= m.session) {
                 remember(m, c, m.heardAt >= 0);
-                release(c, Outcomes.Kind.DROPPED, "worker's lease over");
+                release(c, Outcomes.Kind.SILENT, "worker's lease over");
             }
         }
     }
