--- /dev/null
+++ b/src/main/java/birchusher/fleet/Appetite.java
@@ -0,0 +1,48 @@
+package birchusher.fleet;
+
+import birchusher.model.Catalog;
+import birchusher.model.JobSpec;
+import birchusher.model.Priority;
+import birchusher.settings.Settings;
+import birchusher.store.Job;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import java.util.List;
+
+/**
+ * What may be rented for a job. Low work of a team without a guarantee takes idle room: nothing dear is rented for it before it has
+ * waited, and where no objective speaks for its class nothing at all, except to let it begin. Without this, a third of the fleet was
+ * rented at four times the price for work that its users only wanted on idle machines.
+ */
+final class Appetite {
+    /** How many tasks to rent for, and whether only spot machines will do. */
+    record Of(int tasks, boolean spotOnly) { }
+
+    private final Catalog catalog;
+    private final IntOpenHashSet spokenFor = new IntOpenHashSet();
+    private final long beginByMs;
+
+    Appetite(Catalog catalog, List<Settings.Objective> objectives, long beginByMs) {
+        this.catalog = catalog;
+        this.beginByMs = beginByMs;
+        for (Settings.Objective o : objectives) {
+            if (o.cls() != null) {
+                spokenFor.add(catalog.classes.add(o.cls()));
+            }
+        }
+    }
+
+    /** @param tasks those of the job that found no room */
+    Of of(Job j, int tasks, long wall) {
+        JobSpec s = j.spec;
+        Settings.Team team = catalog.team(s.team());
+        if (s.priority() != Priority.LOW || team.cpus() > 0 || team.gpus() > 0) {
+            return new Of(tasks, false);
+        }
+        boolean waited = wall - j.acceptedAt > beginByMs;
+        if (spokenFor.contains(s.cls())) {
+            return new Of(tasks, s.spot() && !waited);
+        }
+        boolean begun = j.doneCount() + j.placedCount() > 0;
+        return new Of(!waited || begun ? 0 : s.gang() ? tasks : Math.min(1, tasks), s.spot());
+    }
+}
--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -80,6 +80,7 @@
     /** Over the present jobs, once a tick: every machine's linger needs it. */
     private double meanImageGb;
     private final Boots boots;
+    private final Appetite appetite;
     private final double lingerBoot;
     private final double lingerFetch;
     private final double giveUp;
@@ -115,6 +116,7 @@
         lingerFetch = t.num("fleet.linger-fetches");
         giveUp = t.num("fleet.give-up-boots");
         boots = new Boots(giveUp);
+        appetite = new Appetite(catalog, s.objectives(), t.ms("placement.begin-by-s"));
         silentSpotS = t.num("fleet.silent-spot-reports");
         silentShare = t.num("fleet.silent-share");
         list = new MachineList(fx, s, catalog, view, seats, cloud, giveUp, new MachineList.Known() {
@@ -464,9 +466,10 @@
         for (Planner.Unplaced u : plan.wanted(fx.wall())) {
             JobSpec s = u.job().spec;
             int jobZone = -1;
-            int spared = Math.min(u.tasks(), expected);
+            Appetite.Of may = appetite.of(u.job(), u.tasks(), fx.wall());
+            int spared = Math.min(may.tasks(), expected);
             expected -= spared;
-            for (int n = spared; n < Math.min(u.tasks(), 400); n++) {
+            for (int n = spared; n < Math.min(may.tasks(), 400); n++) {
                 int at = -1;
                 for (int i = 0; i < room.size() && at < 0; i++) {
                     double[] r = room.get(i);
@@ -478,7 +481,7 @@
                     }
                 }
                 if (at < 0) {
-                    Kind k = choose(s, jobZone, perZone);
+                    Kind k = choose(s, jobZone, perZone, may.spotOnly());
                     if (k == null || opened >= 100) {
                         break;
                     }
@@ -503,7 +506,7 @@
     }
 
     /** The cheapest kind of machine per task that is not known to be sold out; among equals the emptiest zone. */
-    private Kind choose(JobSpec s, int jobZone, int[] perZone) {
+    private Kind choose(JobSpec s, int jobZone, int[] perZone, boolean spotOnly) {
         Kind best = null;
         double bestPrice = Double.MAX_VALUE;
         for (Catalog.Type t : catalog.types()) {
@@ -517,7 +520,7 @@
                 if (s.zone() >= 0 && s.zone() != zone || s.oneZone() && jobZone >= 0 && jobZone != zone) {
                     continue;
                 }
-                for (int spot = s.spot() ? 1 : 0; spot >= 0; spot--) {
+                for (int spot = s.spot() ? 1 : 0; spot >= (spotOnly ? 1 : 0); spot--) {
                     Kind k = new Kind(t.index(), zone, spot == 1);
                     if (refusedUntil.containsKey(k)) {
                         continue;
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -30,6 +30,9 @@
     private static final int MAX_ENDS = 1_000;
     private static final long PATIENCE_MS = 2_000;
     private static final int MAX_BATCH = 64;
+    /** Changes up to this rank are waited for by somebody; the others leave so many rows to them. */
+    private static final int LAST_AWAITED = 3;
+    private static final int SPARED_ROWS = 2;
 
     private record Queued(Change change, long seq, long since) { }
 
@@ -440,8 +443,17 @@
                 + queue.size() + " rps=" + Math.round(requests.perSecond()) + " write_rps=" + Math.round(writes.perSecond());
     }
 
+    /**
+     * What a change leaves to those that somebody waits for: submissions, cancellations, replicas, takeovers. Without this, a swarm's
+     * claims and ends took every row as soon as there was one, and each submission waited for the next.
+     */
+    private static int spared(Change c) {
+        return c.rank() > LAST_AWAITED ? SPARED_ROWS : 0;
+    }
+
     private void send(long now) {
-        if (!writes.has(now, Math.min(settings.txnOps(), queue.peek().change.cost())) || !requests.has(now, 1)) {
+        Change first = queue.peek().change;
+        if (!writes.has(now, Math.min(settings.txnOps(), first.cost()) + spared(first)) || !requests.has(now, 1)) {
             return;
         }
         Tx tx = new Tx(view);
@@ -454,7 +466,7 @@
             int writesAfter = tx.writeCount() + q.change.cost();
             full |= !batch.isEmpty() && (writesAfter > settings.txnOps()
                     || tx.conditionCount() + 4 * q.change.cost() + 4 > settings.txnOps() * 4
-                    || !writes.has(now, writesAfter) || batch.size() >= MAX_BATCH);
+                    || !writes.has(now, writesAfter + spared(q.change)) || batch.size() >= MAX_BATCH);
             if (full || due(q) > now) {
                 waiting.add(q);
             } else if (q.change.build(tx)) {
