--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -45,6 +45,8 @@
 
     /** A kind of machine counts as at most so many times as dear for what does not come up. */
     private static final double MIN_SHARE = 0.25;
+    /** Fewer machines that are silent at once are silent each by itself. */
+    private static final int FEW_SILENT = 4;
 
     /** A rental as its row tells it; {@code hosts} null: not answered yet. */
     public record Ask(String name, int type, int zone, boolean spot, int count, long at, List<String> hosts) { }
@@ -568,13 +570,14 @@
     private void giveBack(Map<String, Picture> pictures, long now) {
         retiring.values().removeIf(until -> now > until);
         reserve.look(pictures, now);
+        Set<Integer> unheard = unheard(pictures);
         for (Picture p : pictures.values()) {
             if (deleting.contains(p.machine()) || recentlyGone.containsKey(p.machine()) || retiring.containsKey(p.machine())) {
                 continue;
             }
             boolean idle = !reserve.keeps(p.machine()) && p.idleSince() >= 0 && now - p.idleSince() > linger(p) && view.claims(p.machine()).isEmpty();
             // Cut off ourselves, we would delete machines that are well: others hear them.
-            boolean silent = store.healthy() && silent(p);
+            boolean silent = store.healthy() && silent(p) && !unheard.contains(p.shard());
             if (silent) {
                 LOG.info("machine {} silent for {} ms, deleted to free its tasks", p.machine(), p.silentMs());
                 delete(p.machine());
@@ -600,6 +603,26 @@
         return 1000 * (lingerBoot * t.bootS() + lingerFetch * fetch) * (p.spot() ? cheapness : 1 / cheapness);
     }
 
+    /**
+     * Shards most of whose machines fell silent: that is mostly their owner's link or their zone's, and they are well. Without this, a
+     * buyer that its own workers could not reach deleted two dozen of them a second before somebody took them over.
+     */
+    private static Set<Integer> unheard(Map<String, Picture> pictures) {
+        Map<Integer, int[]> counts = new HashMap<>();
+        for (Picture p : pictures.values()) {
+            int[] c = counts.computeIfAbsent(p.shard(), k -> new int[2]);
+            c[0]++;
+            c[1] += p.silentMs() > 0 ? 1 : 0;
+        }
+        Set<Integer> l = new HashSet<>();
+        counts.forEach((shard, c) -> {
+            if (c[1] >= FEW_SILENT && 2 * c[1] > c[0]) {
+                l.add(shard);
+            }
+        });
+        return l;
+    }
+
     /** A machine that says nothing is mostly lost; deleting it is the quickest proof that its tasks are gone. */
     private boolean silent(Picture p) {
         double s = p.silentMs() / 1000.0;
--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -33,6 +33,8 @@
     private static final long BEAT_SEEN_MS = 6_500;
     /** A controller that falls silent in the mesh has this long for its first beat. */
     private static final long GRACE_MS = 1_200;
+    /** Two heartbeats. */
+    private static final long JUST_MS = 1_000;
     /** A shard that was taken for its workers' sake stays for a seat's lease, each time twice as long up to this often. */
     private static final int MAX_DOUBLINGS = 3;
 
@@ -323,6 +325,11 @@
         return i == 0 || now - heardAt[i] < suspectMs + GRACE_MS || now - beatAt[i] < BEAT_SEEN_MS;
     }
 
+    /** Heard just now, and in the same life for at least so long. */
+    public boolean steady(int i, long ms) {
+        return fx.now() - heardAt[i] < JUST_MS && fx.now() - aliveSince[i] > ms;
+    }
+
     private boolean seenAble(int i) {
         return i == 0 ? store.healthy() : live(i) ? storeOk[i] : seen(i) && (storeOk[i] || fx.now() - beatAt[i] < BEAT_SEEN_MS);
     }
@@ -815,9 +822,9 @@
             }
             int p = preferred(s, false);
             Map<String, Object> seat = p <= 0 ? null : view.row(Keys.SEAT + memberName(p));
-            // Whom its workers could not reach looks as well as ever from here. Given back after six seconds, the shard went round for as
+            // Whom its workers could not reach looks as well as ever from here, unless it was restarted. Given back after six seconds, the shard went round for as
             // long as such a cut lasted, and its workers' leases ended.
-            boolean unreached = now - pressedAt[s] < leaseMs << Math.min(MAX_DOUBLINGS, Math.max(0, presses[s] - 1));
+            boolean unreached = aliveSince[p] <= pressedAt[s] && now - pressedAt[s] < leaseMs << Math.min(MAX_DOUBLINGS, Math.max(0, presses[s] - 1));
             if (seat == null || !live(p) || unreached || now - aliveSince[p] < settleMs || now - ownedSince[s] < settleMs) {
                 continue;
             }
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -20,6 +20,7 @@
 import birchusher.workers.Machine.Run;
 import birchusher.workers.Machine.Stop;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,6 +38,12 @@
     /** On top of a worker's lease and the clocks' drift, before a silent worker counts as having dropped its tasks. */
     private static final long LEASE_MARGIN_MS = 1_000;
     private static final int PRESS_MS = 3_000;
+    /** So many workers of a shard within this time, and at least one in ten, have lost their owner together. */
+    private static final long LOST_MS = 8_000;
+    /** Three heartbeats: an owner that has died is no longer heard by then, and its shards are taken as always. */
+    private static final long OUTLIVED_MS = 1_500;
+    private static final int FEW_LOST = 3;
+    private static final int MANY = 10;
 
     /** Steps come many times a second; after such a pause we stood still. */
     private static final long STILL_MS = 2_000;
@@ -72,6 +79,8 @@
     private final Faults faults = new Faults();
     /** Per shard: until when a worker that was sent away and is back is being asked whether it hears anybody. */
     private final Map<Integer, Long> pressing = new HashMap<>();
+    /** Per shard: machines that its owner tells of and that lately came here all the same. */
+    private final Map<Integer, Map<String, Long>> lost = new HashMap<>();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, Sent> redirected = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1;
@@ -180,21 +189,47 @@
         Sent sent = redirected.get(r.machine() + "@" + owner);
         sent = new Sent(sent == null || now - sent.last > AGAIN_MS ? now : sent.first, now);
         redirected.put(r.machine() + "@" + owner, sent);
-        if (now - sent.first > PRESS_MS) {
+        if (severalLost(shard, owner, r.machine(), now)) {
+            press(shard, r);
+        } else if (now - sent.first > PRESS_MS && silent(r.machine())) {
             // Sent away, it could not report there, and is back; where connections are refused at once, after a second each time.
             press(shard, r);
         }
         fx.answer(exchange, 421, Map.of(Wire.REPORT_TO, seats.memberName(owner)));
     }
 
+    /** Whether no owner that lives tells of a machine as one that it hears. */
+    private boolean silent(String machine) {
+        Picture p = book.pictures().get(machine);
+        return p == null || p.silentMs() > 0;
+    }
+
+    /**
+     * Workers that their owner tells of have no reason to come here but that it does not answer them. One may be odd; several, while the
+     * owner is heard of and has not just been restarted, need not be sent back and wait for their second failure: where leases are
+     * short, that was too late for all of them.
+     */
+    private boolean severalLost(int shard, int owner, String machine, long now) {
+        if (book.pictures().get(machine) == null) {
+            return false;
+        }
+        Map<String, Long> here = lost.computeIfAbsent(shard, k -> new HashMap<>());
+        here.values().removeIf(at -> now - at > LOST_MS);
+        here.putIfAbsent(machine, now);
+        if (here.size() < FEW_LOST || !seats.steady(owner, LOST_MS)) {
+            return false;
+        }
+        long since = Collections.min(here.values());
+        long known = book.pictures().values().stream().filter(p -> p.shard() == shard).count();
+        return now - since >= OUTLIVED_MS && here.size() * MANY >= known;
+    }
+
     /**
      * A worker that hears nobody wanders over all controllers as well, and copies of old reports come back too: neither must move a
      * shard, with all its workers, to us. Whoever lives and hears us answers when asked.
      */
     private void press(int shard, Report r) {
-        Picture p = book.pictures().get(r.machine());
-        if (fx.now() < pressing.getOrDefault(shard, 0L) || p != null && p.silentMs() == 0) {
-            // Its owner lives, and hears it.
+        if (fx.now() < pressing.getOrDefault(shard, 0L)) {
             return;
         }
         pressing.put(shard, fx.now() + PRESS_MS);
--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -120,6 +120,27 @@
         assertThat(plan(NOW, List.of(), slot("m", 0, 1, 1))).containsExactly("wk-fine/0 on m");
     }
 
+    /** Large jobs, and those too late for any aim, gave way to whatever came after them, for ever under steady load. */
+    @Test
+    void aJobThatHasNotBegunByItsTimeIsDueWhateverItsSizeOrLateness() {
+        job("wk-large", Map.of("pieces", 50L, "due_s", 90.0, "expect_s", 50.0));
+        job("wk-late", Map.of("pieces", 3L, "due_s", 60.0, "expect_s", 50.0));
+        long soon = NOW + 149_000;
+        long then = NOW + 151_000;
+        later("wk-new", soon);
+        assertThat(plan(soon, List.of(), slot("m", 0, 1, 1))).containsExactly("wk-new/0 on m");
+        assertThat(plan(then, List.of(), slot("m", 0, 2, 1)).get(0)).isEqualTo("wk-large/0 on m");
+        view.remove(Keys.JOB + "wk-large", ++revision);
+        assertThat(plan(then, List.of(), slot("m", 0, 1, 1))).containsExactly("wk-late/0 on m");
+    }
+
+    /** A job accepted at some time of day, with time to spare. */
+    private void later(String id, long wall) {
+        Map<String, Object> m = birchusher.TestJobs.job();
+        m.putAll(Map.of("name_id", id, "pieces", 1L, "due_s", 90.0, "expect_s", 50.0));
+        view.put(Keys.JOB + id, new HashMap<>(Map.of("s", "OPEN", "k", 100L, "t", wall, "j", m)), ++revision);
+    }
+
     @Test
     void aLongTaskGoesToASlowMachineOnlyWhenNoCapableOneHasRoom() {
         job("wk-long", Map.of("expect_s", 100.0));
--- a/src/test/java/birchusher/sim/TroublesTest.java
+++ b/src/test/java/birchusher/sim/TroublesTest.java
@@ -69,6 +69,29 @@
         endsWell(w);
     }
 
+    /** With nothing on it there is no loss to show that it hears nobody, and it comes to its owner again and again. */
+    @ParameterizedTest
+    @ValueSource(longs = {106, 107, 108})
+    void anIdleMachineThatHearsNobodyIsOfferedNothingAndItsWanderingMovesNoShard(long seed) {
+        World w = new World(seed, 3, 4);
+        w.machines = 1;
+        w.submit("wk-a", "sweep", 2, "standard", false, false);
+        w.run(24_000);
+        FakeWorker only = w.workers.values().iterator().next();
+        only.deaf = true;
+        String term = w.term();
+        w.run(16_000);
+        w.submit("wk-b", "sweep", 4, "standard", false, false);
+        for (int i = 0; i < 60 && !only.deleted; i++) {
+            w.run(500);
+            assertThat(Pattern.compile("c=.*:" + only.name + ":").matcher(w.store.dump()).find()).as("claimed on it").isFalse();
+            assertThat(w.term()).isEqualTo(term);
+        }
+        w.run(60_000);
+        assertThat(w.state("wk-b")).isEqualTo("done");
+        assertThat(w.broken).isEmpty();
+    }
+
     @Test
     void aMachineThatHearsAgainIsUsedAgain() {
         World w = new World(105, 3, 4);
@@ -105,6 +128,8 @@
         for (int i = 0; i < 10; i++) {
             w.run(500);
             assertThat(w.store.dump()).doesNotContain(":" + gone.name + ":");
+            // The next of several: in order, and as close to each other as reports are.
+            copy.put("tick", gone.tick + 6 + i);
             w.copy(owner, copy);
         }
         w.run(60_000);
@@ -128,6 +153,12 @@
         w.copy(other, second);
         w.run(10_000);
         assertThat(w.term()).isEqualTo(term);
+        for (int i = 0; i < 4; i++) {
+            // So fresh that its machine has said nothing since: but its owner hears it.
+            w.copy(other, m.report());
+            w.run(2_500);
+        }
+        assertThat(w.term()).isEqualTo(term);
         endsWell(w);
     }
 
@@ -223,6 +254,21 @@
         return Long.parseLong(m.group(1));
     }
 
+    /** Standing still for longer than silence is borne, it has heard none of its machines, and they are well. */
+    @Test
+    void aControllerThatStoodStillHasNoMachineDeleted() {
+        World w = new World(139, 3, 40);
+        for (int i = 0; i < 6; i++) {
+            w.submit("wk-web" + i, "standing", 3, "production", true, false);
+        }
+        w.run(60_000);
+        java.util.Set<String> before = java.util.Set.copyOf(w.workers.keySet());
+        w.still(0, 7_500);
+        w.run(30_000);
+        assertThat(w.workers.keySet()).containsAll(before);
+        assertThat(w.broken).isEmpty();
+    }
+
     /** A row that nobody can read costs that job its running, and nobody anything else. */
     @Test
     void aRowThatCantBeReadIsNamedAndItsJobStaysKnown() {
@@ -311,6 +357,7 @@
         w.loss = 0.01;
         w.late = 0.01;
         w.copies = 0.2;
+        w.lateRecords = 0.05;
         for (int step = 0; step < 26; step++) {
             w.run(2_000 + r.nextInt(6_000));
             int node = r.nextInt(controllers);
@@ -355,6 +402,7 @@
         w.loss = 0;
         w.late = 0;
         w.copies = 0;
+        w.lateRecords = 0;
         for (int a = 0; a < controllers; a++) {
             for (int b = 0; b < controllers; b++) {
                 w.cutOneWay(a, b, false);
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -35,6 +35,7 @@
         Core core;
         /** What its time of day is off by; may change with a restart. */
         long wallOff;
+        long stillUntil;
         int life;
         long downUntil;
     }
@@ -75,6 +76,8 @@
     double late;
     /** The share of reports of which a copy comes again, up to a minute later, at the controller it went to. */
     double copies;
+    /** The share of records between controllers of which a copy comes up to 20 s later, whoever lives there by then. */
+    double lateRecords;
     /** For how long commands sent straight to workers are held back; they are executed all the same. */
     long straightMs;
     long now = 1_000;
@@ -154,6 +157,19 @@
         }
     }
 
+    /** A controller stands still while its clocks run on: all that comes to it is held back until it goes on. */
+    void still(int node, long ms) {
+        nodes[node].stillUntil = now + ms;
+    }
+
+    private void whenAwake(int node, Runnable r) {
+        if (now < nodes[node].stillUntil) {
+            at(nodes[node].stillUntil, r);
+        } else {
+            r.run();
+        }
+    }
+
     /** From its next start on. */
     void setClock(int node, long offMs) {
         nodes[node].wallOff = offMs;
@@ -325,7 +341,7 @@
     }
 
     private void every(int i) {
-        if (nodes[i].core != null) {
+        if (nodes[i].core != null && now >= nodes[i].stillUntil) {
             act(i, nodes[i].core.tick(now, wall(i)));
         }
         at(now + 50, () -> every(i));
@@ -368,13 +384,20 @@
                 if (toldImages != null && PeerCodec.decode(s.record()).record() instanceof PeerRecord.Heartbeat h) {
                     h.machines().forEach(m -> toldImages.accept(m.name(), m.images()));
                 }
-                if (!cut[i][to] && !lost()) {
-                    at(now + 1 + random.nextInt(3), () -> {
+                if (lateRecords > 0 && random.nextDouble() < lateRecords) {
+                    at(now + random.nextInt(20_000), () -> {
                         if (nodes[to].core != null) {
                             act(to, nodes[to].core.peer(now, wall(to), s.record()));
                         }
                     });
                 }
+                if (!cut[i][to] && !lost()) {
+                    at(now + 1 + random.nextInt(3), () -> whenAwake(to, () -> {
+                        if (nodes[to].core != null) {
+                            act(to, nodes[to].core.peer(now, wall(to), s.record()));
+                        }
+                    }));
+                }
             } else if (e instanceof Effect.Call c) {
                 call(i, life, c);
             }
@@ -395,6 +418,9 @@
         boolean[] answered = new boolean[1];
         long sentAt = now;
         java.util.function.BiConsumer<Integer, Map<String, Object>> back = (status, m) -> {
+            if (now < nodes[i].stillUntil) {
+                return;
+            }
             if (!answered[0] && nodes[i].life == life && nodes[i].core != null) {
                 answered[0] = true;
                 if (status == 200 && c.path().startsWith("/leases")) {
@@ -403,7 +429,7 @@
                 act(i, nodes[i].core.reply(now, wall(i), c.id(), status, m.isEmpty() ? new byte[0] : Pack.encode(m)));
             }
         };
-        at(now + c.timeoutMs(), () -> back.accept(0, Map.of()));
+        at(now + c.timeoutMs(), () -> whenAwake(i, () -> back.accept(0, Map.of())));
         if (lost()) {
             return;
         }
@@ -555,7 +581,9 @@
     }
 
     private void ask(int node, String method, String path, byte[] body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
-        if (nodes[node].core != null) {
+        if (now < nodes[node].stillUntil) {
+            at(nodes[node].stillUntil, () -> ask(node, method, path, body, reply));
+        } else if (nodes[node].core != null) {
             long x = nextExchange++;
             exchanges.put(x, reply);
             act(node, nodes[node].core.request(now, wall(node), x, method, path, body));
