--- a/src/main/java/birchusher/jobs/Desk.java
+++ b/src/main/java/birchusher/jobs/Desk.java
@@ -48,8 +48,8 @@
         this.store = store;
         this.seats = seats;
         txnOps = s.txnOps();
-        // A claim takes up to about 40 bytes of a row; a row must fit the store's limit even when all tasks are placed.
-        chunkSize = (int) Math.max(16, Math.min(500, (s.valueKb() * 1024 - 512) / 42));
+        // A row must fit the store's limit even when all tasks are placed.
+        chunkSize = (int) Math.max(16, Math.min(500, (s.valueKb() * 1024 - 512) / Chunk.CLAIM_BYTES));
     }
 
     private static Map<String, Object> answer(String id, String state, int done, int running) {
--- a/src/main/java/birchusher/store/Chunk.java
+++ b/src/main/java/birchusher/store/Chunk.java
@@ -21,6 +21,11 @@
     /** Errors in a row; slows the job down, see the driver. */
     public long errors;
 
+    /** Of a row as text: one claim, 64 bits of the done set, and the rest. */
+    public static final int CLAIM_BYTES = 42;
+    private static final int WORD_BYTES = 17;
+    private static final int ROW_BYTES = 100;
+
     public Chunk(Job job, int index) {
         this.job = job;
         this.index = index;
@@ -44,6 +49,11 @@
         return done.cardinality() >= size();
     }
 
+    /** At most so many bytes as a row. */
+    int bytes() {
+        return ROW_BYTES + claims.size() * CLAIM_BYTES + done.length() / 64 * WORD_BYTES + WORD_BYTES;
+    }
+
     public Map<String, Object> write() {
         int base = index * job.chunkSize;
         StringBuilder hex = new StringBuilder();
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -30,6 +30,7 @@
     private static final int MAX_ENDS = 1_000;
     private static final long PATIENCE_MS = 2_000;
     private static final int MAX_BATCH = 64;
+    private static final int TXN_BYTES = 64 * 1024;
     /** Changes up to this rank are waited for by somebody; the others leave so many rows to them. */
     private static final int LAST_AWAITED = 3;
     private static final int SPARED_ROWS = 2;
@@ -451,6 +452,11 @@
         return c.rank() > LAST_AWAITED ? SPARED_ROWS : 0;
     }
 
+    /** A dozen full rows of a huge array pass what a transaction may hold: it would be refused whole, again and again. */
+    private boolean hasBytes(Tx tx, int rows) {
+        return tx.bytes() + rows * settings.valueKb() * 1024 <= TXN_BYTES;
+    }
+
     private void send(long now) {
         Change first = queue.peek().change;
         if (!writes.has(now, Math.min(settings.txnOps(), first.cost()) + spared(first)) || !requests.has(now, 1)) {
@@ -466,7 +472,8 @@
             int writesAfter = tx.writeCount() + q.change.cost();
             full |= !batch.isEmpty() && (writesAfter > settings.txnOps()
                     || tx.conditionCount() + 4 * q.change.cost() + 4 > settings.txnOps() * 4
-                    || !writes.has(now, writesAfter + spared(q.change)) || batch.size() >= MAX_BATCH);
+                    || !writes.has(now, writesAfter + spared(q.change)) || !hasBytes(tx, q.change.cost())
+                    || batch.size() >= MAX_BATCH);
             if (full || due(q) > now) {
                 waiting.add(q);
             } else if (q.change.build(tx)) {
@@ -476,7 +483,7 @@
             }
         }
         for (Queued q : waiting) {
-            boolean fits = batch.size() < MAX_BATCH && tx.conditionCount() + 8 <= settings.txnOps() * 4;
+            boolean fits = batch.size() < MAX_BATCH && tx.conditionCount() + 8 <= settings.txnOps() * 4 && hasBytes(tx, 1);
             if (!batch.isEmpty() && fits && q.change.rides(tx)) {
                 if (q.change.build(tx)) {
                     batch.add(q);
--- a/src/main/java/birchusher/store/Tx.java
+++ b/src/main/java/birchusher/store/Tx.java
@@ -1,5 +1,6 @@
 package birchusher.store;
 
+import birchusher.wire.Json;
 import birchusher.wire.Wire;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,6 +17,9 @@
     private final List<String> removes = new ArrayList<>();
     private final Map<String, Chunk> chunks = new LinkedHashMap<>();
     private final Map<Integer, double[]> claimed = new HashMap<>();
+    /** A key and the names that go with it in a condition or a write. */
+    private static final int AROUND = 120;
+    private int putBytes;
 
     public Tx(View view) {
         this.view = view;
@@ -32,7 +36,8 @@
 
     public void put(String key, Map<String, Object> value) {
         require(key);
-        puts.put(key, value);
+        Map<String, Object> old = puts.put(key, value);
+        putBytes += Json.size(value) + AROUND - (old == null ? 0 : Json.size(old) + AROUND);
     }
 
     public void putHeld(String key, Map<String, Object> value, long lease) {
@@ -84,6 +89,18 @@
         return puts.size() + removes.size() + chunks.size();
     }
 
+    /**
+     * At most so many bytes, as the state service counts them: the rows' own, and what goes around them. A bound and no count, as it is
+     * asked for with each change that might still be added.
+     */
+    public int bytes() {
+        int n = putBytes + conditions.size() * AROUND;
+        for (Chunk c : chunks.values()) {
+            n += AROUND + c.bytes();
+        }
+        return n;
+    }
+
     public int conditionCount() {
         return conditions.size();
     }
--- /dev/null
+++ b/src/test/java/birchusher/store/StoreLinkTest.java
@@ -0,0 +1,108 @@
+package birchusher.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import birchusher.TestJobs;
+import birchusher.core.Effect;
+import birchusher.core.Effects;
+import birchusher.model.Catalog;
+import birchusher.settings.Settings;
+import birchusher.settings.SettingsReader;
+import birchusher.settings.Tuning;
+import birchusher.wire.Json;
+import birchusher.wire.JobCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What goes into one transaction, and who goes first when rows are short. */
+class StoreLinkTest {
+    private final Settings settings = SettingsReader.read(TestJobs.SETTINGS.getBytes(StandardCharsets.UTF_8));
+    private final Catalog catalog = new Catalog(settings);
+    private final Effects fx = new Effects();
+    private final View view = new View(catalog, new JobCodec(catalog));
+    private final StoreLink store = new StoreLink(fx, view, settings, new Tuning());
+    private final List<String> built = new ArrayList<>();
+    private long now = 1_000;
+
+    StoreLinkTest() {
+        fx.time(now, now);
+        store.tick();
+        answer("/store?", 200, Map.of("rows", List.of(), "has_next", false, "epoch", 1L));
+        answer("/watch", 200, Map.of("events", List.of(), "epoch", 1L));
+    }
+
+    private List<Effect.Call> calls(String path) {
+        return fx.drain().stream().filter(e -> e instanceof Effect.Call c && c.path().startsWith(path)).map(e -> (Effect.Call) e).toList();
+    }
+
+    private void answer(String path, int status, Map<String, Object> body) {
+        calls(path).forEach(c -> fx.reply(c.id(), status, body));
+    }
+
+    private void offer(String key, int rank, int bytes) {
+        store.offer(new Change() {
+            @Override
+            public int rank() {
+                return rank;
+            }
+
+            @Override
+            public int cost() {
+                return 1;
+            }
+
+            @Override
+            public boolean build(Tx tx) {
+                tx.put("b/live/" + key, Map.of("x", "y".repeat(bytes)));
+                built.add(key);
+                return true;
+            }
+
+            @Override
+            public void committed(long revision) { }
+
+            @Override
+            public void dropped() { }
+        });
+    }
+
+    private void later(long ms) {
+        now += ms;
+        fx.time(now, now);
+        store.tick();
+    }
+
+    /** A dozen full rows are within the number of writes and beyond the 64 KiB: refused whole, and worked out again as they were. */
+    @Test
+    void aTransactionKeepsWithinItsBytes() {
+        offer("first", 4, 10);
+        Effect.Call first = calls("/multi").get(0);
+        for (int i = 0; i < 11; i++) {
+            offer("row" + i, 4, 8_000);
+        }
+        fx.reply(first.id(), 200, Map.of("epoch", 2L));
+        later(3_000);
+        Effect.Call all = calls("/multi").get(0);
+        assertThat(Json.size(all.body())).isBetween(30_000, 64 * 1024);
+    }
+
+    /** A swarm's ends took each row as it came, and submissions waited for the next. */
+    @Test
+    void changesThatNobodyWaitsForLeaveRowsToThoseThatSomebodyWaitsFor() {
+        for (int i = 0; i < 60; i++) {
+            offer("end" + i, 9, 10);
+        }
+        for (int i = 0; i < 400 && built.size() < 50; i++) {
+            later(10);
+            answer("/multi", 200, Map.of("epoch", 2L + i));
+        }
+        int before = built.size();
+        offer("submitted", 2, 10);
+        later(40);
+        assertThat(built.subList(before, built.size())).contains("submitted");
+        assertThat(calls("/multi")).isNotEmpty();
+    }
+}
