--- a/src/test/java/birchusher/sim/TroublesTest.java
+++ b/src/test/java/birchusher/sim/TroublesTest.java
@@ -69,27 +69,30 @@
         endsWell(w);
     }
 
-    /** With nothing on it there is no loss to show that it hears nobody, and it comes to its owner again and again. */
+    /** As long as the cloud doesn't take it back, it comes to its owner again and again, each time with a report as fresh as any. */
     @ParameterizedTest
-    @ValueSource(longs = {106, 107, 108})
-    void anIdleMachineThatHearsNobodyIsOfferedNothingAndItsWanderingMovesNoShard(long seed) {
-        World w = new World(seed, 3, 4);
-        w.machines = 1;
-        w.submit("wk-a", "sweep", 2, "standard", false, false);
-        w.run(24_000);
-        FakeWorker only = w.workers.values().iterator().next();
-        only.deaf = true;
+    @CsvSource({"106, 3", "107, 3", "108, 7"})
+    void aMachineThatHearsNobodyIsOfferedNothingHoweverOftenItReports(long seed, int controllers) {
+        World w = world(seed, controllers);
+        w.run(45_000);
+        FakeWorker deaf = busy(w);
+        deaf.deaf = true;
+        w.keepsAll = true;
         String term = w.term();
-        w.run(16_000);
-        w.submit("wk-b", "sweep", 4, "standard", false, false);
-        for (int i = 0; i < 60 && !only.deleted; i++) {
-            w.run(500);
-            assertThat(Pattern.compile("c=.*:" + only.name + ":").matcher(w.store.dump()).find()).as("claimed on it").isFalse();
-            assertThat(w.term()).isEqualTo(term);
+        for (int i = 0; i < 40; i++) {
+            if (i % 4 == 0) {
+                w.submit("wk-more" + i, "sweep", 6, "standard", false, false);
+            }
+            w.run(2_000);
+            for (int session = 2; session < 9; session++) {
+                assertThat(claimedOn(w, deaf.name, session)).as("claimed in session " + session).isFalse();
+            }
         }
-        w.run(60_000);
-        assertThat(w.state("wk-b")).isEqualTo("done");
-        assertThat(w.broken).isEmpty();
+        assertThat(deaf.session).isGreaterThan(3);
+        assertThat(w.term()).isEqualTo(term);
+        deaf.deaf = false;
+        w.keepsAll = false;
+        endsWell(w);
     }
 
     @Test
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -89,6 +89,8 @@
     int refusedStarts;
     /** Hears which images an owner tells others that a machine has. */
     java.util.function.BiConsumer<String, List<String>> toldImages;
+    /** The cloud answers no deletion: silent and idle machines stay. */
+    boolean keepsAll;
     /** What the cloud has at most; 0: as many as the team may use. */
     int machines;
 
@@ -482,6 +484,8 @@
                 return l;
             });
             reply.accept(200, Map.of("hosts", hosts));
+        } else if (path.equals("/rentals/delete") && keepsAll) {
+            reply.accept(503, Map.of("error", "trouble"));
         } else if (path.equals("/rentals/delete")) {
             Fields.list(body, "hosts").forEach(h -> {
                 FakeWorker w = workers.remove(h);
