--- a/src/main/java/birchusher/workers/Faults.java
+++ b/src/main/java/birchusher/workers/Faults.java
@@ -15,7 +15,7 @@
 final class Faults {
     private static final int MAX_JOBS = 2_000;
     private static final int MAX_MACHINES = 8;
-    /** So many different jobs, with nothing that ended well between them, speak against the machine whatever they did elsewhere. */
+    /** So many different jobs, with nothing that ended well between them, and one of them not seen to fail elsewhere, are enough too. */
     private static final int TOO_MANY = 4;
 
     private final Map<String, Set<String>> machinesOf = new LinkedHashMap<>(64, 0.75f, true) {
@@ -57,6 +57,7 @@
 
     /** Whether a machine is to be given up. */
     boolean condemns(Machine m, Function<String, Job> jobs) {
-        return against(m, jobs) >= 2 || m.errorJobs.size() >= TOO_MANY;
+        int against = against(m, jobs);
+        return against >= 2 || against == 1 && m.errorJobs.size() >= TOO_MANY;
     }
 }
--- a/src/main/java/birchusher/workers/Machine.java
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -74,6 +74,8 @@
     boolean leaving;
     boolean gone;
     long quarantineUntil;
+    /** When errors of several jobs are to be judged; -1: none are. */
+    long judgeAt = -1;
     long idleSince = -1;
     long deadSession = -1;
 
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -467,7 +467,18 @@
         if (faults.against(m, view::job) > 0) {
             m.quarantineUntil = fx.now() + quarantineMs;
         }
-        if (!m.condemned && faults.condemns(m, view::job)) {
+        if (!m.condemned && m.judgeAt < 0 && faults.condemns(m, view::job)) {
+            m.judgeAt = fx.now() + quarantineMs;
+        }
+    }
+
+    /**
+     * While a machine gets nothing new, the same jobs may come to fail elsewhere too. Judged at its second job's first error, machines
+     * were given up with all their replicas for two jobs that failed everywhere.
+     */
+    private void judge(Machine m) {
+        m.judgeAt = -1;
+        if (faults.condemns(m, view::job)) {
             m.condemned = true;
             counters.condemned++;
             LOG.info("machine {} fails tasks of different jobs, it is given up", m.name);
@@ -654,6 +665,9 @@
             if (sweepLeases) {
                 sweep(m, now);
             }
+            if (m.judgeAt >= 0 && now >= m.judgeAt) {
+                judge(m);
+            }
             if (m.noticeAt >= 0) {
                 drain(m, now);
             }
--- a/src/test/java/birchusher/sim/FakeWorker.java
+++ b/src/test/java/birchusher/sim/FakeWorker.java
@@ -102,6 +102,13 @@
         }
         for (Task t : List.copyOf(tasks.values())) {
             if (t.stage.equals("fetching") && now >= t.until) {
+                if (world.mistaken.contains(t.key.substring(0, t.key.indexOf('/')))) {
+                    world.errors++;
+                    t.stage = "exited";
+                    t.why = "error";
+                    nextReport = Math.min(nextReport, now + 500);
+                    continue;
+                }
                 boolean gang = world.isGang(t.key);
                 t.stage = gang ? "waiting" : "running";
                 t.until = gang ? Long.MAX_VALUE : now + world.runMs(t.key);
