Jobs alike share their look at the slots; one plan places a thousand tasks of a job at most

Change: arrays' candidates are kept for jobs that need and may use the same, and looked at again before they are given; a plan stops at a thousand tasks of a job. Test: PlannerTest.jobsAlikeShareTheirLookAtTheSlots (fewer than 600 looks in place of 4,800).

--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -112,6 +112,8 @@
     private static final double PACK_MS = 2_500;
     /** By how many times the time that a job would take all machines it counts as due later. */
     private static final double SIZE_WEIGHT = 10;
+    /** So many tasks of a job are given places in one plan: more than are offered before the next. Tens of thousands cost more than all others. */
+    private static final int MAX_CHOSEN = 1_000;
     private final LeaseTerms terms;
     /** By when, in s, a job is to begin whatever its size, where no aim of its class says so. */
     private final double beginByS;
@@ -305,6 +307,7 @@
         Map<String, List<Choice>> underwayOf = new HashMap<>();
         underway.forEach(c -> underwayOf.computeIfAbsent(c.job().spec.id(), k -> new ArrayList<>()).add(c));
         work = all.size();
+        Map<Alike, Candidates> alike = new HashMap<>();
         Map<String, Set<Integer>> back = new HashMap<>();
         Set<String> present = new HashSet<>();
         for (Slot s : losses.count() > 0 ? all : List.<Slot>of()) {
@@ -352,6 +355,7 @@
             Candidates candidates = null;
             int missing = 0;
             int placed = 0;
+            int chosen = 0;
             boolean doubted = marks.doubted(j);
             for (int task = 0; task < s.tasks(); task++) {
                 if (j.isDone(task) || j.placed(task)) {
@@ -362,7 +366,7 @@
                     placed++;
                     continue;
                 }
-                if (overLimit(s, use[s.team()], 1) || doubted && placed + j.placedCount() > 0) {
+                if (overLimit(s, use[s.team()], 1) || doubted && placed + j.placedCount() > 0 || chosen >= MAX_CHOSEN) {
                     break;
                 }
                 Slot slot = null;
@@ -370,7 +374,9 @@
                     slot = hopeless(s, misfits) ? null : best(j, slots, zones, -1, refused);
                 } else {
                     if (candidates == null && !hopeless(s, misfits)) {
-                        candidates = new Candidates(j, slots, zones, refused);
+                        candidates = refused == null ? alike.computeIfAbsent(Alike.of(s), k -> new Candidates(j, slots, refused))
+                                : new Candidates(j, slots, refused);
+                        candidates.serve(j);
                     }
                     slot = candidates == null ? null : candidates.best();
                     if (slot == null && refused == null) {
@@ -385,6 +391,7 @@
                     break;
                 }
                 placed++;
+                chosen++;
                 use[s.team()][0] += s.cpus();
                 use[s.team()][1] += s.gpus();
                 if (!terms.fits(s, expectedS(s), slot.speed)) {
@@ -435,24 +442,38 @@
         return l.toArray(new Slot[0]);
     }
 
-    /** The slots one job may use, best first. Taking a task changes only its own slot's score, so a heap serves all tasks. */
+    private static final Map<Integer, Integer> NO_ZONES = Map.of();
+    /** A difference in delay that is not worth looking at all slots again. */
+    private static final double SAME_MS = 500;
+
+    /**
+     * Jobs that need and may use the same: all of a swarm. Each looked at every slot by itself, and plans came seconds apart for
+     * everybody. Estimates count by their power of two.
+     */
+    private record Alike(int cls, int image, double cpus, double gpus, double mem, List<Integer> types, int zone, boolean spot,
+            Priority priority, double checkpointS, int estimate) {
+        static Alike of(JobSpec s) {
+            return new Alike(s.cls(), s.image(), s.cpus(), s.gpus(), s.mem(), s.types() == null ? null : Arrays.stream(s.types()).boxed().toList(),
+                    s.zone(), s.spot(), s.priority(), s.checkpointS(), Math.getExponent(s.estimateS()));
+        }
+    }
+
+    /** The slots one job, or several alike, may use, best first. Taking a task changes only its own slot's score, so a heap serves all tasks. */
     private final class Candidates {
-        private final Job job;
-        private final Map<Integer, Integer> zones;
+        private Job job;
         private final Slot[] slots;
         private final double[] scores;
         private int n;
 
-        Candidates(Job j, Slot[] all, Map<Integer, Integer> zones, Set<String> refused) {
+        Candidates(Job j, Slot[] all, Set<String> refused) {
             job = j;
-            this.zones = zones;
             slots = new Slot[all.length];
             scores = new double[all.length];
             work += all.length;
             for (Slot s : all) {
                 if (s.fits(j.spec) && s.allows(j.spec) && (refused == null || !refused.contains(s.machine))) {
                     slots[n] = s;
-                    scores[n++] = score(j, s, zones);
+                    scores[n++] = score(j, s, NO_ZONES);
                 }
             }
             for (int i = n / 2 - 1; i >= 0; i--) {
@@ -460,6 +481,33 @@
             }
         }
 
+        /** Another job like the first. Others have taken room meanwhile: what comes first is looked at again before it is given. */
+        void serve(Job j) {
+            if (j == job) {
+                return;
+            }
+            job = j;
+            while (n > 0) {
+                work++;
+                if (!slots[0].fits(job.spec)) {
+                    drop();
+                } else {
+                    double before = scores[0];
+                    scores[0] = score(job, slots[0], NO_ZONES);
+                    if (scores[0] <= before + SAME_MS) {
+                        return;
+                    }
+                }
+                down(0);
+            }
+        }
+
+        private void drop() {
+            n--;
+            slots[0] = slots[n];
+            scores[0] = scores[n];
+        }
+
         Slot best() {
             return n == 0 ? null : slots[0];
         }
@@ -467,13 +515,16 @@
         void taken() {
             work++;
             if (slots[0].fits(job.spec)) {
-                scores[0] = score(job, slots[0], zones);
+                scores[0] = score(job, slots[0], NO_ZONES);
             } else {
-                n--;
-                slots[0] = slots[n];
-                scores[0] = scores[n];
+                drop();
             }
             down(0);
+            while (n > 0 && !slots[0].fits(job.spec)) {
+                // Taken by others since the first of several jobs alike looked.
+                drop();
+                down(0);
+            }
         }
 
         private void down(int from) {
--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -120,6 +120,25 @@
         assertThat(plan(NOW, List.of(), slot("m", 0, 1, 1))).containsExactly("wk-fine/0 on m");
     }
 
+    /** A swarm looks at the slots once, not once for each job, and never gets a place that somebody else has taken in between. */
+    @Test
+    void jobsAlikeShareTheirLookAtTheSlots() {
+        for (int i = 0; i < 40; i++) {
+            job("wk-one" + i, Map.of("pieces", 1L, "cards", 0.0, "cores", 2.0));
+            job("wk-two" + i, Map.of("pieces", 1L, "cards", 0.0, "cores", 6.0));
+        }
+        List<Slot> fleet = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            fleet.add(slot("m" + i, 0, 4, 1));
+        }
+        Planner.Plan p = planner.plan(fleet, marks(t -> false), List.of(), 0, NOW);
+        assertThat(p.choices()).hasSize(80);
+        assertThat(p.work()).as("slots looked at").isLessThan(10 * 60);
+        Map<String, Double> used = new HashMap<>();
+        p.choices().forEach(c -> used.merge(c.slot().machine(), c.job().spec.cpus(), Double::sum));
+        assertThat(used.values()).allSatisfy(n -> assertThat(n).isLessThanOrEqualTo(8));
+    }
+
     /** Large jobs, and those too late for any aim, gave way to whatever came after them, for ever under steady load. */
     @Test
     void aJobThatHasNotBegunByItsTimeIsDueWhateverItsSizeOrLateness() {
