Said once: a worker's waits, a job begun, records as bytes; less looked at while a batch is put together

Need: a second reading of the change. The protocol's 4 s and 1 s stood in Census and in Hearing; "begun" was worked out in two places, records between controllers were encoded with the same arguments in three, and the tests' world delivered them by two copies. Change: one place for each. A batch that is full asks nothing more of the changes behind it (up to 4,000, each with the bytes and the bucket), and the bytes are asked only for changes that would ride along. Two branches of a press are one. No behaviour changes.

--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -271,15 +271,19 @@
     // ---- other controllers
 
     private void send(int member, PeerRecord r) {
-        fx.send(member, PeerCodec.encode(settings.member(), seats.incarnation(), r));
+        fx.send(member, encode(r));
+    }
+
+    private byte[] encode(PeerRecord r) {
+        return PeerCodec.encode(settings.member(), seats.incarnation(), r);
     }
 
     private void heartbeat() {
         List<PeerRecord.Machine> news = book.news(own);
         PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(seats.incarnation(), store.healthy(), seats.termsSeen(),
                 seats.termsOwned(), news, book.left(), buyer.recentlyGone());
-        byte[] record = PeerCodec.encode(settings.member(), seats.incarnation(), h);
-        byte[] restoring = losses.returning() > 0 || toldRestoring ? PeerCodec.encode(settings.member(), seats.incarnation(), new PeerRecord.Restoring(losses.returning())) : null;
+        byte[] record = encode(h);
+        byte[] restoring = losses.returning() > 0 || toldRestoring ? encode(new PeerRecord.Restoring(losses.returning())) : null;
         toldRestoring = losses.returning() > 0;
         for (int i = 1; i < seats.memberCount(); i++) {
             fx.send(i, record);
--- a/src/main/java/birchusher/fleet/Appetite.java
+++ b/src/main/java/birchusher/fleet/Appetite.java
@@ -42,7 +42,6 @@
         if (spokenFor.contains(s.cls())) {
             return new Of(tasks, s.spot() && !waited);
         }
-        boolean begun = j.doneCount() + j.placedCount() > 0;
-        return new Of(!waited || begun ? 0 : s.gang() ? tasks : Math.min(1, tasks), s.spot());
+        return new Of(!waited || j.begun() ? 0 : s.gang() ? tasks : Math.min(1, tasks), s.spot());
     }
 }
--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -332,8 +332,7 @@
                 String host = a.hosts() == null ? a.name() + "/" + i : a.hosts().get(i);
                 if (pictures.containsKey(host)) {
                     boots.up(kind, host, ageS, t.bootS());
-                }
-                if (!overdue && !pictures.containsKey(host) && !deleting.contains(host) && !recentlyGone.containsKey(host)) {
+                } else if (!overdue && !deleting.contains(host) && !recentlyGone.containsKey(host)) {
                     l.add(new Slot(host, t, a.zone(), a.spot(), 0, -1, 1, new int[0], new int[0], eta, false, t.cpus(), t.gpus(),
                             t.mem()));
                 }
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -221,7 +221,7 @@
 
     /** When a job is due at the latest whatever its size: by the last aim for its class's starts, or the operators' property. */
     private long latest(Job j) {
-        if (j.doneCount() + j.placedCount() > 0) {
+        if (j.begun()) {
             return Long.MAX_VALUE;
         }
         double s = 0;
--- a/src/main/java/birchusher/recovery/Census.java
+++ b/src/main/java/birchusher/recovery/Census.java
@@ -1,5 +1,6 @@
 package birchusher.recovery;
 
+import birchusher.settings.Settings;
 import birchusher.store.View;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,9 +22,6 @@
  */
 public final class Census {
     private static final Logger LOG = LoggerFactory.getLogger(Census.class);
-    /** By the protocol a worker waits for an answer for 4 s, and tries the next controller 1 s later. */
-    private static final long NO_ANSWER_MS = 4_000;
-    private static final long NEXT_MS = 1_000;
     private static final int MAX_FIT = 50_000;
     /** One in so many may be open: waiting for single machines held up rentals on days when many are taken back. */
     private static final int FEW = 50;
@@ -71,7 +69,7 @@
      * @param controllers how many a worker may have to ask until it finds its owner
      */
     public static long patience(long reportMs, int controllers) {
-        return reportMs * 5 / 4 + NO_ANSWER_MS + NEXT_MS * (controllers + 1);
+        return reportMs * 5 / 4 + Settings.NO_ANSWER_MS + Settings.NEXT_MS * (controllers + 1);
     }
 
     /**
--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -399,8 +399,7 @@
      * not answer under an older one any more. True if it was not heard of before, or not in this life.
      */
     public boolean heard(int i, boolean itsStoreOk, long itsIncarnation, List<Long> terms, List<Long> owned) {
-        boolean again = seenIncarnation[i] != itsIncarnation;
-        boolean news = !live(i) || again;
+        boolean news = !live(i) || seenIncarnation[i] != itsIncarnation;
         seenIncarnation[i] = itsIncarnation;
         if (terms.size() == giving.length) {
             for (int s = 0; s < giving.length; s++) {
--- a/src/main/java/birchusher/settings/Settings.java
+++ b/src/main/java/birchusher/settings/Settings.java
@@ -22,6 +22,9 @@
 
     public record Objective(String kind, String cls, double withinS, double share) { }
 
+    /** By the protocol a worker waits so long for an answer, and asks the next controller after that much more. */
+    public static final long NO_ANSWER_MS = 4_000;
+    public static final long NEXT_MS = 1_000;
     /** Steady clocks of two machines may differ by this share. */
     public static final double DRIFT = 0.0005;
 }
--- a/src/main/java/birchusher/store/Job.java
+++ b/src/main/java/birchusher/store/Job.java
@@ -99,6 +99,11 @@
         return g != null && g.claim() == c && gone.remove(c.task()) != null;
     }
 
+    /** Whether any of its tasks has a place or is done. */
+    public boolean begun() {
+        return done + placedCount() > 0;
+    }
+
     public int doneCount() {
         return done;
     }
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -470,7 +470,7 @@
         while (!queue.isEmpty()) {
             Queued q = queue.poll();
             int writesAfter = tx.writeCount() + q.change.cost();
-            full |= !batch.isEmpty() && (writesAfter > settings.txnOps()
+            full = full || !batch.isEmpty() && (writesAfter > settings.txnOps()
                     || tx.conditionCount() + 4 * q.change.cost() + 4 > settings.txnOps() * 4
                     || !writes.has(now, writesAfter + spared(q.change)) || !hasBytes(tx, q.change.cost())
                     || batch.size() >= MAX_BATCH);
@@ -483,8 +483,8 @@
             }
         }
         for (Queued q : waiting) {
-            boolean fits = batch.size() < MAX_BATCH && tx.conditionCount() + 8 <= settings.txnOps() * 4 && hasBytes(tx, 1);
-            if (!batch.isEmpty() && fits && q.change.rides(tx)) {
+            if (!batch.isEmpty() && batch.size() < MAX_BATCH && tx.conditionCount() + 8 <= settings.txnOps() * 4
+                    && q.change.rides(tx) && hasBytes(tx, 1)) {
                 if (q.change.build(tx)) {
                     batch.add(q);
                 } else {
--- a/src/main/java/birchusher/workers/Hearing.java
+++ b/src/main/java/birchusher/workers/Hearing.java
@@ -1,5 +1,7 @@
 package birchusher.workers;
 
+import birchusher.settings.Settings;
+
 /**
  * Whether a machine's worker hears us. That its reports come shows only one direction; what shows the other is what nothing but our
  * answers or commands can bring about: our term in a report, an answer to a direct command, or a report that comes as soon as only
@@ -9,15 +11,12 @@
  * <p>Only a reason to use a machine or not. What is on it leaves the records by the usual proofs alone.
  */
 final class Hearing {
-    /** By the protocol a worker waits so long for an answer, and asks the next controller after a second more. */
-    private static final long NO_ANSWER_MS = 4_000;
-    private static final long NEXT_MS = 1_000;
     private static final long MARGIN_MS = 500;
 
     private final long nextMs;
 
     Hearing(long reportingMs, int controllers) {
-        nextMs = Math.min(reportingMs, NO_ANSWER_MS + NEXT_MS * controllers - MARGIN_MS);
+        nextMs = Math.min(reportingMs, Settings.NO_ANSWER_MS + Settings.NEXT_MS * controllers - MARGIN_MS);
     }
 
     /** Notes what a newer report shows, before it is taken over. {@code direct}: it came as the answer to a command of ours. */
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -186,12 +186,9 @@
         }
         long now = fx.now();
         // Per owner: having been sent to one that died since says nothing about the one that took its place.
-        Sent sent = redirected.get(r.machine() + "@" + owner);
-        sent = new Sent(sent == null || now - sent.last > AGAIN_MS ? now : sent.first, now);
-        redirected.put(r.machine() + "@" + owner, sent);
-        if (severalLost(shard, owner, r.machine(), now)) {
-            press(shard, r);
-        } else if (now - sent.first > PRESS_MS && silent(r.machine())) {
+        Sent sent = redirected.compute(r.machine() + "@" + owner,
+                (k, old) -> new Sent(old == null || now - old.last > AGAIN_MS ? now : old.first, now));
+        if (severalLost(shard, owner, r.machine(), now) || now - sent.first > PRESS_MS && silent(r.machine())) {
             // Sent away, it could not report there, and is back; where connections are refused at once, after a second each time.
             press(shard, r);
         }
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -395,18 +395,10 @@
                     h.machines().forEach(m -> toldImages.accept(m.name(), m.images()));
                 }
                 if (lateRecords > 0 && random.nextDouble() < lateRecords) {
-                    at(now + random.nextInt(20_000), () -> {
-                        if (nodes[to].core != null) {
-                            act(to, nodes[to].core.peer(now, wall(to), s.record()));
-                        }
-                    });
+                    at(now + random.nextInt(20_000), () -> deliver(to, s.record()));
                 }
                 if (!cut[i][to] && !lost()) {
-                    at(now + 1 + random.nextInt(3), () -> whenAwake(to, () -> {
-                        if (nodes[to].core != null) {
-                            act(to, nodes[to].core.peer(now, wall(to), s.record()));
-                        }
-                    }));
+                    at(now + 1 + random.nextInt(3), () -> whenAwake(to, () -> deliver(to, s.record())));
                 }
             } else if (e instanceof Effect.Call c) {
                 call(i, life, c);
@@ -414,6 +406,12 @@
         }
     }
 
+    private void deliver(int to, byte[] record) {
+        if (nodes[to].core != null) {
+            act(to, nodes[to].core.peer(now, wall(to), record));
+        }
+    }
+
     private static int member(int self, int peer) {
         return peer <= self ? peer - 1 : peer;
     }
