A reservation whose answer is lost is not made again; ends and claims are counted once; more meetings

Cause: a transaction carried out at once, with its answer lost, was worked out anew after the read-back. The buyer reserved new request names for the same need and rented all of it twice. An end that was found written, claims and takeovers were not counted. Change: a reservation is given up once the counter of names has moved; the others look whether they stand. Tests: MeetingsTest (answers lost with crashes and close looks; a reservation), FurtherMeetingsTest: a team at its limit with cancelled work on machines that hang, hear nobody or reach nobody; cancellations while work changes hands; machines up at once; old reports at everybody as an owner begins; the reap that waits for its end. The counts of ends, claims and takeovers have no test of their own.

--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -544,12 +544,18 @@
         reserving = true;
         long at = fx.wall();
         int max = Math.max(1, settings.txnOps() - 1);
+        long[] first = {-1};
         store.offer(new Simple(3, Math.min(settings.txnOps(), wanted.size() + 1), tx -> {
             if (!isBuyer() || tx.writes(Keys.BUYER)) {
                 return false;
             }
             tx.require(Keys.SEAT + seats.memberName(0));
             long next = Fields.countOr(view.row(Keys.BUYER), "n", 1);
+            first[0] = first[0] < 0 ? next : first[0];
+            if (next != first[0]) {
+                // Carried out, and only the answer was lost: worked out again, it named and rented all of it a second time.
+                return false;
+            }
             int used = 0;
             for (Map.Entry<Kind, Integer> e : wanted.entrySet()) {
                 if (used++ >= max) {
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -561,6 +561,8 @@
         callOff(over);
         boolean queued = store.offer(new Change() {
             private List<Planner.Choice> made = List.of();
+            /** What was sent without an answer: carried out all the same, if the rows show it. */
+            private List<Planner.Choice> inDoubt = List.of();
 
             /** Whole gangs and replicas are few and somebody waits for them: not behind the ends of hundreds of small tasks. */
             @Override
@@ -620,12 +622,13 @@
                 return pass != Gates.Pass.NO;
             }
 
+            @Override
+            public void unclear() {
+                inDoubt = made;
+            }
+
             @Override
             public void committed(long revision) {
-                counters.claims += made.size();
-                for (Planner.Choice c : made) {
-                    LOG.info("task {} claimed on {} ({})", key(c), c.slot().machine, s.gang() ? "gang" : s.shape());
-                }
                 over();
             }
 
@@ -635,8 +638,23 @@
                 over();
             }
 
+            private boolean stands(Planner.Choice c) {
+                Job j = view.job(s.id());
+                Claim x = j == null ? null : j.claim(c.task());
+                return x != null && x.machine().equals(c.slot().machine) && x.session() == c.slot().session;
+            }
+
             private void over() {
                 out.remove(g);
+                if (!inDoubt.isEmpty()) {
+                    List<Planner.Choice> all = new ArrayList<>(made);
+                    inDoubt.stream().filter(c -> !made.contains(c) && stands(c)).forEach(all::add);
+                    made = all;
+                }
+                counters.claims += made.size();
+                for (Planner.Choice c : made) {
+                    LOG.info("task {} claimed on {} ({})", key(c), c.slot().machine, s.gang() ? "gang" : s.shape());
+                }
                 List<Planner.Choice> not = new ArrayList<>(list);
                 not.removeAll(made);
                 callOff(not);
--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -743,6 +743,13 @@
         taking = true;
         long[] versions = shards.stream().mapToLong(s -> view.version(shardKey(s))).toArray();
         store.offer(new ShardChange(0) {
+            private boolean unclear;
+
+            @Override
+            public void unclear() {
+                unclear = true;
+            }
+
             @Override
             boolean write(Tx tx) {
                 if (!seated) {
@@ -787,7 +794,8 @@
             @Override
             void over(boolean ok) {
                 taking = false;
-                if (ok) {
+                // Without an answer, and then seen to be ours: it was carried out.
+                if (ok || unclear && shards.stream().anyMatch(s -> mine(s) && view.version(shardKey(s)) != versions[shards.indexOf(s)])) {
                     takeovers++;
                     LOG.info("shards {} are ours, term {}", shards, lastTerm());
                     follow(fx.now());
--- a/src/main/java/birchusher/workers/Outcomes.java
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -279,12 +279,16 @@
 
         @Override
         public void dropped() {
+            Job j = view.job(id);
+            Claim now = j == null || task >= j.spec.tasks() ? null : j.claim(task);
+            if (now == null || now.attempt() != attempt) {
+                // It has left the view, perhaps by this very change, whose answer was lost: see tick, which counts it.
+                return;
+            }
             if (own) {
                 pending.remove(Claim.attemptKey(id, task, attempt));
             }
-            Job j = view.job(id);
-            Claim now = j == null || task >= j.spec.tasks() ? null : j.claim(task);
-            if (now != null && now.attempt() == attempt && !pending.containsKey(now.attemptKey())) {
+            if (!pending.containsKey(now.attemptKey())) {
                 // It can't be written: whoever plans must see the place taken again.
                 view.notGone(now);
             }
--- /dev/null
+++ b/src/test/java/birchusher/sim/FurtherMeetingsTest.java
@@ -0,0 +1,239 @@
+package birchusher.sim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** More meetings of two troubles, of the users' letter "The hunt goes on"; docs/meetings.md says which guard each test shows. */
+class FurtherMeetingsTest {
+    @BeforeAll
+    static void quiet() {
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", System.getProperty("sim.log", "off"));
+    }
+
+    private static void endsWell(World w, long ms) {
+        w.run(ms);
+        assertThat(w.unanswered(10_000)).isEmpty();
+        assertThat(w.broken).isEmpty();
+        assertThat(w.state("wk-web")).as(w.store.dump()).isEqualTo("running");
+    }
+
+    /** The team is at its limit; what is cancelled runs on machines that hang, hear nobody or reach nobody, and their owner ends. */
+    @ParameterizedTest
+    @CsvSource({"1, 3, hang", "2, 3, deaf", "3, 3, mute", "4, 7, hang", "5, 7, deaf", "6, 7, mute"})
+    void aCancelledTaskCountsForItsTeamUntilItsEndIsProven(long seed, int controllers, String trouble) {
+        World w = new World(seed, controllers, 12);
+        w.submit("wk-web", "standing", 3, "production", true, false);
+        w.submit("wk-old", "standing", 9, "standard", false, false);
+        w.run(45_000);
+        assertThat(w.tasksOf("wk-web") + w.tasksOf("wk-old")).as("at its limit").isEqualTo(12);
+        w.submit("wk-new", "standing", 9, "standard", false, false);
+        w.run(4_000);
+        FakeWorker m = w.workers.values().stream().filter(x -> x.tasks.values().stream().anyMatch(t -> t.key.startsWith("wk-old"))).findFirst().orElseThrow();
+        int owner = w.owner(m);
+        w.workers.values().forEach(x -> {
+            x.hungUntil = trouble.equals("hang") ? w.now + 9_500 : 0;
+            x.deaf = trouble.equals("deaf");
+            x.mute = trouble.equals("mute");
+        });
+        assertThat(w.withdraw((owner + 1) % controllers, "wk-old")).isTrue();
+        w.crash(owner, 2_500 + w.random.nextInt(4_000));
+        for (int i = 0; i < 20; i++) {
+            w.run(1_000);
+            assertThat(w.broken).isEmpty();
+        }
+        w.workers.values().forEach(x -> {
+            x.deaf = false;
+            x.mute = false;
+        });
+        w.run(90_000);
+        assertThat(w.tasksOf("wk-new")).as("its room is used again").isEqualTo(9);
+        endsWell(w, 1_000);
+    }
+
+    /** Cancelled in the seconds in which shards, drivers and the buyer change hands and back, with commands held up on both sides. */
+    @ParameterizedTest
+    @CsvSource({"11, 3", "12, 3", "13, 7", "14, 7", "15, 3", "16, 7"})
+    void whatIsCancelledWhileWorkChangesHandsIsGoneInTime(long seed, int controllers) {
+        World w = new World(seed, controllers, 24);
+        w.submit("wk-web", "standing", 3, "production", true, false);
+        for (int i = 0; i < 12; i++) {
+            w.submit("wk-c" + i, "standing", 1 + i % 2, "standard", false, false);
+        }
+        w.run(40_000);
+        w.lateAnswers = 0.3;
+        w.straightMs = seed % 2 == 0 ? 2_000 : 0;
+        w.lostAnswers = 0.1;
+        Random r = new Random(seed);
+        for (int i = 0; i < 12; i++) {
+            int node = r.nextInt(controllers);
+            switch (i % 4) {
+                case 0 -> w.crash(node, 300 + r.nextInt(3_000));
+                case 1 -> {
+                    w.lagging[node] = true;
+                    w.at(w.now + 3_500, () -> w.lagging[node] = false);
+                }
+                case 2 -> w.lateWrites = 0.2;
+                default -> w.lateWrites = 0;
+            }
+            // Six seconds after its return a controller is given its shards back.
+            w.run(r.nextInt(4_500));
+            w.submit("wk-g" + i, "gang", 2, "urgent", false, i % 2 == 0);
+            w.run(r.nextInt(4_000));
+            w.workers.values().stream().filter(x -> r.nextInt(4) == 0).forEach(x -> x.hungUntil = w.now + r.nextInt(9_500));
+            w.cancel("wk-c" + i);
+            w.cancel("wk-g" + i);
+            w.run(400);
+            assertThat(w.broken).isEmpty();
+        }
+        w.lateAnswers = 0;
+        w.straightMs = 0;
+        w.lostAnswers = 0;
+        w.lateWrites = 0;
+        w.run(World.CANCEL_MS + 15_000);
+        for (int i = 0; i < 12; i++) {
+            assertThat(w.cancelled("wk-c" + i)).isTrue();
+            assertThat(w.tasksOf("wk-c" + i) + w.tasksOf("wk-g" + i)).isZero();
+            assertThat(w.state("wk-g" + i)).isIn("done", "cancelled");
+        }
+        endsWell(w, 10_000);
+    }
+
+    /** A machine reports before its rental's answer and before the row that names it, and the buyer ends; work comes to it at once. */
+    @ParameterizedTest
+    @CsvSource({"21, 3", "22, 3", "23, 7", "24, 3"})
+    void machinesThatAreUpAtOnceAreNeitherUsedTwiceNorForgotten(long seed, int controllers) {
+        World w = new World(seed, controllers, 30);
+        w.upAtOnce = true;
+        w.cloudSlowMs = 2_400;
+        w.lateWrites = 0.15;
+        w.storeSlowMs = 400;
+        w.submit("wk-web", "standing", 3, "production", true, false);
+        for (int i = 0; i < 10; i++) {
+            w.submit("wk-a" + i, "sweep", 5, "standard", false, false);
+            w.run(1_200);
+            int buyer = Integer.parseInt(w.store.dump().lines().filter(l -> l.startsWith("b/live/buyer")).findFirst().orElse("m=perch-0")
+                    .replaceAll(".*m=perch-(\\d+).*", "$1"));
+            if (i % 3 == 1) {
+                w.crash(buyer, 1_500 + w.random.nextInt(3_000));
+            }
+            w.run(3_500);
+            assertThat(w.broken).isEmpty();
+        }
+        w.lateWrites = 0;
+        w.storeSlowMs = 0;
+        w.cloudSlowMs = 0;
+        w.run(40_000);
+        for (int i = 0; i < 10; i++) {
+            assertThat(w.state("wk-a" + i)).isEqualTo("done");
+        }
+        assertThat(w.returnedWithWork).as("a machine with work was returned").isZero();
+        endsWell(w, 120_000);
+        assertThat(w.workers.size()).as("what nobody needs has gone back").isLessThanOrEqualTo(3);
+    }
+
+    /** Copies of earlier sessions and attempts reach everybody before the first true report does, just as a new owner begins. */
+    @ParameterizedTest
+    @CsvSource({"31, 3", "32, 3", "33, 7", "34, 7"})
+    void oldReportsThatReachEverybodyAsANewOwnerBeginsEndNothing(long seed, int controllers) {
+        // Leases outlast the time without an owner, so that whatever starts anew was ended by a copy.
+        World w = new World(seed, controllers, 16, 20_000, 60_000);
+        w.submit("wk-web", "standing", 3, "production", true, false);
+        w.runs.put("wk-long/0", 150_000L);
+        w.runs.put("wk-long/1", 140_000L);
+        w.keepsReports = true;
+        // Else the buyer deletes what is silent while nobody is heard, and that starts elsewhere.
+        w.keepsAll = true;
+        w.submit("wk-arr", "sweep", 10, "standard", false, false);
+        w.submit("wk-long", "sweep", 2, "urgent", false, false);
+        w.run(32_000);
+        w.keepsReports = false;
+        w.run(8_000);
+        int starts = w.starts;
+        for (int round = 0; round < 3; round++) {
+            int owner = w.owner(w.workers.values().iterator().next());
+            w.crash(owner, 9_000);
+            java.util.Arrays.fill(w.fromWorkers, true);
+            for (int i = 0; i < 8; i++) {
+                w.run(350);
+                w.copiesToAll();
+            }
+            java.util.Arrays.fill(w.fromWorkers, false);
+            for (int i = 0; i < 8; i++) {
+                w.run(500);
+                w.copiesToAll();
+            }
+            w.run(12_000);
+            assertThat(w.broken).isEmpty();
+        }
+        assertThat(w.starts).as("nothing was started anew").isEqualTo(starts);
+        endsWell(w, 100_000);
+        assertThat(w.state("wk-long")).isEqualTo("done");
+    }
+
+    /** Message by message: after the takeover an old copy first, then the newest report, then a copy again. */
+    @Test
+    void anOlderReportAfterANewerOneIsNotTakenForTheStateOfItsMachine() {
+        World w = new World(41, 3, 16);
+        w.never = 1;
+        w.run(6_000);
+        Hand x = new Hand(w, "x-1");
+        Map<String, Object> old = x.message(Map.of());
+        x.takes("wk-x", "standing");
+        Map<String, Object> runs = Hand.shows("wk-x/0", 1, "running", null);
+        for (int i = 0; i < 6; i++) {
+            w.run(500);
+            x.report(runs);
+        }
+        w.crash(x.owner, 60_000);
+        for (int i = 0; i < 12; i++) {
+            w.run(400);
+            for (int k = 0; k < 3; k++) {
+                w.copy(k, old);
+            }
+        }
+        x.finds();
+        w.copy(x.owner, old);
+        w.run(300);
+        assertThat(x.holds("wk-x")).as("a copy of before the start proves nothing").isTrue();
+        assertThat(x.report(runs)).startsWith("200");
+        w.run(600);
+        assertThat(x.report(runs)).as("it has our term now").startsWith("200");
+        w.copy(x.owner, old);
+        w.run(1_500);
+        assertThat(x.holds("wk-x")).as("older than what was shown").isTrue();
+        assertThat(w.broken).isEmpty();
+    }
+
+    /** Reaped before its end is written, a task would run again if its owner ended now: the report is the only proof. */
+    @Test
+    void anExitIsReapedOnlyOnceItsEndIsWritten() {
+        World w = new World(42, 3, 16);
+        w.never = 1;
+        w.run(6_000);
+        Hand x = new Hand(w, "x-1");
+        x.takes("wk-x", "sweep");
+        w.run(500);
+        x.report(Hand.shows("wk-x/0", 1, "running", null));
+        w.run(500);
+        w.store.outage(true, w.now);
+        Map<String, Object> done = Hand.shows("wk-x/0", 1, "exited", "done");
+        w.finished("wk-x/0");
+        for (int i = 0; i < 8; i++) {
+            assertThat(x.report(done)).as("the end can't be written").isEqualTo("200");
+            w.run(700);
+        }
+        w.store.outage(false, w.now);
+        w.run(4_000);
+        x.finds();
+        assertThat(x.report(done)).isEqualTo("200 reap wk-x/0");
+        assertThat(w.tell(1, "GET", "/v2/runs/wk-x", null)).isEqualTo("200 done");
+        assertThat(w.broken).isEmpty();
+    }
+}
--- a/src/test/java/birchusher/sim/MeetingsTest.java
+++ b/src/test/java/birchusher/sim/MeetingsTest.java
@@ -61,6 +61,57 @@
         endsWell(w, "wk-arr", "wk-gang", "wk-s0", "wk-s1", "wk-s6", "wk-s7");
     }
 
+    /** Carried out at once, only the answer lost: whoever wrote it must find it done, and do, tell and count nothing twice or never. */
+    @ParameterizedTest
+    @CsvSource({"81, 3, false", "82, 7, false", "83, 3, true", "84, 7, true", "85, 3, true"})
+    void transactionsWhoseAnswersAreLostAreNotDoneTwice(long seed, int controllers, boolean crashes) {
+        World w = world(seed, controllers);
+        w.closeLooks = true;
+        w.cancelAtEnd = 0.3;
+        w.lostAnswers = 0.2;
+        w.run(20_000);
+        for (int i = 0; i < 8; i++) {
+            w.submit("wk-s" + i, i % 2 == 0 ? "sweep" : "gang", 2 + i % 2, "standard", false, i % 2 == 1);
+            w.submit("wk-c" + i, "standing", 2, "standard", false, false);
+            w.run(5_000);
+            w.cancel("wk-c" + i);
+            if (crashes && i % 2 == 0) {
+                w.crash(i % controllers, 300 + 700L * i);
+            }
+            w.run(3_000);
+        }
+        w.run(20_000);
+        w.lostAnswers = 0;
+        w.run(15_000);
+        for (int i = 0; i < 8; i++) {
+            assertThat(w.cancelled("wk-c" + i)).isTrue();
+            assertThat(w.state("wk-s" + i)).isIn("done", "cancelled");
+        }
+        w.closeLooks = false;
+        endsWell(w);
+    }
+
+    /** The names of rentals were reserved, the answer was lost, and all was reserved and rented once more. */
+    @ParameterizedTest
+    @CsvSource({"91", "92", "93", "94"})
+    void aReservationWhoseAnswerIsLostIsNotMadeAgain(long seed) {
+        int[] rented = new int[2];
+        for (int lost = 0; lost < 2; lost++) {
+            World w = new World(seed, 3, 40);
+            w.run(12_000);
+            int before = w.rented;
+            w.submit("wk-arr", "sweep", 24, "standard", false, false);
+            if (lost == 1) {
+                w.store.answerLostOf = "b/live/ask/";
+            }
+            w.run(9_000);
+            rented[lost] = w.rented - before;
+            assertThat(w.store.answerLostOf).as("it came").isNull();
+            assertThat(w.broken).isEmpty();
+        }
+        assertThat(rented[1]).isPositive().isLessThanOrEqualTo(rented[0]);
+    }
+
     /** Meeting 1: of several rows of a job whose tasks must share a zone, two could be claimed in different zones, each knowing nothing of the other. */
     @ParameterizedTest
     @CsvSource({"11, 3", "12, 7"})
@@ -125,52 +176,6 @@
         endsWell(w, "wk-arr", "wk-gang", "wk-g13", "wk-s13");
     }
 
-    /** A machine in the hands of a test: reports as one, says nothing to direct commands. */
-    private static final class Hand {
-        final World w;
-        final String name;
-        final int owner;
-        long tick;
-        long token;
-
-        Hand(World w, String name) {
-            this.w = w;
-            this.name = name;
-            owner = w.owner(new FakeWorker(w, name, "east", false, w.now));
-            token = Long.parseLong(w.store.dump().lines().filter(l -> l.startsWith("b/live/shard/east/") && l.contains("m=perch-" + owner + ","))
-                    .findFirst().orElseThrow().replaceAll(".*, t=(\\d+),.*", "$1"));
-        }
-
-        String report() {
-            return report(Map.of());
-        }
-
-        String report(Map<String, Object> more) {
-            Map<String, Object> r = FakeWorker.report(name, "east", ++tick);
-            r.put("baton", token);
-            r.putAll(more);
-            return w.tell(owner, "POST", "/hello", r);
-        }
-
-        /** Submits a job and reports until its task has its place here. */
-        void takes(String job, String shape) {
-            Map<String, Object> body = World.body(job, shape, 1, "red");
-            w.foreign(body);
-            assertThat(w.tell(owner, "POST", "/v2/runs", body)).startsWith("201");
-            for (int i = 0; i < 100 && !holds(job); i++) {
-                w.run(100);
-                if (i % 5 == 0) {
-                    report();
-                }
-            }
-            assertThat(holds(job)).isTrue();
-        }
-
-        boolean holds(String job) {
-            return w.store.dump().lines().anyMatch(l -> l.startsWith("b/live/place/" + job + "/0") && l.contains(":" + name + ":"));
-        }
-    }
-
     /** Meeting 3, message by message: an answer with a start is on its way, and a newer message without the task comes. */
     @Test
     void aStartInAnAnswerThatMayStillBeCarriedOutKeepsItsClaim() {
