--- a/src/test/java/birchusher/sim/FurtherMeetingsTest.java
+++ b/src/test/java/birchusher/sim/FurtherMeetingsTest.java
@@ -138,6 +138,146 @@
         assertThat(w.workers.size()).as("what nobody needs has gone back").isLessThanOrEqualTo(3);
     }
 
+    /**
+     * Its reports reach nobody and direct commands reach it. Each answered command makes it look alive for as long as a report would; it shows
+     * nothing of its ends, though, so it gets no more than fits beside what it had, then nothing, and its tasks go elsewhere.
+     */
+    @ParameterizedTest
+    @CsvSource({"61, 3", "62, 3", "63, 7"})
+    void aMachineThatReachesNobodySoonGetsNoNewWorkAlthoughItHears(long seed, int controllers) {
+        World w = new World(seed, controllers, 40);
+        w.keepsAll = true;
+        w.submit("wk-web", "standing", 6, "production", true, false);
+        w.run(30_000);
+        List<FakeWorker> mute = w.workers.values().stream().filter(m -> !m.tasks.isEmpty()).limit(2).toList();
+        mute.forEach(m -> m.mute = true);
+        // While reports are not missed yet it may get some, by commands that it answers.
+        for (int i = 0; i < 7; i++) {
+            w.submit("wk-b" + i, "sweep", 4, "standard", false, false);
+            w.run(1_000);
+        }
+        Map<String, Long> had = new java.util.HashMap<>();
+        mute.forEach(m -> m.tasks.values().forEach(t -> had.put(m.name + " " + t.key, t.attempt)));
+        for (int i = 0; i < 30; i++) {
+            w.submit("wk-a" + i, "sweep", 2, "standard", false, false);
+            w.run(1_000);
+            for (FakeWorker m : mute) {
+                m.tasks.values().forEach(t -> assertThat(had).as("new on " + m.name).containsEntry(m.name + " " + t.key, t.attempt));
+            }
+        }
+        assertThat(w.tasksOf("wk-web")).as("its tasks run elsewhere").isEqualTo(6);
+        mute.forEach(m -> m.mute = false);
+        endsWell(w, 60_000);
+    }
+
+    /** Jobs bound to one zone, an array among them, lose machines; what is left and what comes anew stay in one zone. */
+    @ParameterizedTest
+    @CsvSource({"71, 3", "72, 3", "73, 7", "74, 7"})
+    void jobsBoundToOneZoneStayThereThoughTheyLoseMachines(long seed, int controllers) {
+        World w = new World(seed, controllers, 40);
+        w.submit("wk-web", "standing", 3, "production", true, false);
+        w.submit("wk-tied", "standing", 6, "standard", false, true);
+        w.submit("wk-row", "sweep", 20, "standard", false, true);
+        for (int t = 0; t < 20; t++) {
+            w.runs.put("wk-row/" + t, 25_000L);
+        }
+        w.run(30_000);
+        Random r = new Random(seed);
+        for (int i = 0; i < 6; i++) {
+            List<FakeWorker> busy = w.workers.values().stream().filter(m -> m.tasks.values().stream().anyMatch(t -> t.key.startsWith("wk-tied") || t.key.startsWith("wk-row"))).toList();
+            for (FakeWorker m : busy) {
+                switch (r.nextInt(4)) {
+                    case 0 -> m.hungUntil = w.now + 14_000;
+                    case 1 -> m.mute = true;
+                    case 2 -> m.recallS = 12;
+                    default -> { }
+                }
+            }
+            w.submit("wk-g" + i, "gang", 3, "urgent", false, true);
+            if (i % 2 == 1) {
+                w.crash(r.nextInt(controllers), 2_000 + r.nextInt(6_000));
+            }
+            w.run(9_000);
+            w.workers.values().forEach(m -> {
+                m.mute = false;
+                m.recallS = -1;
+            });
+            w.run(6_000);
+            assertThat(w.broken).isEmpty();
+        }
+        w.run(80_000);
+        assertThat(w.state("wk-row")).isEqualTo("done");
+        assertThat(w.tasksOf("wk-tied")).isEqualTo(6);
+        for (int i = 0; i < 6; i++) {
+            assertThat(w.state("wk-g" + i)).isEqualTo("done");
+        }
+        endsWell(w, 1_000);
+    }
+
+    /** Owners and the buyer end one after the other, ten in two minutes, for a part of that in an outage; long tasks go on or run again. */
+    @ParameterizedTest
+    @CsvSource({"81, 3, false", "82, 3, true", "83, 7, false", "84, 7, true"})
+    void tenChangesOfLeaderInTwoMinutesForgetNothing(long seed, int controllers, boolean outage) {
+        World w = new World(seed, controllers, 24);
+        w.submit("wk-web", "standing", 4, "production", true, false);
+        w.runs.put("wk-long/0", 90_000L);
+        w.runs.put("wk-long/1", 70_000L);
+        w.submit("wk-long", "sweep", 2, "urgent", false, false);
+        w.run(30_000);
+        for (int i = 0; i < 10; i++) {
+            w.submit("wk-s" + i, "sweep", 3, "standard", false, false);
+            w.submit("wk-c" + i, "standing", 1, "standard", false, false);
+            w.run(2_000 + w.random.nextInt(1_500));
+            int owner = w.owner(w.workers.values().iterator().next());
+            w.crash(owner < 0 ? i % controllers : owner, 1_000 + w.random.nextInt(5_000));
+            w.cancel("wk-c" + i);
+            if (outage && i == 4) {
+                w.store.outage(true, w.now);
+            }
+            if (outage && i == 6) {
+                w.store.outage(false, w.now);
+            }
+            w.run(8_500);
+            assertThat(w.broken).isEmpty();
+        }
+        w.run(60_000);
+        for (int i = 0; i < 10; i++) {
+            assertThat(w.state("wk-s" + i)).as("wk-s" + i).isEqualTo("done");
+            assertThat(w.cancelled("wk-c" + i)).isTrue();
+        }
+        endsWell(w, 90_000);
+        assertThat(w.state("wk-long")).isEqualTo("done");
+    }
+
+    /** A controller and its workers are cut off from everybody for longer than a lease, and come back; users cancel through the others. */
+    @ParameterizedTest
+    @CsvSource({"91, 3", "92, 3", "93, 7", "94, 7"})
+    void anIslandCutOffForLongerThanALeaseRunsNothingTwice(long seed, int controllers) {
+        World w = new World(seed, controllers, 24);
+        w.submit("wk-web", "standing", 4, "production", true, false);
+        w.submit("wk-one", "standing", 4, "standard", false, true);
+        for (int i = 0; i < 4; i++) {
+            w.submit("wk-c" + i, "standing", 2, "standard", false, false);
+        }
+        w.run(40_000);
+        int node = w.owner(w.workers.values().iterator().next());
+        w.maroon(node);
+        w.run(1_500);
+        for (int i = 0; i < 4; i++) {
+            w.withdraw((node + 1) % controllers, "wk-c" + i);
+        }
+        w.run(2 * World.LEASE_MS + 15_000);
+        assertThat(w.broken).isEmpty();
+        w.rescue();
+        w.run(World.CANCEL_MS);
+        for (int i = 0; i < 4; i++) {
+            assertThat(w.cancelled("wk-c" + i)).isTrue();
+            assertThat(w.tasksOf("wk-c" + i)).isZero();
+        }
+        assertThat(w.tasksOf("wk-one")).isEqualTo(4);
+        endsWell(w, 30_000);
+    }
+
     /** Copies of earlier sessions and attempts reach everybody before the first true report does, just as a new owner begins. */
     @ParameterizedTest
     @CsvSource({"31, 3", "32, 3", "33, 7", "34, 7"})
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -187,6 +187,13 @@
         }
     }
 
+    /** The end of that. */
+    void rescue() {
+        lonely(island, false);
+        island = -1;
+        marooned.clear();
+    }
+
     void cutMesh(int a, int b, boolean on) {
         cut[a][b] = on;
         cut[b][a] = on;
