--- a/src/test/java/birchusher/sim/FakeWorker.java
+++ b/src/test/java/birchusher/sim/FakeWorker.java
@@ -45,6 +45,12 @@
     /** The cloud's notice, in seconds; -1: none. */
     double recallS = -1;
     long hungUntil;
+    /** By how much its reports are held up on their way; the answers, and direct commands, are not. */
+    long reportsHeldMs;
+    /** By how much direct commands to it are held up on their way; their answers are not. */
+    long commandsHeldMs;
+    /** Which controllers' connections fail as soon as a report has reached them: it is carried out, the answer is lost at once. */
+    final java.util.Set<Integer> resetBy = new java.util.HashSet<>();
     boolean reporting;
     private final java.util.Set<String> reaped = new java.util.HashSet<>();
     long nextReport;
@@ -82,6 +88,12 @@
         return r;
     }
 
+    /** Nothing reaches it or leaves it any more. */
+    void cutOff(boolean on) {
+        deaf = on;
+        mute = on;
+    }
+
     /** The report of an ordinary machine in its first session, without tasks, that has seen no token. */
     static Map<String, Object> report(String host, String zone, long tick) {
         Map<String, Object> r = new LinkedHashMap<>();
@@ -160,7 +172,7 @@
                         if (reaped.contains(session + ":" + id)) {
                             world.broken.add("started again after its reap: " + id + " on " + name);
                         }
-                        t = new Task(key, attempt, now + 1_000 + world.random.nextInt(2_000));
+                        t = new Task(key, attempt, now + (world.imagesCached ? 100 : 1_000 + world.random.nextInt(2_000)));
                         double cards = world.cards(key);
                         for (Task other : tasks.values()) {
                             if (other.key.equals(key) && !other.exited()) {
@@ -196,6 +208,9 @@
                 }
             }
         }
-        nextReport = Math.min(nextReport, now + 500);
+        if (!orders.isEmpty() || world.reportsAfterEveryAnswer) {
+            // A change is reported soon; without one, the worker keeps its interval.
+            nextReport = Math.min(nextReport, now + 500);
+        }
     }
 }
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -128,6 +128,13 @@
     boolean upAtOnce;
     /** The cloud takes up to so much longer for its answer; what it was asked for is done at once. */
     int cloudSlowMs;
+    /**
+     * Workers send their next report half a second after each answer, as this world's did at first. By the protocol they do so after a
+     * change only; with reports that close together an answer that its owner does not count is never the last for longer than a second.
+     */
+    boolean reportsAfterEveryAnswer = true;
+    /** Every machine has every image. */
+    boolean imagesCached;
     /** Reports kept of every worker, so that copies of them can come to everybody at once. */
     boolean keepsReports;
     private final List<byte[]> kept = new ArrayList<>();
@@ -536,7 +543,7 @@
             at(now + 1, () -> serve(c, body, (status, m) -> { }));
             return;
         }
-        long held = c.target() == Effect.Target.WORKER ? straightMs : 0;
+        long held = c.target() == Effect.Target.WORKER ? straightMs + commandsHeldMs(c.address()) : 0;
         held += store && storeSlowMs > 0 ? random.nextInt(storeSlowMs) : 0;
         int answerMs = c.target() == Effect.Target.CLOUD && cloudSlowMs > 0 ? random.nextInt(cloudSlowMs) : 0;
         at(now + delay() + held, () -> serve(c, body, (status, m) -> {
@@ -604,6 +611,11 @@
         }
     }
 
+    private long commandsHeldMs(String address) {
+        FakeWorker w = workers.get(address.substring(0, address.indexOf(':')));
+        return w == null ? 0 : w.commandsHeldMs;
+    }
+
     /** A command sent straight to a worker; one that hangs carries it out when it goes on. */
     private void straight(String address, String path, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
         FakeWorker w = workers.get(address.substring(0, address.indexOf(':')));
@@ -683,9 +695,11 @@
             at(now + 1_000 + random.nextInt(60_000), () -> ask(to, "POST", "/hello", report, (s, m) -> { }));
         }
         if (!lost() && !w.mute && !fromWorkers[to] && (to == island || !marooned.contains(w.name))) {
-            at(now + delay(), () -> ask(to, "POST", "/hello", report, (s, m) -> {
+            at(now + w.reportsHeldMs + delay(), () -> ask(to, "POST", "/hello", report, (s, m) -> {
                 answeredAt[0] = now;
-                if (!lost() && !w.deaf) {
+                if (w.resetBy.contains(to)) {
+                    back.accept(0, Map.of());
+                } else if (!lost() && !w.deaf) {
                     at(now + 2 + (lateAnswers > 0 && random.nextDouble() < lateAnswers ? random.nextInt(3_900) : 0), () -> back.accept(s, m));
                 }
             }));
