--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -1,6 +1,5 @@
 package birchusher.workers;
 
-import birchusher.core.Effect.Target;
 import birchusher.core.Effects;
 import birchusher.lease.LeaseTerms;
 import birchusher.lease.Speeds;
@@ -20,7 +19,6 @@
 import birchusher.workers.Machine.Run;
 import birchusher.workers.Machine.Stop;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,22 +35,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Yard.class);
     /** On top of a worker's lease and the clocks' drift, before a silent worker counts as having dropped its tasks. */
     private static final long LEASE_MARGIN_MS = 1_000;
-    private static final int PRESS_MS = 3_000;
-    /** So many workers of a shard within this time, and at least one in ten, have lost their owner together. */
-    private static final long LOST_MS = 8_000;
-    /** Three heartbeats: an owner that has died is no longer heard by then, and its shards are taken as always. */
-    private static final long OUTLIVED_MS = 1_500;
-    private static final int FEW_LOST = 3;
-    private static final int MANY = 10;
-
     /** Steps come many times a second; after such a pause we stood still. */
     private static final long STILL_MS = 2_000;
-    /** A worker that was sent to the same owner again within this is still on its way there. */
-    private static final long AGAIN_MS = 15_000;
-
-    /** Since when, and when last, a worker has been sent to one owner. */
-    private record Sent(long first, long last) { }
-
     /** Events that other slices want to hear of. */
     public interface Listener {
         void stopGang(Job job, double graceS, String reason);
@@ -77,19 +61,8 @@
     private final Hearing hearing;
     private final Departed departed = new Departed();
     private final Faults faults = new Faults();
-    /** Per shard: until when a worker that was sent away and is back is being asked whether it hears anybody. */
-    private final Map<Integer, Long> pressing = new HashMap<>();
-    /** Per shard: machines that its owner tells of and that lately came here all the same. */
-    private final Map<Integer, Map<String, Long>> lost = new HashMap<>();
+    private final OwnerRedirect redirects;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
-    private final Map<String, Sent> redirected = new LinkedHashMap<>(64, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Sent> e) {
-            return size() > 5_000;
-        }
-    };
     private final List<Machine> dirty = new ArrayList<>();
     private final long quarantineMs;
     /** Since when we have listened without a break: whoever stood still has heard nobody, which tells nothing of the machines. */
@@ -127,6 +100,7 @@
             }
         });
         hearing = new Hearing(commands.reportingMs(), 1 + s.peers().size());
+        redirects = new OwnerRedirect(fx, seats, book);
         view.onTouched(this::touch);
     }
 
@@ -149,7 +123,7 @@
         }
         int shard = seats.shardOf(r.machine(), zone);
         if (!seats.owns(shard)) {
-            redirect(exchange, r, shard);
+            redirects.redirect(exchange, r, shard);
             return;
         }
         long term = seats.term(shard);
@@ -177,71 +151,6 @@
         }
     }
 
-    private void redirect(long exchange, Report r, int shard) {
-        int owner = seats.seenOwner(shard);
-        if (owner <= 0) {
-            seats.wanted(shard);
-            fx.later(exchange, 503, 1);
-            return;
-        }
-        long now = fx.now();
-        // Per owner: having been sent to one that died since says nothing about the one that took its place.
-        Sent sent = redirected.compute(r.machine() + "@" + owner,
-                (k, old) -> new Sent(old == null || now - old.last > AGAIN_MS ? now : old.first, now));
-        if (severalLost(shard, owner, r.machine(), now) || now - sent.first > PRESS_MS && silent(r.machine())) {
-            // Sent away, it could not report there, and is back; where connections are refused at once, after a second each time.
-            press(shard, r);
-        }
-        fx.answer(exchange, 421, Map.of(Wire.REPORT_TO, seats.memberName(owner)));
-    }
-
-    /** Whether no owner that lives tells of a machine as one that it hears. */
-    private boolean silent(String machine) {
-        Picture p = book.pictures().get(machine);
-        return p == null || p.silentMs() > 0;
-    }
-
-    /**
-     * Workers that their owner tells of have no reason to come here but that it does not answer them. One may be odd; several, while the
-     * owner is heard of and has not just been restarted, need not be sent back and wait for their second failure: where leases are
-     * short, that was too late for all of them.
-     */
-    private boolean severalLost(int shard, int owner, String machine, long now) {
-        if (book.pictures().get(machine) == null) {
-            return false;
-        }
-        Map<String, Long> here = lost.computeIfAbsent(shard, k -> new HashMap<>());
-        here.values().removeIf(at -> now - at > LOST_MS);
-        here.putIfAbsent(machine, now);
-        if (here.size() < FEW_LOST || !seats.steady(owner, LOST_MS)) {
-            return false;
-        }
-        long since = Collections.min(here.values());
-        long known = book.pictures().values().stream().filter(p -> p.shard() == shard).count();
-        return now - since >= OUTLIVED_MS && here.size() * MANY >= known;
-    }
-
-    /**
-     * A worker that hears nobody wanders over all controllers as well, and copies of old reports come back too: neither must move a
-     * shard, with all its workers, to us. Whoever lives and hears us answers when asked.
-     */
-    private void press(int shard, Report r) {
-        if (fx.now() < pressing.getOrDefault(shard, 0L)) {
-            return;
-        }
-        pressing.put(shard, fx.now() + PRESS_MS);
-        fx.call(Target.WORKER, r.address(), "GET", Wire.SHOW, null, PRESS_MS, (status, body) -> {
-            if (status != 200) {
-                return;
-            }
-            Report now = Report.read(body);
-            // What came here was its last message, or the one before: no copy that was long on its way.
-            if (now.machine().equals(r.machine()) && now.session() == r.session() && now.seq() <= r.seq() + 2) {
-                seats.pressed(shard);
-            }
-        });
-    }
-
     private Machine machine(String name, int shard) {
         return machines.computeIfAbsent(name, n -> {
             Machine m = new Machine(n, shard);
