Every answer that renews a worker's lease is counted, by the one class that also says when it is over

Cause: two ways by which a worker's lease grew without its owner's knowing. (1) A report that the answer to a direct command had overtaken was answered 200 with the token, but not counted as it was not the newest message. (2) Until a worker shows a new owner's term, an earlier owner that has not heard of its successor may renew it; the new owner counted from its own last answer. Change: WorkerLease alone forms the answers that renew, records the grant before it returns one, and says when a lease is over. An overtaken report is one above the last answered report's tick: it is granted from the newest message's arrival, as it was sent before that. All other reports that are not the newest get no token: their workers have given them up, so old copies postpone nothing. The first message that shows our term bounds what an earlier owner may have granted.

--- a/src/main/java/birchusher/workers/Counters.java
+++ b/src/main/java/birchusher/workers/Counters.java
@@ -21,8 +21,10 @@
     /** Plans made, and slots looked at for them. */
     public long plans;
     public long planned;
-    /** Reports that were no news: copies, and what was overtaken on its way. */
+    /** Reports that nobody waits for any more: copies, and what their workers gave up. */
     public long copies;
+    /** Reports that the answer to a direct command has overtaken; they are answered and renew the worker's lease. */
+    public long overtaken;
     private final Histogram waits = new Histogram(3_600_000L, 2);
 
     public void started(long waitMs) {
@@ -40,7 +42,7 @@
     public String line() {
         return "renewed=" + renewed + " at_cap=" + atCap + " lapsed=" + lapsed + " speed_limited=" + speedLimited
                 + " refused=" + refused + " stops=" + stops + " errors=" + errors + " condemned=" + condemned
-                + " notices=" + notices + " copies=" + copies + " done=" + done + " restarts=" + restarts + " claims=" + claims + " rentals="
+                + " notices=" + notices + " copies=" + copies + " overtaken=" + overtaken + " done=" + done + " restarts=" + restarts + " claims=" + claims + " rentals="
                 + rentals + " returns=" + returns + " plans=" + plans + " slots_looked_at=" + planned + " wait_p50_ms=" + waits.getValueAtPercentile(50) + " wait_p95_ms="
                 + waits.getValueAtPercentile(95);
     }
--- a/src/main/java/birchusher/workers/Machine.java
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -47,8 +47,8 @@
     long seq;
     /** Highest token the worker has shown to us. */
     long token;
-    /** When the last answered report came in, or the moment our ownership began to count. */
-    long answeredAt = -1;
+    /** What we have granted its worker by our answers. */
+    final WorkerLease workerLease;
     long heardAt = -1;
     /** See {@link Hearing}: whether the worker hears us, when that was last shown, and whether it did as its session before ended. */
     boolean hears;
@@ -81,9 +81,11 @@
     long idleSince = -1;
     long deadSession = -1;
 
-    Machine(String name, int shard) {
+    /** @param leaseS the lease of its worker, in seconds */
+    Machine(String name, int shard, double leaseS) {
         this.name = name;
         this.shard = shard;
+        workerLease = new WorkerLease(leaseS);
     }
 
     /** An image was used; the least recently used ones beyond the cache's size are forgotten, as the worker does. */
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -33,8 +33,6 @@
  */
 public final class Yard {
     private static final Logger LOG = LoggerFactory.getLogger(Yard.class);
-    /** On top of a worker's lease and the clocks' drift, before a silent worker counts as having dropped its tasks. */
-    private static final long LEASE_MARGIN_MS = 1_000;
     /** Steps come many times a second; after such a pause we stood still. */
     private static final long STILL_MS = 2_000;
     /** Events that other slices want to hear of. */
@@ -135,25 +133,27 @@
         if (!machines.containsKey(r.machine()) && !departed.admits(r)) {
             // A late copy, or a machine that is gone: nothing of it may be used, and nobody waits for this answer.
             counters.copies++;
-            fx.answer(exchange, 200, Map.of(Wire.TOKEN, term, Wire.COMMANDS, List.of()));
+            fx.answer(exchange, 200, WorkerLease.noRenewal());
             return;
         }
         Machine m = machine(r.machine(), shard);
-        boolean newer = take(m, r, zone, false);
-        if (newer) {
-            m.answeredAt = fx.now();
+        if (take(m, r, zone, false)) {
+            fx.answer(exchange, 200, m.workerLease.renewal(r, term, commands.orders(m, false)));
+            if (hearing.doubtful(m, term)) {
+                commands.push(m);
+            }
+        } else if (m.workerLease.overtaken(r)) {
+            counters.overtaken++;
+            fx.answer(exchange, 200, m.workerLease.renewal(r, term, List.of()));
         } else {
             counters.copies++;
-        }
-        fx.answer(exchange, 200, Map.of(Wire.TOKEN, term, Wire.COMMANDS, newer ? commands.orders(m, false) : List.of()));
-        if (newer && hearing.doubtful(m, term)) {
-            commands.push(m);
+            fx.answer(exchange, 200, WorkerLease.noRenewal());
         }
     }
 
     private Machine machine(String name, int shard) {
         return machines.computeIfAbsent(name, n -> {
-            Machine m = new Machine(n, shard);
+            Machine m = new Machine(n, shard, settings.leaseS());
             Picture p = book.told(n);
             if (p != null) {
                 m.speed = new birchusher.lease.MachineSpeed(p.speed());
@@ -193,6 +193,7 @@
         m.type = catalog.typeNames.add(r.type());
         m.spot = r.spot();
         m.heardAt = fx.now();
+        m.workerLease.heard(r, seats.term(m.shard), fx.now());
         long tokenNow = m.token;
         m.loose.values().removeIf(l -> l[1] < tokenNow);
         if (r.noticeS() >= 0) {
@@ -626,26 +627,15 @@
         }
     }
 
-    /**
-     * A worker drops its tasks once its lease is over. The lease is counted from the last report we answered, or, as long
-     * as the worker has not shown our own term, from when no earlier owner can have answered it any more.
-     */
+    /** A worker drops its tasks once its lease is over ({@link WorkerLease}); until then a silent machine keeps its claims. */
     private void watchSilence(Machine m, long now) {
-        long from = Math.max(m.answeredAt, seats.ownedSince(m.shard));
-        if (m.token < seats.term(m.shard) || m.heardAt < 0) {
-            long fenced = seats.fencedAt(m.shard);
-            if (fenced < 0) {
-                return;
-            }
-            from = Math.max(from, fenced);
-        }
-        long over = from + Math.round(settings.leaseS() * 1000 * (1 + 2 * Settings.DRIFT)) + LEASE_MARGIN_MS;
-        if (now < over) {
+        if (now < leaseEnd(m)) {
             return;
         }
         if (m.deadSession != m.session) {
-            LOG.info("machine {} was not heard for {} ms, its lease is over", m.name, now - from);
             m.deadSession = m.session;
+            LOG.info("lease over machine={} session={} term={} owned_ms={} {}", m.name, m.session, seats.term(m.shard),
+                    now - seats.ownedSince(m.shard), m.workerLease.evidence(now));
         }
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
             if (m.session == 0 || c.session() <= m.session) {
@@ -655,6 +645,11 @@
         }
     }
 
+    /** When the worker of a machine of ours has certainly dropped its tasks, or {@link WorkerLease#NEVER}. */
+    private long leaseEnd(Machine m) {
+        return m.workerLease.endsBy(seats.term(m.shard), new WorkerLease.Ownership(seats.ownedSince(m.shard), seats.fencedAt(m.shard)));
+    }
+
     public List<Picture> pictures() {
         long now = fx.now();
         List<Picture> l = new ArrayList<>();
--- a/src/test/java/birchusher/workers/FaultsTest.java
+++ b/src/test/java/birchusher/workers/FaultsTest.java
@@ -19,8 +19,8 @@
     private final Catalog catalog = new Catalog(SettingsReader.read(TestJobs.SETTINGS.getBytes(StandardCharsets.UTF_8)));
     private final View view = new View(catalog, new JobCodec(catalog));
     private final Faults faults = new Faults();
-    private final Machine a = new Machine("a", 0);
-    private final Machine b = new Machine("b", 0);
+    private final Machine a = new Machine("a", 0, 10);
+    private final Machine b = new Machine("b", 0, 10);
     private long revision;
 
     private Job job(String id) {
@@ -52,7 +52,7 @@
         assertThat(faults.condemns(a, view::job)).isFalse();
         faults.failed(job("wk-fine"), b);
         assertThat(faults.condemns(b, view::job)).as("four jobs, and nothing ended well between them").isTrue();
-        Machine c = new Machine("c", 0);
+        Machine c = new Machine("c", 0, 10);
         faults.failed(view.job("wk-fine"), c);
         faults.failed(job("wk-good"), c);
         assertThat(faults.condemns(c, view::job)).as("one of the two failed elsewhere as well").isFalse();
