Safety checks at run time: no release before the last grant ends, no start while another machine may run the task

Need: the rule that broke was seen only from outside. SafetyChecks looks at what a start and a release of a silent machine rest on; a broken rule is counted (unsafe=), logged as one ERROR line a second at most with its evidence, and ends the run in tests.

--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -48,10 +48,11 @@
     private final Seats seats;
     private final Outcomes outcomes;
     private final Orders account;
+    private final SafetyChecks checks;
     private final Owner owner;
 
     Commands(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Outcomes outcomes, Orders account,
-            Owner owner) {
+            SafetyChecks checks, Owner owner) {
         this.fx = fx;
         this.settings = s;
         this.catalog = catalog;
@@ -60,6 +61,7 @@
         this.seats = seats;
         this.outcomes = outcomes;
         this.account = account;
+        this.checks = checks;
         this.owner = owner;
     }
 
@@ -137,6 +139,7 @@
             if (!m.runs.containsKey(ak)) {
                 m.runs.put(ak, owner.newRun(m, c.job().spec, now));
                 account.start(ak, c.attempt() > 1, now);
+                checks.start(c, m);
                 LOG.info("task {} attempt {} starts on {}", c.key(), c.attempt(), m.name);
             }
             orders.add(order(Wire.START, c.key(), c.attempt(), -1));
--- a/src/main/java/birchusher/workers/Counters.java
+++ b/src/main/java/birchusher/workers/Counters.java
@@ -25,6 +25,8 @@
     public long copies;
     /** Reports that the answer to a direct command has overtaken; they are answered and renew the worker's lease. */
     public long overtaken;
+    /** Safety rules found broken ({@link SafetyChecks}); anything but 0 is a fault of ours. */
+    public long unsafe;
     private final Histogram waits = new Histogram(3_600_000L, 2);
 
     public void started(long waitMs) {
@@ -42,7 +44,7 @@
     public String line() {
         return "renewed=" + renewed + " at_cap=" + atCap + " lapsed=" + lapsed + " speed_limited=" + speedLimited
                 + " refused=" + refused + " stops=" + stops + " errors=" + errors + " condemned=" + condemned
-                + " notices=" + notices + " copies=" + copies + " overtaken=" + overtaken + " done=" + done + " restarts=" + restarts + " claims=" + claims + " rentals="
+                + " notices=" + notices + " copies=" + copies + " overtaken=" + overtaken + " unsafe=" + unsafe + " done=" + done + " restarts=" + restarts + " claims=" + claims + " rentals="
                 + rentals + " returns=" + returns + " plans=" + plans + " slots_looked_at=" + planned + " wait_p50_ms=" + waits.getValueAtPercentile(50) + " wait_p95_ms="
                 + waits.getValueAtPercentile(95);
     }
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -60,6 +60,7 @@
     private final Departed departed = new Departed();
     private final Faults faults = new Faults();
     private final OwnerRedirect redirects;
+    private final SafetyChecks checks;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final List<Machine> dirty = new ArrayList<>();
     private final long quarantineMs;
@@ -86,7 +87,19 @@
         terms = LeaseTerms.from(t);
         quarantineMs = t.ms("workers.quarantine-s");
         room = new Room(fx, catalog, view, outcomes, guaranteed, t.ms("placement.reserve-s"));
-        commands = new Commands(fx, s, catalog, view, store, seats, outcomes, orders, new Commands.Owner() {
+        checks = new SafetyChecks(fx, counters, new SafetyChecks.Machines() {
+            @Override
+            public Machine owned(String name) {
+                Machine machine = machines.get(name);
+                return machine != null && seats.owns(machine.shard) ? machine : null;
+            }
+
+            @Override
+            public long leaseEnd(Machine machine) {
+                return Yard.this.leaseEnd(machine);
+            }
+        });
+        commands = new Commands(fx, s, catalog, view, store, seats, outcomes, orders, checks, new Commands.Owner() {
             @Override
             public Run newRun(Machine m, JobSpec j, long now) {
                 return Yard.this.newRun(m, j, now);
@@ -252,6 +265,7 @@
             if (e.exited()) {
                 exited(m, c, e, run, write);
             } else {
+                checks.shown(c.key(), m);
                 follow(m, c, e, run, now);
             }
         }
@@ -640,6 +654,7 @@
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
             if (m.session == 0 || c.session() <= m.session) {
                 remember(m, c, m.heardAt >= 0);
+                checks.releaseOfSilent(c, m);
                 release(c, Outcomes.Kind.SILENT, "worker's lease over");
             }
         }
