--- a/src/test/java/birchusher/sim/FakeWorker.java
+++ b/src/test/java/birchusher/sim/FakeWorker.java
@@ -31,6 +31,8 @@
     final String zone;
     final boolean spot;
     final long upAt;
+    /** Where direct commands reach it. */
+    String address;
     final Map<String, Task> tasks = new LinkedHashMap<>();
     long session = 1;
     long tick;
@@ -58,6 +60,7 @@
     FakeWorker(World world, String name, String zone, boolean spot, long upAt) {
         this.world = world;
         this.name = name;
+        this.address = name + ":1";
         this.zone = zone;
         this.spot = spot;
         this.upAt = upAt;
@@ -78,6 +81,7 @@
             pieces.add(m);
         }
         Map<String, Object> r = report(name, zone, ++tick);
+        r.put("address", address);
         r.put("loaners", spot);
         r.put("tenure", session);
         r.put("baton", token);
--- /dev/null
+++ b/src/test/java/birchusher/sim/ProcessWorld.java
@@ -0,0 +1,299 @@
+package birchusher.sim;
+
+import birchusher.core.Effect;
+import birchusher.core.Fields;
+import birchusher.http.EventLoop;
+import birchusher.http.HttpClient;
+import birchusher.http.HttpServer;
+import birchusher.wire.Pack;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/**
+ * The same stand-ins and checkers with controllers that are processes of their own, over loopback and in real time. All stand-ins run on one
+ * thread, and the rules are checked from their records alone.
+ */
+final class ProcessWorld extends World implements AutoCloseable {
+    private static final int MAX_BODY = 1 << 20;
+    private static final int HELLO_MS = 4_000;
+    private static final int POLL_MS = 2_000;
+    private static final int SUBMIT_MS = 5_000;
+    private static final long START_MS = 1_000;
+    private static final int FIRST_PORT = 10_000;
+    private static final int PORTS = 20_000;
+    /** Given out in this process; no two worlds share one. */
+    private static final Set<Integer> TAKEN = new HashSet<>();
+
+    private final Path dir;
+    private final EventLoop events = new EventLoop();
+    private final HttpClient client = new HttpClient(events, 4_000);
+    private final List<HttpServer> servers = new ArrayList<>();
+    private final Process[] processes;
+    private final int[] listen;
+    private final int[] mesh;
+    private final int[] cloud;
+    private final int[] state;
+    private final int[][] proxyPorts;
+    private final List<HoldingProxy> proxies = new ArrayList<>();
+    private final long startedAt = EventLoop.now();
+    private boolean advancing;
+    /** Controllers started, kills included. */
+    int boots;
+
+    ProcessWorld(long seed, int controllers, int teamLimit, Path dir) throws IOException {
+        super(seed, controllers, teamLimit);
+        this.dir = Files.createDirectories(dir);
+        processes = new Process[controllers];
+        listen = ports(controllers);
+        mesh = ports(controllers);
+        cloud = ports(controllers);
+        state = ports(controllers);
+        proxyPorts = new int[controllers][];
+        for (int i = 0; i < controllers; i++) {
+            proxyPorts[i] = ports(controllers);
+        }
+        for (int i = 0; i < controllers; i++) {
+            int node = i;
+            serve(cloud[i], (method, path, body, back) -> inbound(node, Effect.Target.CLOUD, "cloud:1", method, path, body, back));
+            serve(state[i], (method, path, body, back) -> inbound(node, path.startsWith("/watch") ? Effect.Target.WATCH : Effect.Target.STORE,
+                    "state:1", method, path, body, back));
+            for (int k = 0; k < controllers; k++) {
+                if (k != i) {
+                    proxies.add(new HoldingProxy(proxyPorts[i][k], mesh[k]));
+                }
+            }
+        }
+        for (int i = 0; i < controllers; i++) {
+            Files.writeString(dir.resolve("perch-" + i + ".json"), json(i));
+            spawn(i);
+        }
+    }
+
+    private interface Service {
+        void handle(String method, String path, Map<String, Object> body, BiConsumer<Integer, Map<String, Object>> back);
+    }
+
+    private static synchronized int[] ports(int n) {
+        Random random = new Random();
+        int[] ports = new int[n];
+        for (int i = 0; i < n;) {
+            int port = FIRST_PORT + random.nextInt(PORTS);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                if (TAKEN.add(port)) {
+                    ports[i++] = probe.getLocalPort();
+                }
+            } catch (IOException e) {
+                // Another process has it.
+                continue;
+            }
+        }
+        return ports;
+    }
+
+    private void serve(int port, Service service) throws IOException {
+        HttpServer[] server = new HttpServer[1];
+        server[0] = new HttpServer(events, "127.0.0.1", port, 200, MAX_BODY, (exchange, method, target, body) -> {
+            advance();
+            Map<String, Object> map = body.length == 0 ? Map.of() : Fields.map(Pack.decode(body), "body");
+            service.handle(method, target, map, (status, answer) -> server[0].answer(exchange, status, Pack.encode(answer), 0));
+        });
+        server[0].open();
+        servers.add(server[0]);
+    }
+
+    private void inbound(int node, Effect.Target target, String address, String method, String path, Map<String, Object> body,
+            BiConsumer<Integer, Map<String, Object>> back) {
+        Effect.Call call = new Effect.Call(0, target, address, method, path, null, 0);
+        long sentAt = now;
+        transport(node, call, body, (status, answer) -> {
+            if (node >= 0) {
+                keepsSeat(node, call, status, sentAt);
+            }
+            back.accept(status, answer);
+        });
+    }
+
+    // ---- the controllers
+
+    @Override
+    void startControllers() { }
+
+    private void spawn(int i) {
+        List<String> command = List.of(ProcessHandle.current().info().command().orElse("java"), "-Xmx110m", "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-Dorg.slf4j.simpleLogger.showDateTime=true", "-cp", System.getProperty("java.class.path"),
+                "birchusher.cli.Main", "serve", "--config", dir.resolve("perch-" + i + ".json").toString());
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(dir.resolve("perch-" + i + ".log").toFile()));
+        builder.environment().put("LOG_LEVEL", "info");
+        try {
+            processes[i] = builder.start();
+            boots++;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Ends a controller without a word; it is started again after so long. */
+    @Override
+    void crash(int i, long ms) {
+        processes[i].destroyForcibly();
+        at(now + ms, () -> {
+            if (!processes[i].isAlive()) {
+                spawn(i);
+            }
+        });
+    }
+
+    /** A controller stands still for so long while its clocks run on. */
+    @Override
+    void still(int i, long ms) {
+        Process process = processes[i];
+        signal(process, "-STOP");
+        at(now + ms, () -> signal(process, "-CONT"));
+    }
+
+    private static void signal(Process process, String signal) {
+        try {
+            new ProcessBuilder("kill", signal, String.valueOf(process.pid())).start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** What controllers say to each other is held back for so long, on one connection in two by the seed, or on all. */
+    void holdPeers(boolean all, long ms) {
+        proxies.forEach(proxy -> {
+            if (all || random.nextBoolean()) {
+                proxy.hold(ms);
+            }
+        });
+    }
+
+    void resetPeers() {
+        proxies.forEach(HoldingProxy::reset);
+    }
+
+    @Override
+    String listenAddress(int i) {
+        return "127.0.0.1:" + listen[i];
+    }
+
+    @Override
+    String meshAddress(int i) {
+        return "127.0.0.1:" + mesh[i];
+    }
+
+    @Override
+    String peerAddress(int i, int k) {
+        return "127.0.0.1:" + proxyPorts[i][k];
+    }
+
+    @Override
+    String cloudAddress(int i) {
+        return "127.0.0.1:" + cloud[i];
+    }
+
+    @Override
+    String storeAddress(int i) {
+        return "127.0.0.1:" + state[i];
+    }
+
+    // ---- workers and users
+
+    @Override
+    void rented(FakeWorker worker) {
+        int port = ports(1)[0];
+        worker.address = "127.0.0.1:" + port;
+        try {
+            serve(port, (method, path, body, back) -> inbound(-1, Effect.Target.WORKER, worker.name + ":1", method, path, body, back));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    void ask(int node, String method, String path, byte[] body, BiConsumer<Integer, Map<String, Object>> reply) {
+        int timeoutMs = path.equals("/hello") ? HELLO_MS : method.equals("GET") ? POLL_MS : SUBMIT_MS;
+        client.call(listenAddress(node), method, path, body, timeoutMs, (status, answer) -> {
+            advance();
+            if (status != 0) {
+                reply.accept(status, answer.length == 0 ? Map.of() : Fields.map(Pack.decode(answer), "answer"));
+            }
+        });
+    }
+
+    // ---- time
+
+    private void advance() {
+        long real = EventLoop.now() - startedAt + START_MS;
+        if (!advancing && real > now) {
+            advancing = true;
+            try {
+                run(real - now);
+            } finally {
+                advancing = false;
+            }
+        }
+    }
+
+    /** Runs in real time until so many ms after the start. */
+    void runUntil(long endMs) throws InterruptedException {
+        Throwable[] failure = new Throwable[1];
+        at(START_MS + endMs, events::stop);
+        events.run(late -> {
+            try {
+                advance();
+                client.tick();
+                servers.forEach(HttpServer::tick);
+            } catch (AssertionError e) {
+                failure[0] = e;
+                events.stop();
+            }
+        });
+        if (failure[0] != null) {
+            broken.add(String.valueOf(failure[0].getMessage()));
+        }
+    }
+
+    /** Lines of the controllers' logs that hold this text. */
+    List<String> logged(String text) throws IOException {
+        List<String> lines = new ArrayList<>();
+        for (int i = 0; i < controllers; i++) {
+            Path log = dir.resolve("perch-" + i + ".log");
+            if (Files.exists(log)) {
+                for (String line : Files.readAllLines(log)) {
+                    if (line.contains(text)) {
+                        lines.add("perch-" + i + " " + line);
+                    }
+                }
+            }
+        }
+        return lines;
+    }
+
+    @Override
+    public void close() throws IOException, InterruptedException {
+        for (Process process : processes) {
+            process.destroyForcibly();
+            process.waitFor(10, TimeUnit.SECONDS);
+        }
+        for (HoldingProxy proxy : proxies) {
+            proxy.close();
+        }
+        for (HttpServer server : servers) {
+            server.close();
+        }
+    }
+}
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -22,7 +22,7 @@
  * Three or more whole cores with stand-ins for everything around them, in simulated time. Messages get lost or arrive late,
  * controllers crash, machines hang and the state service fails, all from one seed; the rules are checked at every step.
  */
-final class World {
+class World {
     static final long LEASE_MS = 10_000;
     static final long CANCEL_MS = 30_000;
     final long leaseMs;
@@ -63,6 +63,7 @@
     private final PriorityQueue<Timed> queue = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
             : Long.compare(a.seq, b.seq));
     private final Node[] nodes;
+    final int controllers;
     private final int teamLimit;
     private final Map<Long, java.util.function.BiConsumer<Integer, Map<String, Object>>> exchanges = new HashMap<>();
     private final boolean[][] cut;
@@ -154,6 +155,7 @@
         this.cancelMs = cancelMs;
         this.teamLimit = teamLimit;
         random = new Random(seed);
+        this.controllers = controllers;
         nodes = new Node[controllers];
         cut = new boolean[controllers][controllers];
         meshHeldUntil = new long[controllers];
@@ -163,10 +165,17 @@
         fromWorkers = new boolean[controllers];
         for (int i = 0; i < controllers; i++) {
             nodes[i] = new Node();
+        }
+        startControllers();
+        at(now, this::everything);
+    }
+
+    /** The controllers are cores in this process; {@link ProcessWorld} starts its own later. */
+    void startControllers() {
+        for (int i = 0; i < nodes.length; i++) {
             boot(i);
             every(i);
         }
-        at(now, this::everything);
     }
 
     // ---- what happens to it
@@ -514,24 +523,37 @@
             }
             if (!answered[0] && nodes[i].life == life && nodes[i].core != null) {
                 answered[0] = true;
-                if (status == 200 && c.path().startsWith("/leases")) {
-                    seatSince[i] = Math.max(seatSince[i], sentAt);
-                }
+                keepsSeat(i, c, status, sentAt);
                 act(i, nodes[i].core.reply(now, wall(i), c.id(), status, m.isEmpty() ? new byte[0] : Pack.encode(m)));
             }
         };
         at(now + c.timeoutMs(), () -> whenAwake(i, () -> back.accept(0, Map.of())));
+        transport(i, c, body, back);
+    }
+
+    /** Since when a controller's seat stands for sure, by the lease request that was answered last. */
+    final void keepsSeat(int i, Effect.Call c, int status, long sentAt) {
+        if (status == 200 && c.path().startsWith("/leases")) {
+            seatSince[i] = Math.max(seatSince[i], sentAt);
+        }
+    }
+
+    /**
+     * Takes a controller's request to whom it is for and the answer back, or loses, holds and refuses them as the troubles say.
+     * Whose request to a worker it is need not be known: -1.
+     */
+    final void transport(int i, Effect.Call c, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> back) {
         if (lost()) {
             return;
         }
-        if (c.target() == Effect.Target.WORKER && fromWorkers[i]) {
+        if (c.target() == Effect.Target.WORKER && i >= 0 && fromWorkers[i]) {
             return;
         }
         if (c.target() == Effect.Target.WORKER && i != island && marooned.contains(c.address().split(":")[0])) {
             return;
         }
         boolean store = c.target() == Effect.Target.STORE || c.target() == Effect.Target.WATCH;
-        if (refused[i] && store) {
+        if (store && refused[i]) {
             at(now + 2, () -> back.accept(503, Map.of()));
             return;
         }
@@ -547,7 +569,7 @@
         held += store && storeSlowMs > 0 ? random.nextInt(storeSlowMs) : 0;
         int answerMs = c.target() == Effect.Target.CLOUD && cloudSlowMs > 0 ? random.nextInt(cloudSlowMs) : 0;
         at(now + delay() + held, () -> serve(c, body, (status, m) -> {
-            if (!lost() && (c.target() == Effect.Target.WATCH || !(refused[i] && store))) {
+            if (!lost() && (c.target() == Effect.Target.WATCH || !(store && refused[i]))) {
                 Map<String, Object> copy = plain(m);
                 boolean watch = c.path().startsWith("/watch");
                 at(now + answerMs + 1 + random.nextInt(5), watch ? () -> served(i, () -> back.accept(status, copy)) : () -> back.accept(status, copy));
@@ -591,6 +613,7 @@
                             (Boolean) body.get("loaners"), never > 0 && random.nextDouble() < never ? Long.MAX_VALUE / 2
                             : now + (upAtOnce ? 200 + random.nextInt(1_500) : Math.round(slowBoots * (4_000 + random.nextInt(9_000))))));
                     rented++;
+                    rented(workers.get(name));
                 }
                 return l;
             });
@@ -616,6 +639,9 @@
         return w == null ? 0 : w.commandsHeldMs;
     }
 
+    /** A machine was rented. */
+    void rented(FakeWorker worker) { }
+
     /** A command sent straight to a worker; one that hangs carries it out when it goes on. */
     private void straight(String address, String path, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
         FakeWorker w = workers.get(address.substring(0, address.indexOf(':')));
@@ -706,7 +732,7 @@
         }
     }
 
-    private void ask(int node, String method, String path, byte[] body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
+    void ask(int node, String method, String path, byte[] body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
         if (now < nodes[node].stillUntil) {
             at(nodes[node].stillUntil, () -> ask(node, method, path, body, reply));
         } else if (nodes[node].core != null) {
@@ -951,17 +977,39 @@
         }
     }
 
-    private String json(int i) {
+    /** Where a controller serves users and workers, other controllers, and where it finds others; {@code HOST:PORT}. */
+    String listenAddress(int i) {
+        return "10.0.0." + i + ":2";
+    }
+
+    String meshAddress(int i) {
+        return "10.0.0." + i + ":1";
+    }
+
+    /** Where controller i reaches controller k. */
+    String peerAddress(int i, int k) {
+        return meshAddress(k);
+    }
+
+    String cloudAddress(int i) {
+        return "10.1.0.1:1";
+    }
+
+    String storeAddress(int i) {
+        return "10.1.0.2:1";
+    }
+
+    final String json(int i) {
         StringBuilder peers = new StringBuilder();
         for (int k = 0; k < nodes.length; k++) {
             if (k != i) {
                 peers.append(peers.isEmpty() ? "" : ",").append("{\"member\":\"perch-").append(k).append("\",\"area\":\"")
-                        .append(ZONES[k % 2]).append("\",\"peer_addr\":\"10.0.0.").append(k).append(":1\"}");
+                        .append(ZONES[k % 2]).append("\",\"peer_addr\":\"").append(peerAddress(i, k)).append("\"}");
             }
         }
-        return "{\"member\":\"perch-" + i + "\",\"area\":\"" + ZONES[i % 2] + "\",\"listen\":\"10.0.0." + i
-                + ":2\",\"mesh_addr\":\"10.0.0." + i + ":1\",\"seeds\":[" + peers + "],"
-                + "\"external\":{\"cloud\":\"10.1.0.1:1\",\"state\":\"10.1.0.2:1\"},\"deployment\":{\"zones\":[\"east\",\"west\"],"
+        return "{\"member\":\"perch-" + i + "\",\"area\":\"" + ZONES[i % 2] + "\",\"listen\":\"" + listenAddress(i)
+                + "\",\"mesh_addr\":\"" + meshAddress(i) + "\",\"seeds\":[" + peers + "],"
+                + "\"external\":{\"cloud\":\"" + cloudAddress(i) + "\",\"state\":\"" + storeAddress(i) + "\"},\"deployment\":{\"zones\":[\"east\",\"west\"],"
                 + "\"teams\":[{\"name\":\"guests\"},{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0,\"gpus\":6,\"gpus_max\":" + teamLimit + "}],"
                 + "\"workers\":{\"report_s\":3,\"lease_s\":" + leaseMs / 1000.0 + ",\"gang_wait_s\":20,\"gang_peer_s\":4,\"cancel_s\":"
                 + cancelMs / 1000.0 + "},\"state\":{\"rps\":200,\"write_rps\":60,\"value_kb\":8,\"txn_ops\":12},"
