--- a/src/main/java/birchusher/agent/Agent.java
+++ b/src/main/java/birchusher/agent/Agent.java
@@ -69,7 +69,8 @@
     /** @throws IOException also if another agent holds the directory */
     public Agent(Options o) throws IOException, InterruptedException {
         if (!Tagged.possible()) {
-            throw new IOException("/proc can't be read: an agent needs Linux, to be sure that nothing of a task is left");
+            throw new IOException(
+                    "/proc can't be read: an agent needs Linux, to be sure that nothing of a task is left");
         }
         options = o;
         lock = new HostDisk(o.dir().resolve("state"));
@@ -80,7 +81,11 @@
         Files.writeString(o.dir().resolve("state").resolve("boot"), boot);
         logs = new Logs(o.dir().resolve("logs"), Logs.Bounds.USUAL);
         worker = new Worker(o.listens(), new SplittableRandom());
-        runner = new Runner(tag, o.dir(), o.checkpoints(), logs,
+        runner = new Runner(
+                tag,
+                o.dir(),
+                o.checkpoints(),
+                logs,
                 (key, code) -> loop.post(() -> act(worker.exited(EventLoop.now(), key, code))));
         runner.forgetAll();
         httpServer = new HttpServer(loop, o.address(), o.port(), MAX_CONNECTIONS, MAX_BODY, this::request);
@@ -180,7 +185,11 @@
             if (status == 200) {
                 act(worker.assigned(EventLoop.now(), now, Assignment.read(m)));
             } else if (status != lastPoll) {
-                LOG.info("daemon {}: {} {}", options.server(), status == 0 ? "no answer" : status, m.getOrDefault("error", ""));
+                LOG.info(
+                        "daemon {}: {} {}",
+                        options.server(),
+                        status == 0 ? "no answer" : status,
+                        m.getOrDefault("error", ""));
             }
             lastPoll = status;
         });
@@ -195,14 +204,20 @@
     }
 
     private void call(String address, String method, String path, Object body, int timeoutMs, Reply reply) {
-        client.call(address, method, path, body == null ? HttpClient.NOTHING : Pack.encode(body), timeoutMs, (status, bytes) -> {
-            try {
-                reply.got(status, bytes.length == 0 ? Map.of() : Fields.map(Pack.decode(bytes), "answer"));
-            } catch (Bad e) {
-                LOG.error("{} of {} not as agreed: {}", path, address, e.getMessage());
-                reply.got(0, Map.of());
-            }
-        });
+        client.call(
+                address,
+                method,
+                path,
+                body == null ? HttpClient.NOTHING : Pack.encode(body),
+                timeoutMs,
+                (status, bytes) -> {
+                    try {
+                        reply.got(status, bytes.length == 0 ? Map.of() : Fields.map(Pack.decode(bytes), "answer"));
+                    } catch (Bad e) {
+                        LOG.error("{} of {} not as agreed: {}", path, address, e.getMessage());
+                        reply.got(0, Map.of());
+                    }
+                });
     }
 
     private void act(List<Action> actions) {
@@ -213,7 +228,12 @@
 
     private void act(Action a) {
         if (a instanceof Action.Report r) {
-            call(r.address(), "POST", Wire.HELLO, r.body(), REPORT_TIMEOUT_MS,
+            call(
+                    r.address(),
+                    "POST",
+                    Wire.HELLO,
+                    r.body(),
+                    REPORT_TIMEOUT_MS,
                     (status, m) -> act(worker.answered(EventLoop.now(), r.id(), status, m)));
         } else if (a instanceof Action.Answer x) {
             httpServer.answer(x.exchange(), x.status(), Pack.encode(x.body()), x.retryAfterS());
@@ -246,11 +266,23 @@
     }
 
     private void say(Action.Say s) {
-        Map<String, Object> body = Map.of("job", s.key().job(), "try", s.key().attempt(), "index", s.key().index(),
-                "pieces", s.tasks(), "phase", s.phase(), Wire.ADDR, options.listens());
+        Map<String, Object> body = Map.of(
+                "job",
+                s.key().job(),
+                "try",
+                s.key().attempt(),
+                "index",
+                s.key().index(),
+                "pieces",
+                s.tasks(),
+                "phase",
+                s.phase(),
+                Wire.ADDR,
+                options.listens());
         ask("POST", Wire.GANGS, body, POLL_TIMEOUT_MS, (status, m) -> {
             if (status == 200) {
-                List<String> hosts = m.get("hosts") == null ? List.of()
+                List<String> hosts = m.get("hosts") == null
+                        ? List.of()
                         : Fields.list(m, "hosts").stream().map(String::valueOf).toList();
                 act(worker.gangSaid(EventLoop.now(), s.key(), Fields.text(m, "say"), hosts));
             }
@@ -262,7 +294,8 @@
             if (target.startsWith("/logs/")) {
                 httpServer.answer(exchange, 200, Pack.encode(log(Target.parse(target))), 0);
             } else {
-                act(worker.direct(EventLoop.now(), exchange, method, target, body.length == 0 ? null : Pack.decode(body)));
+                act(worker.direct(
+                        EventLoop.now(), exchange, method, target, body.length == 0 ? null : Pack.decode(body)));
             }
         } catch (Bad | Target.Bad e) {
             httpServer.answer(exchange, 400, Pack.encode(Map.of("error", e.getMessage())), 0);
@@ -274,7 +307,8 @@
 
     private Map<String, Object> log(Target t) throws IOException, Target.Bad {
         Action.Key key = Order.key(t.path().substring("/logs/".length()), t.count("try", 0));
-        return t.params().containsKey("try") ? logs.read(key, t.count("from", 0))
+        return t.params().containsKey("try")
+                ? logs.read(key, t.count("from", 0))
                 : Map.of("logs", logs.list(key.job(), key.index()));
     }
 }
--- a/src/main/java/birchusher/agent/Assignment.java
+++ b/src/main/java/birchusher/agent/Assignment.java
@@ -12,9 +12,18 @@
  * @param machine null: nothing, it is parked
  * @param controllers whom to report to, by their names
  */
-record Assignment(String machine, String type, String zone, double cpus, double gpus, double memGb, long reportMs,
-        long leaseMs, long gangWaitMs, List<Controller> controllers) {
-    record Controller(String name, String address) { }
+record Assignment(
+        String machine,
+        String type,
+        String zone,
+        double cpus,
+        double gpus,
+        double memGb,
+        long reportMs,
+        long leaseMs,
+        long gangWaitMs,
+        List<Controller> controllers) {
+    record Controller(String name, String address) {}
 
     static Assignment read(Map<String, Object> m) {
         List<Controller> controllers = new ArrayList<>();
@@ -22,9 +31,17 @@
             Map<String, Object> c = Fields.map(o, "controllers");
             controllers.add(new Controller(Fields.text(c, "member"), Fields.text(c, Wire.ADDR)));
         }
-        return new Assignment(Fields.textOrNull(m, Wire.MACHINE), Fields.text(m, Wire.TYPE), Fields.text(m, Wire.ZONE),
-                Fields.amount(m, Wire.CPUS), Fields.amount(m, Wire.GPUS), Fields.amount(m, Wire.MEM), ms(m, "report_s"),
-                ms(m, "lease_s"), ms(m, "gang_wait_s"), List.copyOf(controllers));
+        return new Assignment(
+                Fields.textOrNull(m, Wire.MACHINE),
+                Fields.text(m, Wire.TYPE),
+                Fields.text(m, Wire.ZONE),
+                Fields.amount(m, Wire.CPUS),
+                Fields.amount(m, Wire.GPUS),
+                Fields.amount(m, Wire.MEM),
+                ms(m, "report_s"),
+                ms(m, "lease_s"),
+                ms(m, "gang_wait_s"),
+                List.copyOf(controllers));
     }
 
     private static long ms(Map<String, Object> m, String field) {
--- a/src/main/java/birchusher/agent/Description.java
+++ b/src/main/java/birchusher/agent/Description.java
@@ -7,8 +7,19 @@
 import java.util.Map;
 
 /** A job as a worker needs it. {@code command} is empty if its user has uploaded no program. */
-record Description(String job, int tasks, boolean gang, boolean service, double cpus, double gpus, double memGb, boolean resumes,
-        long saveMs, List<String> command, Map<String, String> env, String saveSignal) {
+record Description(
+        String job,
+        int tasks,
+        boolean gang,
+        boolean service,
+        double cpus,
+        double gpus,
+        double memGb,
+        boolean resumes,
+        long saveMs,
+        List<String> command,
+        Map<String, String> env,
+        String saveSignal) {
 
     static Description read(Map<String, Object> m) {
         Map<String, Object> job = Fields.map(m.get("job"), "job");
@@ -18,12 +29,22 @@
         if (program.get("env") != null) {
             Fields.map(program.get("env"), "env").forEach((k, v) -> env.put(k, String.valueOf(v)));
         }
-        List<String> command = program.get("command") == null ? List.of()
+        List<String> command = program.get("command") == null
+                ? List.of()
                 : Fields.list(program, "command").stream().map(String::valueOf).toList();
         String signal = Fields.textOrNull(program, "save_signal");
-        return new Description(Fields.text(job, Wire.ID), (int) Fields.count(job, Wire.TASKS), shape.equals("gang"),
-                shape.equals("standing"), Fields.amount(job, Wire.CPUS), Fields.amount(job, Wire.GPUS),
-                Fields.amount(job, Wire.MEM), Fields.amount(job, Wire.CHECKPOINT) > 0,
-                Math.round(Fields.amount(job, Wire.SAVE) * 1000), command, env, signal == null ? "TERM" : signal);
+        return new Description(
+                Fields.text(job, Wire.ID),
+                (int) Fields.count(job, Wire.TASKS),
+                shape.equals("gang"),
+                shape.equals("standing"),
+                Fields.amount(job, Wire.CPUS),
+                Fields.amount(job, Wire.GPUS),
+                Fields.amount(job, Wire.MEM),
+                Fields.amount(job, Wire.CHECKPOINT) > 0,
+                Math.round(Fields.amount(job, Wire.SAVE) * 1000),
+                command,
+                env,
+                signal == null ? "TERM" : signal);
     }
 }
--- a/src/main/java/birchusher/agent/Guard.java
+++ b/src/main/java/birchusher/agent/Guard.java
@@ -13,9 +13,18 @@
     /** @param lost called from another thread if the warden ends */
     Guard(String tag, Runnable lost) throws IOException {
         String java = ProcessHandle.current().info().command().orElse("java");
-        process = new ProcessBuilder(List.of(java, "-Xmx24m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
-                System.getProperty("java.class.path"), Warden.class.getName(), tag)).redirectOutput(ProcessBuilder.Redirect.INHERIT)
-                .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        process = new ProcessBuilder(List.of(
+                        java,
+                        "-Xmx24m",
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Warden.class.getName(),
+                        tag))
+                .redirectOutput(ProcessBuilder.Redirect.INHERIT)
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
         pipe = process.getOutputStream();
         process.onExit().thenRun(lost);
     }
--- a/src/main/java/birchusher/agent/Logs.java
+++ b/src/main/java/birchusher/agent/Logs.java
@@ -104,8 +104,14 @@
                 if (name.length == 3 && name[0].equals(String.valueOf(index)) && name[2].equals("log")) {
                     Action.Key key = new Action.Key(job, index, Long.parseLong(name[1]));
                     Path tail = file(key, TAIL);
-                    l.add(Map.of("try", key.attempt(), "bytes", Files.size(p) + (Files.exists(tail) ? Files.size(tail) : 0),
-                            "changed_ms", Files.getLastModifiedTime(Files.exists(tail) ? tail : p).toMillis()));
+                    l.add(Map.of(
+                            "try",
+                            key.attempt(),
+                            "bytes",
+                            Files.size(p) + (Files.exists(tail) ? Files.size(tail) : 0),
+                            "changed_ms",
+                            Files.getLastModifiedTime(Files.exists(tail) ? tail : p)
+                                    .toMillis()));
                 }
             }
         }
@@ -140,7 +146,7 @@
 
     /** Drops the oldest logs until the rest is within bounds; for now and then. */
     void prune() throws IOException {
-        record Kept(Path path, long bytes, long changed) { }
+        record Kept(Path path, long bytes, long changed) {}
         List<Kept> all = new ArrayList<>();
         try (Stream<Path> files = Files.walk(dir)) {
             for (Path p : files.filter(Files::isRegularFile).toList()) {
--- a/src/main/java/birchusher/agent/Order.java
+++ b/src/main/java/birchusher/agent/Order.java
@@ -9,7 +9,11 @@
 
 /** One command of a controller. */
 record Order(Verb verb, Action.Key key, long graceMs) {
-    enum Verb { START, STOP, REAP }
+    enum Verb {
+        START,
+        STOP,
+        REAP
+    }
 
     private static final int MAX_ORDERS = 2_000;
 
@@ -25,13 +29,16 @@
         }
         for (Object o : l) {
             Map<String, Object> x = Fields.map(o, Wire.COMMANDS);
-            Verb verb = switch (Fields.text(x, Wire.OP)) {
-                case Wire.START -> Verb.START;
-                case Wire.STOP -> Verb.STOP;
-                case Wire.FORGET -> Verb.REAP;
-                default -> throw new Bad(Wire.OP + ": unknown");
-            };
-            orders.add(new Order(verb, key(Fields.text(x, Wire.TASK), Fields.count(x, Wire.ATTEMPT)),
+            Verb verb =
+                    switch (Fields.text(x, Wire.OP)) {
+                        case Wire.START -> Verb.START;
+                        case Wire.STOP -> Verb.STOP;
+                        case Wire.FORGET -> Verb.REAP;
+                        default -> throw new Bad(Wire.OP + ": unknown");
+                    };
+            orders.add(new Order(
+                    verb,
+                    key(Fields.text(x, Wire.TASK), Fields.count(x, Wire.ATTEMPT)),
                     Math.round(1000 * Fields.amountOr(x, Wire.GRACE, 0))));
         }
         return orders;
@@ -40,7 +47,8 @@
     /** A piece's name becomes part of a path here: only what the protocol has in names, and no dots. */
     static Action.Key key(String piece, long attempt) {
         int slash = piece.lastIndexOf('/');
-        if (slash > 0 && piece.substring(0, slash).matches("[A-Za-z0-9_-]{1,64}")
+        if (slash > 0
+                && piece.substring(0, slash).matches("[A-Za-z0-9_-]{1,64}")
                 && piece.substring(slash + 1).matches("[0-9]{1,6}")) {
             return new Action.Key(piece.substring(0, slash), Integer.parseInt(piece.substring(slash + 1)), attempt);
         }
--- a/src/main/java/birchusher/agent/Runner.java
+++ b/src/main/java/birchusher/agent/Runner.java
@@ -30,6 +30,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Runner.class);
     /** Taken over from the agent; all else comes from the job. */
     private static final List<String> KEPT = List.of("PATH", "HOME", "LANG", "LC_ALL", "TZ", "TMPDIR", "USER");
+
     static final int FAILED = 125;
     /** What a task printed last has this long to reach its log. */
     private static final long LOG_MS = 2_000;
@@ -45,6 +46,7 @@
     private static final class Entry {
         /** Null until it is started. */
         Process process;
+
         boolean doomed;
         /** It was asked to end: what it exits with does not say any more that its work is done. */
         boolean asked;
@@ -128,8 +130,10 @@
         Action.Key k = r.key();
         String tag = Tagged.tag(agent, k);
         Files.createDirectories(saves(k));
-        ProcessBuilder b = new ProcessBuilder(r.job().command()).redirectErrorStream(true)
-                .redirectInput(new File("/dev/null")).directory(Files.createDirectories(place(k)).toFile());
+        ProcessBuilder b = new ProcessBuilder(r.job().command())
+                .redirectErrorStream(true)
+                .redirectInput(new File("/dev/null"))
+                .directory(Files.createDirectories(place(k)).toFile());
         Map<String, String> env = b.environment();
         env.keySet().retainAll(KEPT);
         env.putAll(r.job().env());
@@ -154,7 +158,10 @@
             try {
                 Files.writeString(done(k), "");
             } catch (IOException e) {
-                LOG.error("{} is done and would be run again if it were started once more: {}", k.piece(), e.getMessage());
+                LOG.error(
+                        "{} is done and would be run again if it were started once more: {}",
+                        k.piece(),
+                        e.getMessage());
             }
         }
         return code;
@@ -188,7 +195,10 @@
         }
         thread("signal", () -> {
             try {
-                new ProcessBuilder("kill", "-" + s.name(), String.valueOf(p.pid())).inheritIO().start().waitFor();
+                new ProcessBuilder("kill", "-" + s.name(), String.valueOf(p.pid()))
+                        .inheritIO()
+                        .start()
+                        .waitFor();
             } catch (IOException x) {
                 LOG.error("no signal for {}: {}", s.key().piece(), x.getMessage());
             } catch (InterruptedException x) {
@@ -250,8 +260,13 @@
     /** Jobs whose saves are kept here and of which nothing runs, at most so many. */
     List<String> keptJobs(int most) {
         String[] names = checkpoints.toFile().list();
-        return names == null ? List.of() : Arrays.stream(names)
-                .filter(n -> active.keySet().stream().noneMatch(k -> k.job().equals(n))).limit(most).toList();
+        return names == null
+                ? List.of()
+                : Arrays.stream(names)
+                        .filter(n ->
+                                active.keySet().stream().noneMatch(k -> k.job().equals(n)))
+                        .limit(most)
+                        .toList();
     }
 
     /** The job is over: nobody will start a task of it again. */
--- a/src/main/java/birchusher/agent/Tagged.java
+++ b/src/main/java/birchusher/agent/Tagged.java
@@ -18,7 +18,7 @@
     private static final Path PROC = Path.of("/proc");
     private static final long PAUSE_MS = 20;
 
-    private Tagged() { }
+    private Tagged() {}
 
     /** The mark of a task; that of all tasks of an agent is a prefix of it. */
     static String tag(String agent, Action.Key key) {
--- a/src/main/java/birchusher/agent/Warden.java
+++ b/src/main/java/birchusher/agent/Warden.java
@@ -22,7 +22,7 @@
     private static final int LATE_LOOKS = 20;
     private static final long LATE_MS = 100;
 
-    private Warden() { }
+    private Warden() {}
 
     public static void main(String[] args) throws IOException, InterruptedException {
         LinkedBlockingQueue<Long> said = new LinkedBlockingQueue<>();
--- a/src/main/java/birchusher/agent/Worker.java
+++ b/src/main/java/birchusher/agent/Worker.java
@@ -34,12 +34,14 @@
     static final int SAVED = 75;
     /** Tasks are killed this long before their lease ends, so that they are gone when it does. */
     static final long KILL_MS = 1_500;
+
     private static final long SOON_MS = 500;
     private static final long NEXT_NODE_MS = 1_000;
     private static final long SAY_MS = 1_000;
     private static final long FETCH_AGAIN_MS = 4_000;
     /** A task that does not save gets this long after SIGTERM, if its stop grants as much. */
     private static final long END_MS = 2_000;
+
     private static final int MAX_TASKS = 1_000;
     private static final long NEVER = Long.MAX_VALUE;
 
@@ -51,6 +53,7 @@
         Description job;
         /** Why it is being ended, null if it is not. */
         String ending;
+
         long killAt = NEVER;
         long fetchAt;
         long sayAt;
@@ -75,6 +78,7 @@
     private Assignment next;
     /** The machine this host runs as, null while it is none. */
     private String machine;
+
     private String last;
     private boolean clearing;
     private long session;
@@ -126,7 +130,8 @@
             now = next;
             machine = now.machine();
             LOG.info("running as {}, {} in {}", machine, now.type(), now.zone());
-            // The same machine again, after the pool was not heard for a lease: its sessions go on, they never begin anew.
+            // The same machine again, after the pool was not heard for a lease: its sessions go on, they never begin
+            // anew.
             session = machine.equals(last) ? session + 1 : 1;
             token = machine.equals(last) ? token : 0;
             last = machine;
@@ -201,7 +206,9 @@
         if (t.stage.equals("fetching") && at >= t.fetchAt) {
             // One description serves all tasks of a job, however many start with one answer.
             boolean asked = tasks.values().stream()
-                    .anyMatch(x -> x.stage.equals("fetching") && x.fetchAt > at && x.key.job().equals(t.key.job()));
+                    .anyMatch(x -> x.stage.equals("fetching")
+                            && x.fetchAt > at
+                            && x.key.job().equals(t.key.job()));
             t.fetchAt = at + FETCH_AGAIN_MS;
             if (!asked) {
                 out.add(new Action.Fetch(t.key.job()));
@@ -270,7 +277,10 @@
         sentSession = session;
         lastReport = at;
         nextReport = at + Math.round(now.reportMs() * (0.75 + 0.5 * random.nextDouble()));
-        out.add(new Action.Report(++reportId, now.controllers().get(node % now.controllers().size()).address(), body()));
+        out.add(new Action.Report(
+                ++reportId,
+                now.controllers().get(node % now.controllers().size()).address(),
+                body()));
     }
 
     private void changed(long at) {
@@ -318,7 +328,8 @@
 
     private void elsewhere(long at, String name) {
         for (int i = 0; i < now.controllers().size(); i++) {
-            if (now.controllers().get(i).name().equals(name) && i != node % now.controllers().size()) {
+            if (now.controllers().get(i).name().equals(name)
+                    && i != node % now.controllers().size()) {
                 node = i;
                 nextReport = at + random.nextInt((int) SOON_MS);
                 return;
@@ -377,7 +388,8 @@
 
     private void start(long at, Action.Key key) {
         Task t = new Task(key);
-        boolean other = tasks.values().stream().anyMatch(x -> !x.exited() && x.key.piece().equals(key.piece()));
+        boolean other = tasks.values().stream()
+                .anyMatch(x -> !x.exited() && x.key.piece().equals(key.piece()));
         if (!other && tasks.size() >= MAX_TASKS) {
             exit(at, t, "full");
         } else if (other) {
@@ -465,7 +477,8 @@
                 mem += x.job.memGb();
             }
         }
-        return cpus + t.job.cpus() <= now.cpus() + 2e-6 && gpus + t.job.gpus() <= now.gpus() + 2e-6
+        return cpus + t.job.cpus() <= now.cpus() + 2e-6
+                && gpus + t.job.gpus() <= now.gpus() + 2e-6
                 && mem + t.job.memGb() <= now.memGb() + 2e-6;
     }
 
--- a/src/main/java/birchusher/cli/Caller.java
+++ b/src/main/java/birchusher/cli/Caller.java
@@ -86,7 +86,8 @@
         try (Socket s = new Socket()) {
             s.connect(new InetSocketAddress(to.host(), to.port()), TIMEOUT_MS);
             s.setSoTimeout(TIMEOUT_MS);
-            s.getOutputStream().write(HttpWriter.request(method, path, server, body).array());
+            s.getOutputStream()
+                    .write(HttpWriter.request(method, path, server, body).array());
             HttpParser parser = new HttpParser(false, MAX_ANSWER);
             byte[] buffer = new byte[4096];
             InputStream in = s.getInputStream();
@@ -97,7 +98,8 @@
                 }
                 HttpParser.Message m = parser.feed(ByteBuffer.wrap(buffer, 0, n));
                 if (m != null) {
-                    return new Got(m.status(), m.body().length == 0 ? Map.of() : Fields.map(Pack.decode(m.body()), "answer"));
+                    return new Got(
+                            m.status(), m.body().length == 0 ? Map.of() : Fields.map(Pack.decode(m.body()), "answer"));
                 }
             }
         } catch (HttpParser.Malformed | Bad e) {
--- a/src/main/java/birchusher/cli/Inspect.java
+++ b/src/main/java/birchusher/cli/Inspect.java
@@ -17,12 +17,13 @@
 
 /** The commands that look and those that cancel. */
 final class Inspect {
-    private Inspect() { }
+    private Inspect() {}
 
     @Command(name = "status", description = "tell a job's state", mixinStandardHelpOptions = true)
     static final class Status implements Callable<Integer> {
         @CommandLine.Mixin
         Talk talk;
+
         @Parameters(paramLabel = "ID", description = "the job's id")
         String id;
 
@@ -36,12 +37,14 @@
     static final class Cancel implements Callable<Integer> {
         @CommandLine.Mixin
         Talk talk;
+
         @Parameters(paramLabel = "ID", description = "the job's id")
         String id;
 
         @Override
         public Integer call() {
-            return Main.guarded(() -> state(talk, talk.call("POST", Wire.RUNS + "/" + Talk.checked(id) + Wire.WITHDRAW, null)));
+            return Main.guarded(
+                    () -> state(talk, talk.call("POST", Wire.RUNS + "/" + Talk.checked(id) + Wire.WITHDRAW, null)));
         }
     }
 
@@ -57,15 +60,24 @@
     static final class ListJobs implements Callable<Integer> {
         @CommandLine.Mixin
         Talk talk;
+
         @Option(names = "--state", description = "queued, running, done or cancelled (default: all that are not over)")
         String state;
+
         @Option(names = "--team", description = "only this team's")
         String team;
+
         @Option(names = "--class", description = "only this class")
         String cls;
+
         @Option(names = "--after", paramLabel = "ID", description = "begin behind this id")
         String after;
-        @Option(names = "--limit", paramLabel = "N", defaultValue = "200", description = "at most so many (default: ${DEFAULT-VALUE})")
+
+        @Option(
+                names = "--limit",
+                paramLabel = "N",
+                defaultValue = "200",
+                description = "at most so many (default: ${DEFAULT-VALUE})")
         int limit;
 
         @Override
@@ -75,8 +87,11 @@
                 String from = after == null ? "" : Talk.checked(after);
                 boolean more = true;
                 while (more && runs.size() < limit) {
-                    Caller.Got g = talk.call("GET", Wire.RUNS + "?" + Wire.AFTER + "=" + from + param("--state", Wire.STATE, state)
-                            + param("--team", Wire.TEAM, team) + param("--class", Wire.CLASS, cls), null);
+                    Caller.Got g = talk.call(
+                            "GET",
+                            Wire.RUNS + "?" + Wire.AFTER + "=" + from + param("--state", Wire.STATE, state)
+                                    + param("--team", Wire.TEAM, team) + param("--class", Wire.CLASS, cls),
+                            null);
                     if (!g.fine()) {
                         return Talk.refused(g);
                     }
@@ -89,10 +104,13 @@
                 if (talk.json()) {
                     System.out.println(Json.text(Map.of("runs", shown, Wire.MORE, more), false));
                 } else {
-                    Talk.table(shown, new String[] {Wire.ID, Wire.STATE, Wire.DONE, Wire.RUNNING, Wire.TEAM, Wire.CLASS},
+                    Talk.table(
+                            shown,
+                            new String[] {Wire.ID, Wire.STATE, Wire.DONE, Wire.RUNNING, Wire.TEAM, Wire.CLASS},
                             new String[] {"ID", "STATE", "DONE", "RUNNING", "TEAM", "CLASS"});
                     if (more) {
-                        System.err.println("more: --after " + Fields.map(shown.get(shown.size() - 1), "row").get(Wire.ID));
+                        System.err.println("more: --after "
+                                + Fields.map(shown.get(shown.size() - 1), "row").get(Wire.ID));
                     }
                 }
                 return 0;
@@ -111,6 +129,7 @@
     static final class Describe implements Callable<Integer> {
         @CommandLine.Mixin
         Talk talk;
+
         @Parameters(paramLabel = "ID", description = "the job's id")
         String id;
 
@@ -132,21 +151,24 @@
                 }
                 talk.state(m);
                 if (m.get("job") != null) {
-                    new TreeMap<>(Fields.map(m.get("job"), "job")).forEach((k, v) -> System.out.printf("  %-14s %s%n", k, v));
+                    new TreeMap<>(Fields.map(m.get("job"), "job"))
+                            .forEach((k, v) -> System.out.printf("  %-14s %s%n", k, v));
                 }
                 if (program.fine()) {
                     System.out.printf("  %-14s %s%n", "command", program.body().get("command"));
                 }
                 if (m.get("pieces") instanceof List<?> l && !l.isEmpty()) {
-                    Talk.table(l, new String[] {"index", Wire.ATTEMPT, Wire.MACHINE, "held_s"},
-                            new String[] {"TASK", "ATTEMPT", "MACHINE", "SINCE S"});
+                    Talk.table(l, new String[] {"index", Wire.ATTEMPT, Wire.MACHINE, "held_s"}, new String[] {
+                        "TASK", "ATTEMPT", "MACHINE", "SINCE S"
+                    });
                     if (Boolean.TRUE.equals(m.get(Wire.MORE))) {
                         System.out.println("more tasks behind " + m.get("next"));
                     }
                 }
                 if (m.get("events") instanceof List<?> l && !l.isEmpty()) {
-                    Talk.table(l, new String[] {"ago_s", "index", Wire.ATTEMPT, Wire.MACHINE, "what"},
-                            new String[] {"S AGO", "TASK", "ATTEMPT", "MACHINE", "WHAT"});
+                    Talk.table(l, new String[] {"ago_s", "index", Wire.ATTEMPT, Wire.MACHINE, "what"}, new String[] {
+                        "S AGO", "TASK", "ATTEMPT", "MACHINE", "WHAT"
+                    });
                 }
                 return 0;
             });
@@ -160,7 +182,10 @@
 
         @Override
         public Integer call() {
-            return Main.guarded(() -> rows(talk, Wire.HOSTS, "machines",
+            return Main.guarded(() -> rows(
+                    talk,
+                    Wire.HOSTS,
+                    "machines",
                     new String[] {"agent", Wire.STATE, Wire.MACHINE, Wire.TYPE, Wire.ZONE, "heard_s"},
                     new String[] {"HOST", "STATE", "MACHINE", "TYPE", "ZONE", "HEARD S"}));
         }
@@ -173,7 +198,10 @@
 
         @Override
         public Integer call() {
-            return Main.guarded(() -> rows(talk, Wire.TEAMS, "teams",
+            return Main.guarded(() -> rows(
+                    talk,
+                    Wire.TEAMS,
+                    "teams",
                     new String[] {Wire.TEAM, "cpus_used", "cpus", "cpus_max", "gpus_used", "gpus", "gpus_max"},
                     new String[] {"TEAM", "CPUS", "GUARANTEED", "LIMIT", "GPUS", "GUARANTEED", "LIMIT"}));
         }
@@ -198,13 +226,27 @@
 
         @CommandLine.Mixin
         Talk talk;
+
         @Parameters(index = "0", paramLabel = "ID", description = "the job's id")
         String id;
-        @Parameters(index = "1", paramLabel = "TASK", arity = "0..1", defaultValue = "0", description = "the task's index (default: 0)")
+
+        @Parameters(
+                index = "1",
+                paramLabel = "TASK",
+                arity = "0..1",
+                defaultValue = "0",
+                description = "the task's index (default: 0)")
         int task;
-        @Option(names = "--attempt", paramLabel = "N", description = "which attempt (default: the one that printed last)")
+
+        @Option(
+                names = "--attempt",
+                paramLabel = "N",
+                description = "which attempt (default: the one that printed last)")
         Long attempt;
-        @Option(names = {"-f", "--follow"}, description = "go on until the job is over")
+
+        @Option(
+                names = {"-f", "--follow"},
+                description = "go on until the job is over")
         boolean follow;
 
         @Override
@@ -246,7 +288,8 @@
                 throw new Bad(g.error());
             }
             Map<String, Object> best = null;
-            for (Map.Entry<String, Object> host : Fields.map(g.body().get("hosts"), "hosts").entrySet()) {
+            for (Map.Entry<String, Object> host :
+                    Fields.map(g.body().get("hosts"), "hosts").entrySet()) {
                 for (Object o : (List<?>) host.getValue()) {
                     Map<String, Object> m = new HashMap<>(Fields.map(o, "log"));
                     m.put("host", host.getKey());
@@ -262,7 +305,8 @@
         private long print(String path, Map<String, Object> log, long from) throws Exception {
             long at = from;
             while (true) {
-                Caller.Got g = talk.call("GET", path + "?host=" + log.get("host") + "&try=" + log.get("try") + "&from=" + at, null);
+                Caller.Got g = talk.call(
+                        "GET", path + "?host=" + log.get("host") + "&try=" + log.get("try") + "&from=" + at, null);
                 if (!g.fine()) {
                     throw new Bad(g.error());
                 }
--- a/src/main/java/birchusher/cli/Journal.java
+++ b/src/main/java/birchusher/cli/Journal.java
@@ -32,8 +32,8 @@
 
     void keep(String id, Map<String, ?> submission) throws IOException {
         Path aside = dir.resolve(id + ".aside");
-        try (FileChannel c = FileChannel.open(aside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel c = FileChannel.open(
+                aside, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             ByteBuffer b = ByteBuffer.wrap(Json.text(submission, true).getBytes(StandardCharsets.UTF_8));
             while (b.hasRemaining()) {
                 c.write(b);
@@ -54,7 +54,9 @@
     List<String> open() throws IOException {
         List<String> ids = new ArrayList<>();
         try (Stream<Path> files = Files.list(dir)) {
-            files.map(p -> p.getFileName().toString()).filter(n -> n.endsWith(END)).sorted()
+            files.map(p -> p.getFileName().toString())
+                    .filter(n -> n.endsWith(END))
+                    .sorted()
                     .forEach(n -> ids.add(n.substring(0, n.length() - END.length())));
         }
         return ids;
--- a/src/main/java/birchusher/cli/Main.java
+++ b/src/main/java/birchusher/cli/Main.java
@@ -19,7 +19,10 @@
  * The command line. Exit codes: 0 done, 1 refused or failed, 2 wrong use or bad settings, 3 no answer in time. A controller
  * pays for every class it loads at its start, so {@code serve} knows only what it needs itself.
  */
-@Command(name = "birchusher", mixinStandardHelpOptions = true, version = "birchusher 0.1.0",
+@Command(
+        name = "birchusher",
+        mixinStandardHelpOptions = true,
+        version = "birchusher 0.1.0",
         description = "A cluster scheduler that leases tasks for a fixed term renewed by progress.",
         subcommands = {Main.Serve.class, Main.Check.class})
 public final class Main implements Runnable {
@@ -28,7 +31,8 @@
 
     static {
         String level = System.getenv("LOG_LEVEL");
-        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel",
+        System.setProperty(
+                "org.slf4j.simpleLogger.defaultLogLevel",
                 "debug".equals(level) || "info".equals(level) || "error".equals(level) ? level : "info");
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
@@ -42,9 +46,21 @@
 
     static CommandLine all() {
         CommandLine line = new CommandLine(new Main());
-        List.of(new Serving.RunDaemon(), new Serving.RunAgent(), new Serving.RunRepair(), new Submit(), new Inspect.Status(),
-                new Inspect.ListJobs(), new Inspect.Describe(), new Inspect.LogsOf(), new Wait(), new Inspect.Cancel(),
-                new Inspect.Machines(), new Inspect.Teams(), new Serving.Completion()).forEach(line::addSubcommand);
+        List.of(
+                        new Serving.RunDaemon(),
+                        new Serving.RunAgent(),
+                        new Serving.RunRepair(),
+                        new Submit(),
+                        new Inspect.Status(),
+                        new Inspect.ListJobs(),
+                        new Inspect.Describe(),
+                        new Inspect.LogsOf(),
+                        new Wait(),
+                        new Inspect.Cancel(),
+                        new Inspect.Machines(),
+                        new Inspect.Teams(),
+                        new Serving.Completion())
+                .forEach(line::addSubcommand);
         return line;
     }
 
@@ -55,8 +71,13 @@
 
     /** The two files every controller starts from. */
     static class Files2 {
-        @Option(names = "--config", required = true, paramLabel = "FILE", description = "the platform's settings (JSON)")
+        @Option(
+                names = "--config",
+                required = true,
+                paramLabel = "FILE",
+                description = "the platform's settings (JSON)")
         Path config;
+
         @Option(names = "--properties", paramLabel = "FILE", description = "the operators' own settings")
         Path properties;
 
@@ -111,7 +132,10 @@
         }
     }
 
-    @Command(name = "check-config", description = "check the settings and say what is wrong", mixinStandardHelpOptions = true)
+    @Command(
+            name = "check-config",
+            description = "check the settings and say what is wrong",
+            mixinStandardHelpOptions = true)
     static final class Check implements Callable<Integer> {
         @CommandLine.Mixin
         Files2 files;
@@ -121,8 +145,8 @@
             return guarded(() -> {
                 Settings s = files.settings();
                 files.tuning();
-                System.out.println("ok: " + s.member() + " in " + s.zone() + ", " + (s.peers().size() + 1)
-                        + " controllers, " + s.teams().size() + " teams");
+                System.out.println("ok: " + s.member() + " in " + s.zone() + ", "
+                        + (s.peers().size() + 1) + " controllers, " + s.teams().size() + " teams");
                 return 0;
             });
         }
--- a/src/main/java/birchusher/cli/Serving.java
+++ b/src/main/java/birchusher/cli/Serving.java
@@ -21,7 +21,7 @@
 
 /** The commands of an operator of hosts: the daemon, agents, and the way out of a damaged log. */
 final class Serving {
-    private Serving() { }
+    private Serving() {}
 
     private static DaemonSettings settings(Path properties) throws IOException {
         try (Reader r = Files.newBufferedReader(properties)) {
@@ -31,25 +31,45 @@
 
     /** Runs on SIGTERM and the like, before the process goes. */
     private static void atEnd(Callable<Void> body) {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                body.call();
-            } catch (Exception e) {
-                System.err.println("birchusher: " + e);
-            }
-        }, "end"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            try {
+                                body.call();
+                            } catch (Exception e) {
+                                System.err.println("birchusher: " + e);
+                            }
+                        },
+                        "end"));
     }
 
-    @Command(name = "daemon", description = "run controller, state service and pool on this host", mixinStandardHelpOptions = true)
+    @Command(
+            name = "daemon",
+            description = "run controller, state service and pool on this host",
+            mixinStandardHelpOptions = true)
     static final class RunDaemon implements Callable<Integer> {
-        @Option(names = "--properties", required = true, paramLabel = "FILE", description = "as deploy/daemon.properties")
+        @Option(
+                names = "--properties",
+                required = true,
+                paramLabel = "FILE",
+                description = "as deploy/daemon.properties")
         Path properties;
+
         @Option(names = "--check", description = "only check the file")
         boolean check;
-        @Option(names = "--local", paramLabel = "HOST", arity = "0..1", fallbackValue = "",
+
+        @Option(
+                names = "--local",
+                paramLabel = "HOST",
+                arity = "0..1",
+                fallbackValue = "",
                 description = "start the agent of this host beside it (default: the first host listed)")
         String local;
-        @Option(names = "--local-listen", paramLabel = "HOST:PORT", defaultValue = "127.0.0.1:7075",
+
+        @Option(
+                names = "--local-listen",
+                paramLabel = "HOST:PORT",
+                defaultValue = "127.0.0.1:7075",
                 description = "where that agent listens (default: ${DEFAULT-VALUE})")
         String localListen;
 
@@ -58,7 +78,8 @@
             return Main.guarded(() -> {
                 DaemonSettings d = settings(properties);
                 if (check) {
-                    System.out.println("ok: " + d.hosts().hosts().size() + " hosts, " + d.settings().teams().size() + " teams");
+                    System.out.println("ok: " + d.hosts().hosts().size() + " hosts, "
+                            + d.settings().teams().size() + " teams");
                     return 0;
                 }
                 Daemon daemon = new Daemon(d);
@@ -81,17 +102,31 @@
 
         /** A process of its own, so that its tasks live on if this one is killed. */
         private Process agent(DaemonSettings d) throws IOException {
-            String host = local.isEmpty() ? d.hosts().hosts().keySet().iterator().next() : local;
+            String host =
+                    local.isEmpty() ? d.hosts().hosts().keySet().iterator().next() : local;
             if (!d.hosts().hosts().containsKey(host)) {
                 throw new Bad("--local: no host " + host + " is listed");
             }
-            List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"), "-cp",
-                    System.getProperty("java.class.path"), Main.class.getName(), "agent", "--server", d.listen().toString(),
-                    "--host", host, "--listen", localListen, "--dir", d.data().resolve("agent-" + host).toString()));
+            List<String> command = new ArrayList<>(List.of(
+                    ProcessHandle.current().info().command().orElse("java"),
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    Main.class.getName(),
+                    "agent",
+                    "--server",
+                    d.listen().toString(),
+                    "--host",
+                    host,
+                    "--listen",
+                    localListen,
+                    "--dir",
+                    d.data().resolve("agent-" + host).toString()));
             Process p = new ProcessBuilder(command).inheritIO().start();
-            // Such as one that still runs since an earlier daemon, which is as good, or an address that is taken, which is not.
-            p.onExit().thenAccept(x -> System.err.println("birchusher: the local agent has ended with " + x.exitValue()
-                    + "; if 'machines' does not show host " + host + " as parked or running, start one"));
+            // Such as one that still runs since an earlier daemon, which is as good, or an address that is taken, which
+            // is not.
+            p.onExit()
+                    .thenAccept(x -> System.err.println("birchusher: the local agent has ended with " + x.exitValue()
+                            + "; if 'machines' does not show host " + host + " as parked or running, start one"));
             return p;
         }
     }
@@ -100,14 +135,33 @@
     static final class RunAgent implements Callable<Integer> {
         @Option(names = "--server", required = true, paramLabel = "HOST:PORT", description = "the daemon's address")
         String server;
-        @Option(names = "--host", required = true, paramLabel = "NAME", description = "the name that the daemon lists this host under")
+
+        @Option(
+                names = "--host",
+                required = true,
+                paramLabel = "NAME",
+                description = "the name that the daemon lists this host under")
         String host;
-        @Option(names = "--listen", required = true, paramLabel = "HOST:PORT", description = "where the daemon reaches this agent")
+
+        @Option(
+                names = "--listen",
+                required = true,
+                paramLabel = "HOST:PORT",
+                description = "where the daemon reaches this agent")
         String listen;
-        @Option(names = "--dir", required = true, paramLabel = "DIR", description = "for its state, logs and working directories")
+
+        @Option(
+                names = "--dir",
+                required = true,
+                paramLabel = "DIR",
+                description = "for its state, logs and working directories")
         Path dir;
-        @Option(names = "--checkpoints", paramLabel = "DIR",
-                description = "where tasks save; shared by all hosts if tasks are to go on elsewhere (default: in --dir)")
+
+        @Option(
+                names = "--checkpoints",
+                paramLabel = "DIR",
+                description =
+                        "where tasks save; shared by all hosts if tasks are to go on elsewhere (default: in --dir)")
         Path checkpoints;
 
         @Override
@@ -115,7 +169,12 @@
             return Main.guarded(() -> {
                 Address a = SettingsReader.parse(listen, "--listen");
                 SettingsReader.parse(server, "--server");
-                Agent agent = new Agent(new Agent.Options(server, host, a.host(), a.port(), dir,
+                Agent agent = new Agent(new Agent.Options(
+                        server,
+                        host,
+                        a.host(),
+                        a.port(),
+                        dir,
                         checkpoints == null ? dir.resolve("checkpoints") : checkpoints));
                 atEnd(() -> {
                     agent.stop();
@@ -128,11 +187,19 @@
         }
     }
 
-    @Command(name = "repair", description = "say what of a damaged log can be kept, and with --yes keep it",
-            mixinStandardHelpOptions = true, footer = {"", "Without --yes nothing is changed. Restore a backup instead if you have one."})
+    @Command(
+            name = "repair",
+            description = "say what of a damaged log can be kept, and with --yes keep it",
+            mixinStandardHelpOptions = true,
+            footer = {"", "Without --yes nothing is changed. Restore a backup instead if you have one."})
     static final class RunRepair implements Callable<Integer> {
-        @Option(names = "--dir", required = true, paramLabel = "DIR", description = "the damaged directory: DATA/state or DATA/pool")
+        @Option(
+                names = "--dir",
+                required = true,
+                paramLabel = "DIR",
+                description = "the damaged directory: DATA/state or DATA/pool")
         Path dir;
+
         @Option(names = "--yes", description = "do it; the old files stay beside the new ones")
         boolean yes;
 
@@ -161,7 +228,10 @@
         }
     }
 
-    @Command(name = "completion", description = "print a completion script for bash or zsh", mixinStandardHelpOptions = true)
+    @Command(
+            name = "completion",
+            description = "print a completion script for bash or zsh",
+            mixinStandardHelpOptions = true)
     static final class Completion implements Callable<Integer> {
         @CommandLine.Spec
         CommandLine.Model.CommandSpec spec;
--- a/src/main/java/birchusher/cli/Submit.java
+++ b/src/main/java/birchusher/cli/Submit.java
@@ -20,50 +20,86 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code submit}: a job from options, or from a file that options change. */
-@Command(name = "submit", description = "submit a job", mixinStandardHelpOptions = true, footer = {"",
-    "The job's id is on disk before the job is sent: after a crash, 'submit --resume' sends the same job again.",
-    "Exit codes: 0 accepted (with --wait: done), 1 refused (with --wait: cancelled), 2 wrong use, 3 not known in time."})
+@Command(
+        name = "submit",
+        description = "submit a job",
+        mixinStandardHelpOptions = true,
+        footer = {
+            "",
+            "The job's id is on disk before the job is sent: after a crash, 'submit --resume' sends the same job again.",
+            "Exit codes: 0 accepted (with --wait: done), 1 refused (with --wait: cancelled), 2 wrong use, 3 not known in time."
+        })
 final class Submit implements Callable<Integer> {
     @CommandLine.Mixin
     Talk talk;
-    @Option(names = "--file", paramLabel = "FILE", description = "a job as JSON; its field \"program\" says what to run")
+
+    @Option(
+            names = "--file",
+            paramLabel = "FILE",
+            description = "a job as JSON; its field \"program\" says what to run")
     Path file;
+
     @Option(names = "--id", paramLabel = "ID", description = "the job's id (default: a new one)")
     String id;
+
     @Option(names = "--team", description = "whose guarantee and limit apply", defaultValue = "${BIRCHUSHER_TEAM}")
     String team;
+
     @Option(names = "--class", description = "the class of jobs it belongs to (default: batch)")
     String cls;
-    @Option(names = "--shape", description = "sweep: independent tasks; gang: all at the same time; standing: until cancelled")
+
+    @Option(
+            names = "--shape",
+            description = "sweep: independent tasks; gang: all at the same time; standing: until cancelled")
     String shape;
+
     @Option(names = "--priority", description = "production, urgent, standard or low")
     String priority;
+
     @Option(names = "--tasks", paramLabel = "N", description = "number of tasks (default: 1)")
     Long tasks;
+
     @Option(names = "--cpus", paramLabel = "N", description = "of each task (default: 1)")
     Double cpus;
+
     @Option(names = "--gpus", paramLabel = "N", description = "of each task (default: 0)")
     Double gpus;
+
     @Option(names = "--memory", paramLabel = "GB", description = "of each task (default: 0.5)")
     Double memory;
+
     @Option(names = "--zone", description = "the only allowed zone")
     String zone;
+
     @Option(names = "--expect", paramLabel = "S", description = "estimated run time of a task (default: 60)")
     Double expectS;
+
     @Option(names = "--save-every", paramLabel = "S", description = "a task saves about so often (default: 0, never)")
     Double saveEveryS;
+
     @Option(names = "--save-take", paramLabel = "S", description = "time to save when stopped")
     Double saveTakeS;
+
     @Option(names = "--env", paramLabel = "NAME=VALUE", description = "for the program's environment; may be repeated")
     Map<String, String> env = new HashMap<>();
+
     @Option(names = "--wait", description = "wait until the job is done or cancelled")
     boolean wait;
+
     @Option(names = "--resume", description = "send again what is not known to be accepted")
     boolean resume;
-    @Option(names = "--journal", paramLabel = "DIR", defaultValue = "${user.home}/.birchusher/submissions",
+
+    @Option(
+            names = "--journal",
+            paramLabel = "DIR",
+            defaultValue = "${user.home}/.birchusher/submissions",
             description = "where ids are kept until they are accepted (default: ${DEFAULT-VALUE})")
     Path journalDir;
-    @Parameters(paramLabel = "COMMAND", arity = "0..*", description = "what each task runs, after --; or a job file (.json)")
+
+    @Parameters(
+            paramLabel = "COMMAND",
+            arity = "0..*",
+            description = "what each task runs, after --; or a job file (.json)")
     List<String> command = List.of();
 
     @Override
@@ -146,8 +182,8 @@
             if (program == null) {
                 throw new Bad("--env: without a command");
             }
-            Map<String, Object> all = new HashMap<>(
-                    program.get("env") == null ? Map.of() : Fields.map(program.get("env"), "env"));
+            Map<String, Object> all =
+                    new HashMap<>(program.get("env") == null ? Map.of() : Fields.map(program.get("env"), "env"));
             all.putAll(env);
             program.put("env", all);
         }
--- a/src/main/java/birchusher/cli/Talk.java
+++ b/src/main/java/birchusher/cli/Talk.java
@@ -14,15 +14,30 @@
 
 /** What all commands share that talk to a server: where it is, how long to try, how to print. */
 final class Talk {
-    enum Output { table, json }
+    enum Output {
+        table,
+        json
+    }
 
-    @Option(names = "--server", paramLabel = "HOST:PORT", defaultValue = "${BIRCHUSHER_SERVER:-127.0.0.1:7070}",
-            description = "the daemon, a controller or the load balancer (default: $BIRCHUSHER_SERVER, or ${DEFAULT-VALUE})")
+    @Option(
+            names = "--server",
+            paramLabel = "HOST:PORT",
+            defaultValue = "${BIRCHUSHER_SERVER:-127.0.0.1:7070}",
+            description =
+                    "the daemon, a controller or the load balancer (default: $BIRCHUSHER_SERVER, or ${DEFAULT-VALUE})")
     String server;
-    @Option(names = "--deadline", paramLabel = "S", defaultValue = "30",
+
+    @Option(
+            names = "--deadline",
+            paramLabel = "S",
+            defaultValue = "30",
             description = "how long to go on trying, in seconds (default: ${DEFAULT-VALUE})")
     double deadlineS;
-    @Option(names = {"-o", "--output"}, paramLabel = "FORM", defaultValue = "table",
+
+    @Option(
+            names = {"-o", "--output"},
+            paramLabel = "FORM",
+            defaultValue = "table",
             description = "${COMPLETION-CANDIDATES}; json is for scripts (default: ${DEFAULT-VALUE})")
     Output output;
 
@@ -62,7 +77,8 @@
         } else {
             System.out.println(m.get(Wire.ID) + " " + m.get(Wire.STATE)
                     + (Wire.RUNNING.equals(m.get(Wire.STATE)) || Wire.QUEUED.equals(m.get(Wire.STATE))
-                            ? ", " + m.get(Wire.DONE) + " done, " + m.get(Wire.RUNNING) + " running" : ""));
+                            ? ", " + m.get(Wire.DONE) + " done, " + m.get(Wire.RUNNING) + " running"
+                            : ""));
         }
     }
 
@@ -73,7 +89,8 @@
         for (int i = 0; i < fields.length; i++) {
             widths[i] = names[i].length();
             for (Object r : rows) {
-                widths[i] = Math.max(widths[i], cell(Fields.map(r, "row").get(fields[i])).length());
+                widths[i] = Math.max(
+                        widths[i], cell(Fields.map(r, "row").get(fields[i])).length());
             }
             columns[i] = new Column(widths[i] + 2, 0, Column.Overflow.SPAN);
         }
--- a/src/main/java/birchusher/cli/Wait.java
+++ b/src/main/java/birchusher/cli/Wait.java
@@ -12,7 +12,10 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code wait}: until jobs are over, through restarts of the server. */
-@Command(name = "wait", description = "wait until jobs are done or cancelled", mixinStandardHelpOptions = true,
+@Command(
+        name = "wait",
+        description = "wait until jobs are done or cancelled",
+        mixinStandardHelpOptions = true,
         footer = {"", "Exit codes: 0 all done, 1 one cancelled or unknown, 2 wrong use, 3 time is over."})
 final class Wait implements Callable<Integer> {
     private static final long LEAST_MS = 300;
@@ -20,8 +23,14 @@
 
     @CommandLine.Mixin
     Talk talk;
-    @Option(names = "--timeout", paramLabel = "S", defaultValue = "0", description = "give up after so long (default: never)")
+
+    @Option(
+            names = "--timeout",
+            paramLabel = "S",
+            defaultValue = "0",
+            description = "give up after so long (default: never)")
     double timeoutS;
+
     @Parameters(paramLabel = "ID", arity = "1..*", description = "the jobs' ids")
     List<String> ids;
 
@@ -72,7 +81,8 @@
     }
 
     private static String line(Map<String, Object> m) {
-        return m.get(Wire.ID) + " " + m.get(Wire.STATE) + ", " + m.get(Wire.DONE) + " done, " + m.get(Wire.RUNNING) + " running";
+        return m.get(Wire.ID) + " " + m.get(Wire.STATE) + ", " + m.get(Wire.DONE) + " done, " + m.get(Wire.RUNNING)
+                + " running";
     }
 
     /** One line that is written over; nothing where nobody looks. */
--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -69,6 +69,7 @@
     private final Losses losses;
     /** Our machines as last drawn, a quarter of a second old at most when the news of them is told. */
     private List<Picture> own = List.of();
+
     private boolean toldRestoring;
     private long nextHeartbeat;
     private long nextPictures;
@@ -87,32 +88,83 @@
         Speeds speeds = new Speeds();
         Driver[] later = new Driver[1];
         book = new PictureBook(fx, catalog, seats);
-        long patience = Census.patience(Math.round(s.reportS() * 1000), 1 + s.peers().size());
+        long patience =
+                Census.patience(Math.round(s.reportS() * 1000), 1 + s.peers().size());
         losses = new Losses(patience, 1 + s.peers().size());
         outcomes = new Outcomes(fx, view, store, seats, counters, losses, this::send);
-        yard = new Yard(fx, s, catalog, view, store, seats, speeds, t, counters, outcomes, book, orders,
+        yard = new Yard(
+                fx,
+                s,
+                catalog,
+                view,
+                store,
+                seats,
+                speeds,
+                t,
+                counters,
+                outcomes,
+                book,
+                orders,
                 (job, grace, reason) -> later[0].stopGang(job, grace, reason),
                 id -> later[0].last().guaranteed().contains(id));
         Hazards hazards = new Hazards();
         Events events = new Events();
-        view.follow(book::kind, c -> {
-            events.placed(fx.now(), c);
-            losses.back(c);
-        }, (c, lost) -> {
-            events.left(fx.now(), c, lost);
-            if (c.kind() >= 0) {
-                hazards.observe(c.kind(), (fx.now() - c.seenAt()) / 1000.0, lost, fx.now());
-            }
-        });
-        planner = new Planner(catalog, view, speeds, hazards, losses, LeaseTerms.from(t), s.objectives(), t.num("placement.begin-by-s"));
+        view.follow(
+                book::kind,
+                c -> {
+                    events.placed(fx.now(), c);
+                    losses.back(c);
+                },
+                (c, lost) -> {
+                    events.left(fx.now(), c, lost);
+                    if (c.kind() >= 0) {
+                        hazards.observe(c.kind(), (fx.now() - c.seenAt()) / 1000.0, lost, fx.now());
+                    }
+                });
+        planner = new Planner(
+                catalog,
+                view,
+                speeds,
+                hazards,
+                losses,
+                LeaseTerms.from(t),
+                s.objectives(),
+                t.num("placement.begin-by-s"));
         census = new Census(view, patience);
-        driver = new Driver(fx, s, catalog, view, store, seats, yard, planner, counters, t, this::send, census::returned,
+        driver = new Driver(
+                fx,
+                s,
+                catalog,
+                view,
+                store,
+                seats,
+                yard,
+                planner,
+                counters,
+                t,
+                this::send,
+                census::returned,
                 () -> losses.returningOfAll(fx.now()));
         later[0] = driver;
         desk = new Desk(fx, s, catalog, codec, view, store, seats);
         listing = new Listing(fx, catalog, codec, view, store, desk, events);
-        buyer = new Buyer(fx, s, catalog, view, store, seats, new CloudLink(fx, s), counters, orders, census::known, () -> losses.returningOfAll(fx.now()), t, this::retire,
-                yard::gone, driver::slots, driver::runningFor);
+        buyer = new Buyer(
+                fx,
+                s,
+                catalog,
+                view,
+                store,
+                seats,
+                new CloudLink(fx, s),
+                counters,
+                orders,
+                census::known,
+                () -> losses.returningOfAll(fx.now()),
+                t,
+                this::retire,
+                yard::gone,
+                driver::slots,
+                driver::runningFor);
     }
 
     // ---- inputs
@@ -195,9 +247,18 @@
         }
         if (now >= nextLine) {
             nextLine = now + 30_000;
-            LOG.info("counters takeovers={} jobs={} machines={} {} {} {} recovery={} open={} gone={} {}", seats.takeovers, view.jobs().size(),
-                    book.pictures().size(), counters.line(), store.line(), driver.line(), census.phase(), census.open(),
-                    view.goneCount(), orders.line());
+            LOG.info(
+                    "counters takeovers={} jobs={} machines={} {} {} {} recovery={} open={} gone={} {}",
+                    seats.takeovers,
+                    view.jobs().size(),
+                    book.pictures().size(),
+                    counters.line(),
+                    store.line(),
+                    driver.line(),
+                    census.phase(),
+                    census.open(),
+                    view.goneCount(),
+                    orders.line());
         }
         return done();
     }
@@ -242,7 +303,8 @@
                 }
             } else if (id.endsWith(Wire.DESCRIBE)) {
                 if (only(exchange, method, "GET")) {
-                    listing.describe(exchange, id.substring(0, id.length() - Wire.DESCRIBE.length()), Target.parse(target));
+                    listing.describe(
+                            exchange, id.substring(0, id.length() - Wire.DESCRIBE.length()), Target.parse(target));
                 }
             } else if (only(exchange, method, "GET")) {
                 desk.poll(exchange, id);
@@ -265,7 +327,9 @@
      * neither the state service nor any other controller: it can't tell the two apart, and its users would get nothing but 503.
      */
     private boolean ready() {
-        return store.loaded() && catalog.typesKnown() && (store.healthy() || !seats.othersAreServed() && !seats.lonely());
+        return store.loaded()
+                && catalog.typesKnown()
+                && (store.healthy() || !seats.othersAreServed() && !seats.lonely());
     }
 
     // ---- other controllers
@@ -280,10 +344,17 @@
 
     private void heartbeat() {
         List<PeerRecord.Machine> news = book.news(own);
-        PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(seats.incarnation(), store.healthy(), seats.termsSeen(),
-                seats.termsOwned(), news, book.left(), buyer.recentlyGone());
+        PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(
+                seats.incarnation(),
+                store.healthy(),
+                seats.termsSeen(),
+                seats.termsOwned(),
+                news,
+                book.left(),
+                buyer.recentlyGone());
         byte[] record = encode(h);
-        byte[] restoring = losses.returning() > 0 || toldRestoring ? encode(new PeerRecord.Restoring(losses.returning())) : null;
+        byte[] restoring =
+                losses.returning() > 0 || toldRestoring ? encode(new PeerRecord.Restoring(losses.returning())) : null;
         toldRestoring = losses.returning() > 0;
         PeerRecord.RevisionQuery q = seats.staleness().ask();
         byte[] query = q == null ? null : encode(q);
@@ -372,8 +443,21 @@
                 mem += c.job().spec.mem();
             }
             if (eta > 0) {
-                l.add(new Slot(p.machine(), t, p.zone(), p.spot(), p.session(), p.shard(), p.speed(), p.fetching(),
-                        p.images(), eta, false, cpus, gpus, mem));
+                l.add(new Slot(
+                        p.machine(),
+                        t,
+                        p.zone(),
+                        p.spot(),
+                        p.session(),
+                        p.shard(),
+                        p.speed(),
+                        p.fetching(),
+                        p.images(),
+                        eta,
+                        false,
+                        cpus,
+                        gpus,
+                        mem));
             }
         }
         return l;
--- a/src/main/java/birchusher/core/Effects.java
+++ b/src/main/java/birchusher/core/Effects.java
@@ -42,8 +42,8 @@
         out.add(new Effect.Answer(exchange, status, Map.of("error", "later"), seconds));
     }
 
-    public void call(Effect.Target target, String address, String method, String path, Object body, int timeoutMs,
-            Reply reply) {
+    public void call(
+            Effect.Target target, String address, String method, String path, Object body, int timeoutMs, Reply reply) {
         long id = nextId++;
         waiting.put(id, reply);
         out.add(new Effect.Call(id, target, address, method, path, body, timeoutMs));
--- a/src/main/java/birchusher/core/Fields.java
+++ b/src/main/java/birchusher/core/Fields.java
@@ -14,7 +14,7 @@
         }
     }
 
-    private Fields() { }
+    private Fields() {}
 
     @SuppressWarnings("unchecked")
     public static Map<String, Object> map(Object o, String what) {
--- a/src/main/java/birchusher/daemon/Daemon.java
+++ b/src/main/java/birchusher/daemon/Daemon.java
@@ -56,7 +56,8 @@
             closeQuietly(state);
             throw e;
         }
-        stateServer = new StateServer(stateLoop, d.settings().store().host(), d.settings().store().port(), 1_000, state);
+        stateServer = new StateServer(
+                stateLoop, d.settings().store().host(), d.settings().store().port(), 1_000, state);
         front = new Front(frontLoop, d, home);
         controller = new Loop(d.settings(), d.tuning());
     }
@@ -100,16 +101,18 @@
     }
 
     private void thread(String name, Body body) {
-        Thread t = new Thread(() -> {
-            try {
-                body.run();
-            } catch (Exception e) {
-                LOG.error("{} ends", name, e);
-            } finally {
-                failed |= !asked;
-                ended.countDown();
-            }
-        }, name);
+        Thread t = new Thread(
+                () -> {
+                    try {
+                        body.run();
+                    } catch (Exception e) {
+                        LOG.error("{} ends", name, e);
+                    } finally {
+                        failed |= !asked;
+                        ended.countDown();
+                    }
+                },
+                name);
         threads.add(t);
         t.start();
     }
--- a/src/main/java/birchusher/daemon/DaemonSettings.java
+++ b/src/main/java/birchusher/daemon/DaemonSettings.java
@@ -28,12 +28,37 @@
  * @param settings what the platform's file would say to a controller
  * @param controllers all of them by their names, where agents reach them
  */
-public record DaemonSettings(Path data, Address listen, Settings settings, Hosts hosts, Limits limits, Tuning tuning,
-        long snapshotBytes, Map<String, Address> controllers) {
-    private static final List<String> KEYS = List.of("data.dir", "listen", "controller.listen", "controller.mesh",
-            "state.listen", "cloud.listen", "zones", "teams", "types", "hosts", "workers.report-s", "workers.lease-s",
-            "workers.gang-wait-s", "workers.gang-peer-s", "workers.cancel-s", "state.requests-per-s", "state.changes-per-s",
-            "state.snapshot-mb", "connections", "member", "peers");
+public record DaemonSettings(
+        Path data,
+        Address listen,
+        Settings settings,
+        Hosts hosts,
+        Limits limits,
+        Tuning tuning,
+        long snapshotBytes,
+        Map<String, Address> controllers) {
+    private static final List<String> KEYS = List.of(
+            "data.dir",
+            "listen",
+            "controller.listen",
+            "controller.mesh",
+            "state.listen",
+            "cloud.listen",
+            "zones",
+            "teams",
+            "types",
+            "hosts",
+            "workers.report-s",
+            "workers.lease-s",
+            "workers.gang-wait-s",
+            "workers.gang-peer-s",
+            "workers.cancel-s",
+            "state.requests-per-s",
+            "state.changes-per-s",
+            "state.snapshot-mb",
+            "connections",
+            "member",
+            "peers");
     private static final List<String> TEAM_KEYS = List.of("cpus", "cpus-max", "gpus", "gpus-max");
     private static final List<String> TYPE_KEYS = List.of("cpus", "gpus", "memory-gb", "price");
     private static final List<String> HOST_KEYS = List.of("type", "zone");
@@ -64,13 +89,14 @@
             List<Settings.Team> teams = new ArrayList<>();
             for (String t : named("teams", "team", TEAM_KEYS)) {
                 String k = "team." + t + ".";
-                teams.add(new Settings.Team(t, num(k + "cpus", 0), num(k + "cpus-max", 0), num(k + "gpus", 0),
-                        num(k + "gpus-max", 0)));
+                teams.add(new Settings.Team(
+                        t, num(k + "cpus", 0), num(k + "cpus-max", 0), num(k + "gpus", 0), num(k + "gpus-max", 0)));
             }
             List<Hosts.Type> types = new ArrayList<>();
             for (String t : named("types", "type", TYPE_KEYS)) {
                 String k = "type." + t + ".";
-                types.add(new Hosts.Type(t, needed(k + "cpus"), num(k + "gpus", 0), needed(k + "memory-gb"), num(k + "price", 1)));
+                types.add(new Hosts.Type(
+                        t, needed(k + "cpus"), num(k + "gpus", 0), needed(k + "memory-gb"), num(k + "price", 1)));
             }
             Map<String, Hosts.Host> hosts = new LinkedHashMap<>();
             for (String h : named("hosts", "host", HOST_KEYS)) {
@@ -89,26 +115,64 @@
             double rps = num("state.requests-per-s", 1000);
             double changes = num("state.changes-per-s", 1000);
             try {
-                return of(zones, teams, new Hosts(types, hosts, Math.round(lease * 1000)), tuning, report, lease,
+                return of(
+                        zones,
+                        teams,
+                        new Hosts(types, hosts, Math.round(lease * 1000)),
+                        tuning,
+                        report,
+                        lease,
                         new Limits(rps, changes, WRITES, VALUE_KB * 1024));
             } catch (IllegalArgumentException e) {
                 throw new Bad(e.getMessage());
             }
         }
 
-        private DaemonSettings of(List<String> zones, List<Settings.Team> teams, Hosts hosts, Tuning tuning, double report,
-                double lease, Limits limits) {
+        private DaemonSettings of(
+                List<String> zones,
+                List<Settings.Team> teams,
+                Hosts hosts,
+                Tuning tuning,
+                double report,
+                double lease,
+                Limits limits) {
             Map<String, Address> controllers = new LinkedHashMap<>();
             String member = p.getProperty("member", "daemon").trim();
             controllers.put(member, address("controller.listen", "127.0.0.1:7071"));
             List<Settings.Peer> peers = peers(zones, controllers);
-            Settings s = new Settings(member, zones.get(0), address("controller.listen", "127.0.0.1:7071"),
-                    address("controller.mesh", "127.0.0.1:7072"), peers, address("cloud.listen", "127.0.0.1:7074"),
-                    address("state.listen", "127.0.0.1:7073"), zones, List.copyOf(teams), List.of(), report, lease,
-                    num("workers.gang-wait-s", 60), num("workers.gang-peer-s", 10), num("workers.cancel-s", 60),
-                    limits.requestsPerS(), limits.writesPerS(), VALUE_KB, WRITES, 100, 1, (int) num("connections", 2000), 1000);
-            return new DaemonSettings(Path.of(p.getProperty("data.dir", "data").trim()), address("listen", "127.0.0.1:7070"), s,
-                    hosts, limits, tuning, Math.round(num("state.snapshot-mb", 64) * (1 << 20)), controllers);
+            Settings s = new Settings(
+                    member,
+                    zones.get(0),
+                    address("controller.listen", "127.0.0.1:7071"),
+                    address("controller.mesh", "127.0.0.1:7072"),
+                    peers,
+                    address("cloud.listen", "127.0.0.1:7074"),
+                    address("state.listen", "127.0.0.1:7073"),
+                    zones,
+                    List.copyOf(teams),
+                    List.of(),
+                    report,
+                    lease,
+                    num("workers.gang-wait-s", 60),
+                    num("workers.gang-peer-s", 10),
+                    num("workers.cancel-s", 60),
+                    limits.requestsPerS(),
+                    limits.writesPerS(),
+                    VALUE_KB,
+                    WRITES,
+                    100,
+                    1,
+                    (int) num("connections", 2000),
+                    1000);
+            return new DaemonSettings(
+                    Path.of(p.getProperty("data.dir", "data").trim()),
+                    address("listen", "127.0.0.1:7070"),
+                    s,
+                    hosts,
+                    limits,
+                    tuning,
+                    Math.round(num("state.snapshot-mb", 64) * (1 << 20)),
+                    controllers);
         }
 
         /** Controllers on other hosts that use this daemon's state and pool. */
@@ -133,8 +197,11 @@
         /** What is not the daemon's own must be the controller's: {@link Tuning} names the one that is neither. */
         private Tuning tuning() throws IOException {
             Properties rest = new Properties();
-            p.stringPropertyNames().stream().filter(k -> !known.contains(k)).forEach(k -> rest.setProperty(k, p.getProperty(k)));
-            // Hosts that are there anyhow cost nothing while idle, and with few of them none is spared for long after an error.
+            p.stringPropertyNames().stream()
+                    .filter(k -> !known.contains(k))
+                    .forEach(k -> rest.setProperty(k, p.getProperty(k)));
+            // Hosts that are there anyhow cost nothing while idle, and with few of them none is spared for long after
+            // an error.
             rest.putIfAbsent("fleet.linger-boots", "20");
             rest.putIfAbsent("workers.quarantine-s", "2");
             StringWriter w = new StringWriter();
@@ -143,7 +210,10 @@
         }
 
         private List<String> names(String key) {
-            List<String> l = Arrays.stream(text(key).split(",")).map(String::trim).filter(s -> !s.isEmpty()).toList();
+            List<String> l = Arrays.stream(text(key).split(","))
+                    .map(String::trim)
+                    .filter(s -> !s.isEmpty())
+                    .toList();
             if (l.isEmpty() || new HashSet<>(l).size() < l.size()) {
                 throw new Bad(key + ": empty, or a name twice");
             }
--- a/src/main/java/birchusher/daemon/Front.java
+++ b/src/main/java/birchusher/daemon/Front.java
@@ -54,14 +54,29 @@
         controller = settings.listen().toString();
         this.store = store;
         home = new Home(store);
-        users = new HttpServer(loop, d.listen().host(), d.listen().port(), settings.maxConnections(), MAX_BODY, this::request);
-        cloud = new HttpServer(loop, settings.cloud().host(), settings.cloud().port(), 64, MAX_BODY, this::cloudRequest);
+        users = new HttpServer(
+                loop, d.listen().host(), d.listen().port(), settings.maxConnections(), MAX_BODY, this::request);
+        cloud = new HttpServer(
+                loop, settings.cloud().host(), settings.cloud().port(), 64, MAX_BODY, this::cloudRequest);
         client = new HttpClient(loop, MAX_CALLS);
         Map<String, Map<String, Object>> rows = home.rows();
         List<Object> controllers = new ArrayList<>();
-        d.controllers().forEach((name, address) -> controllers.add(Map.of("member", name, Wire.ADDR, address.toString())));
-        pool = new Pool(d.hosts(), Map.of("report_s", settings.reportS(), "lease_s", settings.leaseS(),
-                "gang_wait_s", settings.gangWaitS(), "controllers", controllers), outbox, rows, EventLoop.now());
+        d.controllers()
+                .forEach((name, address) -> controllers.add(Map.of("member", name, Wire.ADDR, address.toString())));
+        pool = new Pool(
+                d.hosts(),
+                Map.of(
+                        "report_s",
+                        settings.reportS(),
+                        "lease_s",
+                        settings.leaseS(),
+                        "gang_wait_s",
+                        settings.gangWaitS(),
+                        "controllers",
+                        controllers),
+                outbox,
+                rows,
+                EventLoop.now());
         programs = new Programs(outbox, rows);
         gangs = new Gangs(Math.round(settings.gangPeerS() * 1000));
     }
@@ -109,7 +124,10 @@
             call(controller, "GET", Wire.RUNS + "/" + id, HttpClient.NOTHING, (status, body) -> {
                 if (status == 200 || status == 404) {
                     Object stage = status == 404 ? null : map(body).get(Wire.STATE);
-                    programs.told(System.currentTimeMillis(), id, Wire.DONE.equals(stage) || Wire.CANCELLED.equals(stage),
+                    programs.told(
+                            System.currentTimeMillis(),
+                            id,
+                            Wire.DONE.equals(stage) || Wire.CANCELLED.equals(stage),
                             status == 404);
                     act();
                 }
@@ -167,7 +185,11 @@
             } else if (route.equals("POST " + Wire.RENTALS_DELETE)) {
                 pool.delete(EventLoop.now(), exchange, map(body));
             } else if (route.equals("GET " + Wire.RENTALS)) {
-                answer(exchange, 200, pool.list(System.currentTimeMillis(), t.text(Wire.AFTER, ""), t.count(Wire.LIMIT, 500)), 0);
+                answer(
+                        exchange,
+                        200,
+                        pool.list(System.currentTimeMillis(), t.text(Wire.AFTER, ""), t.count(Wire.LIMIT, 500)),
+                        0);
             } else {
                 refuse(exchange, 404, "no such path", 0);
             }
@@ -195,7 +217,9 @@
                 logs(exchange, t);
             } else if (route.equals("GET " + Wire.READY) && store.stalled()) {
                 refuse(exchange, 503, "the disk can't be written", 1);
-            } else if (t.path().startsWith(Wire.RUNS) || t.path().equals(Wire.TEAMS) || t.path().equals(Wire.READY)) {
+            } else if (t.path().startsWith(Wire.RUNS)
+                    || t.path().equals(Wire.TEAMS)
+                    || t.path().equals(Wire.READY)) {
                 call(controller, method, target, body, (status, answered) -> {
                     if (status == 0) {
                         refuse(exchange, 503, "the controller has not answered", 1);
@@ -223,19 +247,24 @@
 
     /** What an agent needs to run a job's tasks; 404 if it is unknown or over. */
     private void describe(long exchange, String id) {
-        call(controller, "GET", Wire.RUNS + "/" + id + Wire.DESCRIBE + "?" + Wire.LIMIT + "=1", HttpClient.NOTHING, guarded(exchange, (status, body) -> {
-            Map<String, Object> m = status == 200 || status == 404 ? map(body) : Map.of();
-            if (status == 200 && m.get("job") != null) {
-                Map<String, Object> d = new HashMap<>();
-                d.put("job", m.get("job"));
-                d.put("program", programs.get(id));
-                answer(exchange, 200, d, 0);
-            } else if (status == 200 || status == 404) {
-                refuse(exchange, 404, "no such job, or it is over", 0);
-            } else {
-                refuse(exchange, 503, "the controller has not answered", 1);
-            }
-        }));
+        call(
+                controller,
+                "GET",
+                Wire.RUNS + "/" + id + Wire.DESCRIBE + "?" + Wire.LIMIT + "=1",
+                HttpClient.NOTHING,
+                guarded(exchange, (status, body) -> {
+                    Map<String, Object> m = status == 200 || status == 404 ? map(body) : Map.of();
+                    if (status == 200 && m.get("job") != null) {
+                        Map<String, Object> d = new HashMap<>();
+                        d.put("job", m.get("job"));
+                        d.put("program", programs.get(id));
+                        answer(exchange, 200, d, 0);
+                    } else if (status == 200 || status == 404) {
+                        refuse(exchange, 404, "no such job, or it is over", 0);
+                    } else {
+                        refuse(exchange, 503, "the controller has not answered", 1);
+                    }
+                }));
     }
 
     /**
@@ -250,8 +279,13 @@
                 refuse(exchange, 404, "no host of that name is heard of", 0);
                 return;
             }
-            client.call(address, "GET", "/logs/" + task + "?try=" + t.text("try", "0") + "&from=" + t.text("from", "0"), HttpClient.NOTHING,
-                    LOG_TIMEOUT_MS, (status, body) -> {
+            client.call(
+                    address,
+                    "GET",
+                    "/logs/" + task + "?try=" + t.text("try", "0") + "&from=" + t.text("from", "0"),
+                    HttpClient.NOTHING,
+                    LOG_TIMEOUT_MS,
+                    (status, body) -> {
                         if (status == 0) {
                             refuse(exchange, 503, "the host has not answered", 1);
                         } else {
@@ -269,22 +303,28 @@
             done.run();
         }
         for (String h : hosts) {
-            client.call(pool.address(h), "GET", "/logs/" + task, HttpClient.NOTHING, LOG_TIMEOUT_MS, guarded(exchange, (status, body) -> {
-                if (status == 400 && open[0] > 0) {
-                    open[0] = 0;
-                    users.answer(exchange, 400, body, 0);
-                    return;
-                }
-                List<?> l = status == 200 ? Fields.list(map(body), "logs") : List.of();
-                if (status != 200) {
-                    silent.add(h);
-                } else if (!l.isEmpty()) {
-                    found.put(h, l);
-                }
-                if (--open[0] == 0) {
-                    done.run();
-                }
-            }));
+            client.call(
+                    pool.address(h),
+                    "GET",
+                    "/logs/" + task,
+                    HttpClient.NOTHING,
+                    LOG_TIMEOUT_MS,
+                    guarded(exchange, (status, body) -> {
+                        if (status == 400 && open[0] > 0) {
+                            open[0] = 0;
+                            users.answer(exchange, 400, body, 0);
+                            return;
+                        }
+                        List<?> l = status == 200 ? Fields.list(map(body), "logs") : List.of();
+                        if (status != 200) {
+                            silent.add(h);
+                        } else if (!l.isEmpty()) {
+                            found.put(h, l);
+                        }
+                        if (--open[0] == 0) {
+                            done.run();
+                        }
+                    }));
         }
     }
 }
--- a/src/main/java/birchusher/fleet/Appetite.java
+++ b/src/main/java/birchusher/fleet/Appetite.java
@@ -15,7 +15,7 @@
  */
 final class Appetite {
     /** How many tasks to rent for, and whether only spot machines will do. */
-    record Of(int tasks, boolean spotOnly) { }
+    record Of(int tasks, boolean spotOnly) {}
 
     private final Catalog catalog;
     private final IntOpenHashSet spokenFor = new IntOpenHashSet();
--- a/src/main/java/birchusher/fleet/Boots.java
+++ b/src/main/java/birchusher/fleet/Boots.java
@@ -17,6 +17,7 @@
     private static final int ENOUGH = 4;
     /** By the protocol most machines are up by then. */
     private static final double USUAL = 1.5;
+
     private static final double NEVER = -1;
     private static final int MAX_NOTED = 4_000;
 
@@ -59,7 +60,9 @@
     /** The ratios of those that came up, in order. */
     private double[] came(int kind) {
         ArrayDeque<Double> l = seen.get(kind);
-        return l == null ? new double[0] : l.stream().mapToDouble(d -> d).filter(d -> d >= 0).sorted().toArray();
+        return l == null
+                ? new double[0]
+                : l.stream().mapToDouble(d -> d).filter(d -> d >= 0).sorted().toArray();
     }
 
     /** Which part of a kind's machines came up at all; 1 as long as few were seen. */
@@ -78,7 +81,10 @@
     /** In how many s a machine that has been booting for so long should be up; the longer it is late, the less soon. */
     double etaS(int kind, double ageS, double bootS) {
         double[] came = came(kind);
-        double typical = bootS * (came.length < ENOUGH ? 1 : Arrays.stream(came).skip(came.length / 2).findFirst().orElse(1));
+        double typical = bootS
+                * (came.length < ENOUGH
+                        ? 1
+                        : Arrays.stream(came).skip(came.length / 2).findFirst().orElse(1));
         return Math.max(1, Math.max(typical - ageS, 0.4 * (ageS - typical)));
     }
 }
--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Buyer.java
@@ -49,9 +49,9 @@
     private static final int FEW_SILENT = 4;
 
     /** A rental as its row tells it; {@code hosts} null: not answered yet. */
-    public record Ask(String name, int type, int zone, boolean spot, int count, long at, List<String> hosts) { }
+    public record Ask(String name, int type, int zone, boolean spot, int count, long at, List<String> hosts) {}
 
-    private record Kind(int type, int zone, boolean spot) { }
+    private record Kind(int type, int zone, boolean spot) {}
 
     private final Effects fx;
     private final Catalog catalog;
@@ -65,6 +65,7 @@
     private final BooleanSupplier fleetKnown;
     /** Tasks that are expected to find their old room again. */
     private final IntSupplier returning;
+
     private final Settings settings;
     private final BiConsumer<String, Boolean> retire;
     private final Consolidation consolidation;
@@ -81,6 +82,7 @@
     private final List<String> toDelete = new ArrayList<>();
     /** Over the present jobs, once a tick: every machine's linger needs it. */
     private double meanImageGb;
+
     private final Boots boots;
     private final Appetite appetite;
     private final double lingerBoot;
@@ -96,9 +98,23 @@
     private long buyerSince;
     private long lostAt = -1_000_000;
 
-    public Buyer(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, CloudLink cloud,
-            Counters counters, Orders orders, BooleanSupplier fleetKnown, IntSupplier returning, Tuning t, BiConsumer<String, Boolean> retire, Consumer<String> gone,
-            Function<Map<String, Picture>, List<Slot>> free, ToLongFunction<Claim> runningFor) {
+    public Buyer(
+            Effects fx,
+            Settings s,
+            Catalog catalog,
+            View view,
+            StoreLink store,
+            Seats seats,
+            CloudLink cloud,
+            Counters counters,
+            Orders orders,
+            BooleanSupplier fleetKnown,
+            IntSupplier returning,
+            Tuning t,
+            BiConsumer<String, Boolean> retire,
+            Consumer<String> gone,
+            Function<Map<String, Picture>, List<Slot>> free,
+            ToLongFunction<Claim> runningFor) {
         this.fx = fx;
         this.settings = s;
         this.catalog = catalog;
@@ -113,7 +129,8 @@
         this.retire = retire;
         this.gone = gone;
         reserve = new Reserve(catalog, view, s.objectives());
-        consolidation = new Consolidation(catalog, view, t.ms("fleet.move-after-s"), retire, free, runningFor, this::linger);
+        consolidation =
+                new Consolidation(catalog, view, t.ms("fleet.move-after-s"), retire, free, runningFor, this::linger);
         lingerBoot = t.num("fleet.linger-boots");
         lingerFetch = t.num("fleet.linger-fetches");
         giveUp = t.num("fleet.give-up-boots");
@@ -156,7 +173,9 @@
 
     public boolean isBuyer() {
         Map<String, Object> row = view.row(Keys.BUYER);
-        return seats.holding() && row != null && seats.memberName(0).equals(row.get("m"))
+        return seats.holding()
+                && row != null
+                && seats.memberName(0).equals(row.get("m"))
                 && Fields.countOr(row, "i", 0) == seats.incarnation();
     }
 
@@ -187,7 +206,10 @@
             become();
             return;
         }
-        meanImageGb = view.jobs().stream().mapToDouble(j -> j.spec.imageGb()).average().orElse(0);
+        meanImageGb = view.jobs().stream()
+                .mapToDouble(j -> j.spec.imageGb())
+                .average()
+                .orElse(0);
         settleAsks(pictures, now);
         known = pictures;
         list.tick();
@@ -251,20 +273,26 @@
         if (holder > 0 && seats.seen(holder)) {
             return;
         }
-        // An earlier life of ours held it: the others hear us and wait for us, so we must not wait for any of them. Without this,
-        // after all had crashed together nobody rented or returned a machine any more, unless the lowest name had been the buyer.
+        // An earlier life of ours held it: the others hear us and wait for us, so we must not wait for any of them.
+        // Without this,
+        // after all had crashed together nobody rented or returned a machine any more, unless the lowest name had been
+        // the buyer.
         for (int i = 1; holder != 0 && i < seats.memberCount(); i++) {
             if (seats.live(i) && seats.memberName(i).compareTo(seats.memberName(0)) < 0) {
                 return;
             }
         }
         claiming = true;
-        store.offer(new Simple(3, 1, tx -> {
-            Map<String, Object> now = view.row(Keys.BUYER);
-            tx.require(Keys.SEAT + seats.memberName(0));
-            tx.put(Keys.BUYER, buyerRow(now == null ? 1 : Fields.countOr(now, "n", 1)));
-            return true;
-        }, ok -> claiming = false));
+        store.offer(new Simple(
+                3,
+                1,
+                tx -> {
+                    Map<String, Object> now = view.row(Keys.BUYER);
+                    tx.require(Keys.SEAT + seats.memberName(0));
+                    tx.put(Keys.BUYER, buyerRow(now == null ? 1 : Fields.countOr(now, "n", 1)));
+                    return true;
+                },
+                ok -> claiming = false));
     }
 
     private Map<String, Object> buyerRow(long next) {
@@ -272,10 +300,14 @@
     }
 
     private void put(String key, Map<String, Object> value) {
-        store.offer(new Simple(3, 1, tx -> {
-            tx.put(key, value);
-            return true;
-        }, ok -> { }));
+        store.offer(new Simple(
+                3,
+                1,
+                tx -> {
+                    tx.put(key, value);
+                    return true;
+                },
+                ok -> {}));
     }
 
     // ---- rentals
@@ -305,8 +337,14 @@
                 all.addAll(hosts);
             }
             if (zone >= 0 && catalog.type(type) != null) {
-                l.add(new Ask(e.getKey().substring(Keys.ASK.length()), type, zone, Boolean.TRUE.equals(m.get("s")),
-                        (int) Fields.count(m, "n"), Fields.count(m, "t"), hosts));
+                l.add(new Ask(
+                        e.getKey().substring(Keys.ASK.length()),
+                        type,
+                        zone,
+                        Boolean.TRUE.equals(m.get("s")),
+                        (int) Fields.count(m, "n"),
+                        Fields.count(m, "t"),
+                        hosts));
             } else {
                 whole = false;
             }
@@ -333,7 +371,20 @@
                 if (pictures.containsKey(host)) {
                     boots.up(kind, host, ageS, t.bootS());
                 } else if (!overdue && !deleting.contains(host) && !recentlyGone.containsKey(host)) {
-                    l.add(new Slot(host, t, a.zone(), a.spot(), 0, -1, 1, new int[0], new int[0], eta, false, t.cpus(), t.gpus(),
+                    l.add(new Slot(
+                            host,
+                            t,
+                            a.zone(),
+                            a.spot(),
+                            0,
+                            -1,
+                            1,
+                            new int[0],
+                            new int[0],
+                            eta,
+                            false,
+                            t.cpus(),
+                            t.gpus(),
                             t.mem()));
                 }
             }
@@ -368,13 +419,17 @@
                     }
                 }
             } else if (allUp && busyAsks.add(a.name())) {
-                store.offer(new Simple(3, 1, tx -> {
-                    if (view.row(Keys.ASK + a.name()) == null) {
-                        return false;
-                    }
-                    tx.remove(Keys.ASK + a.name());
-                    return true;
-                }, ok -> busyAsks.remove(a.name())));
+                store.offer(new Simple(
+                        3,
+                        1,
+                        tx -> {
+                            if (view.row(Keys.ASK + a.name()) == null) {
+                                return false;
+                            }
+                            tx.remove(Keys.ASK + a.name());
+                            return true;
+                        },
+                        ok -> busyAsks.remove(a.name())));
             }
         }
     }
@@ -385,15 +440,28 @@
             if (status == 200) {
                 List<Object> hosts = new ArrayList<>(Fields.list(m, Wire.MACHINES));
                 counters.rentals += hosts.size();
-                orders.rent(kind(a.type(), a.zone(), a.spot()), hosts.size(), Math.round(catalog.type(a.type()).bootS() * 1000), fx.now());
-                LOG.info("rented {} of {} {} in {}{}: {}", hosts.size(), a.count(), catalog.typeNames.name(a.type()),
-                        catalog.zones.name(a.zone()), a.spot() ? " (spot)" : "", hosts);
+                orders.rent(
+                        kind(a.type(), a.zone(), a.spot()),
+                        hosts.size(),
+                        Math.round(catalog.type(a.type()).bootS() * 1000),
+                        fx.now());
+                LOG.info(
+                        "rented {} of {} {} in {}{}: {}",
+                        hosts.size(),
+                        a.count(),
+                        catalog.typeNames.name(a.type()),
+                        catalog.zones.name(a.zone()),
+                        a.spot() ? " (spot)" : "",
+                        hosts);
                 if (hosts.size() < a.count()) {
                     refusedUntil.put(new Kind(a.type(), a.zone(), a.spot()), fx.now() + 15_000);
                 }
                 settle(a, hosts);
             } else if (status == 503 && "no capacity".equals(m.get("error"))) {
-                LOG.info("no {} in {}{}", catalog.typeNames.name(a.type()), catalog.zones.name(a.zone()),
+                LOG.info(
+                        "no {} in {}{}",
+                        catalog.typeNames.name(a.type()),
+                        catalog.zones.name(a.zone()),
                         a.spot() ? " (spot)" : "");
                 refusedUntil.put(new Kind(a.type(), a.zone(), a.spot()), fx.now() + 20_000);
                 settle(a, List.of());
@@ -413,23 +481,36 @@
     }
 
     private Map<String, Object> body(Ask a) {
-        return Map.of(Wire.REQUEST, a.name(), Wire.TYPE, catalog.typeNames.name(a.type()), Wire.ZONE,
-                catalog.zones.name(a.zone()), Wire.SPOT, a.spot(), Wire.COUNT, a.count());
+        return Map.of(
+                Wire.REQUEST,
+                a.name(),
+                Wire.TYPE,
+                catalog.typeNames.name(a.type()),
+                Wire.ZONE,
+                catalog.zones.name(a.zone()),
+                Wire.SPOT,
+                a.spot(),
+                Wire.COUNT,
+                a.count());
     }
 
     private void settle(Ask a, List<Object> hosts) {
-        store.offer(new Simple(3, 1, tx -> {
-            String key = Keys.ASK + a.name();
-            if (view.row(key) == null) {
-                return false;
-            }
-            if (hosts.isEmpty()) {
-                tx.remove(key);
-            } else {
-                tx.put(key, askRow(a, hosts));
-            }
-            return true;
-        }, ok -> busyAsks.remove(a.name())));
+        store.offer(new Simple(
+                3,
+                1,
+                tx -> {
+                    String key = Keys.ASK + a.name();
+                    if (view.row(key) == null) {
+                        return false;
+                    }
+                    if (hosts.isEmpty()) {
+                        tx.remove(key);
+                    } else {
+                        tx.put(key, askRow(a, hosts));
+                    }
+                    return true;
+                },
+                ok -> busyAsks.remove(a.name())));
     }
 
     private Map<String, Object> askRow(Ask a, List<Object> hosts) {
@@ -475,9 +556,14 @@
                 for (int i = 0; i < room.size() && at < 0; i++) {
                     double[] r = room.get(i);
                     Kind k = kinds.get(i);
-                    boolean zoneOk = (s.zone() < 0 || s.zone() == k.zone) && !(s.oneZone() && jobZone >= 0 && jobZone != k.zone);
-                    if (zoneOk && s.allows(k.type) && (!k.spot || s.spot()) && r[0] >= s.cpus() - Catalog.EPS
-                            && r[1] >= s.gpus() - Catalog.EPS && r[2] >= s.mem() - Catalog.EPS) {
+                    boolean zoneOk =
+                            (s.zone() < 0 || s.zone() == k.zone) && !(s.oneZone() && jobZone >= 0 && jobZone != k.zone);
+                    if (zoneOk
+                            && s.allows(k.type)
+                            && (!k.spot || s.spot())
+                            && r[0] >= s.cpus() - Catalog.EPS
+                            && r[1] >= s.gpus() - Catalog.EPS
+                            && r[2] >= s.mem() - Catalog.EPS) {
                         at = i;
                     }
                 }
@@ -527,7 +613,9 @@
                         continue;
                     }
                     // What mostly does not come up is tried less, and tried again: a few that come make up for it.
-                    double price = (k.spot ? t.spotPrice() * 1.1 : t.price()) / fit / Math.max(MIN_SHARE, boots.share(kind(k.type, k.zone, k.spot)))
+                    double price = (k.spot ? t.spotPrice() * 1.1 : t.price())
+                                    / fit
+                                    / Math.max(MIN_SHARE, boots.share(kind(k.type, k.zone, k.spot)))
                             + perZone[zone] * 1e-4;
                     if (price < bestPrice) {
                         bestPrice = price;
@@ -545,29 +633,34 @@
         long at = fx.wall();
         int max = Math.max(1, settings.txnOps() - 1);
         long[] first = {-1};
-        store.offer(new Simple(3, Math.min(settings.txnOps(), wanted.size() + 1), tx -> {
-            if (!isBuyer() || tx.writes(Keys.BUYER)) {
-                return false;
-            }
-            tx.require(Keys.SEAT + seats.memberName(0));
-            long next = Fields.countOr(view.row(Keys.BUYER), "n", 1);
-            first[0] = first[0] < 0 ? next : first[0];
-            if (next != first[0]) {
-                // Carried out, and only the answer was lost: worked out again, it named and rented all of it a second time.
-                return false;
-            }
-            int used = 0;
-            for (Map.Entry<Kind, Integer> e : wanted.entrySet()) {
-                if (used++ >= max) {
-                    break;
-                }
-                Kind k = e.getKey();
-                Ask a = new Ask("r-" + next++, k.type, k.zone, k.spot, Math.min(50, e.getValue()), at, null);
-                tx.put(Keys.ASK + a.name(), askRow(a, null));
-            }
-            tx.put(Keys.BUYER, buyerRow(next));
-            return true;
-        }, ok -> reserving = false));
+        store.offer(new Simple(
+                3,
+                Math.min(settings.txnOps(), wanted.size() + 1),
+                tx -> {
+                    if (!isBuyer() || tx.writes(Keys.BUYER)) {
+                        return false;
+                    }
+                    tx.require(Keys.SEAT + seats.memberName(0));
+                    long next = Fields.countOr(view.row(Keys.BUYER), "n", 1);
+                    first[0] = first[0] < 0 ? next : first[0];
+                    if (next != first[0]) {
+                        // Carried out, and only the answer was lost: worked out again, it named and rented all of it a
+                        // second time.
+                        return false;
+                    }
+                    int used = 0;
+                    for (Map.Entry<Kind, Integer> e : wanted.entrySet()) {
+                        if (used++ >= max) {
+                            break;
+                        }
+                        Kind k = e.getKey();
+                        Ask a = new Ask("r-" + next++, k.type, k.zone, k.spot, Math.min(50, e.getValue()), at, null);
+                        tx.put(Keys.ASK + a.name(), askRow(a, null));
+                    }
+                    tx.put(Keys.BUYER, buyerRow(next));
+                    return true;
+                },
+                ok -> reserving = false));
     }
 
     // ---- returns
@@ -577,16 +670,23 @@
         reserve.look(pictures, now);
         Set<Integer> unheard = unheard(pictures);
         for (Picture p : pictures.values()) {
-            if (deleting.contains(p.machine()) || recentlyGone.containsKey(p.machine()) || retiring.containsKey(p.machine())) {
+            if (deleting.contains(p.machine())
+                    || recentlyGone.containsKey(p.machine())
+                    || retiring.containsKey(p.machine())) {
                 continue;
             }
-            boolean idle = !reserve.keeps(p.machine()) && p.idleSince() >= 0 && now - p.idleSince() > linger(p) && view.claims(p.machine()).isEmpty();
+            boolean idle = !reserve.keeps(p.machine())
+                    && p.idleSince() >= 0
+                    && now - p.idleSince() > linger(p)
+                    && view.claims(p.machine()).isEmpty();
             // Cut off ourselves, we would delete machines that are well: others hear them.
             boolean silent = store.healthy() && silent(p) && !unheard.contains(p.shard());
             if (silent) {
                 LOG.info("machine {} silent for {} ms, deleted to free its tasks", p.machine(), p.silentMs());
                 delete(p.machine());
-            } else if (idle || p.condemned() || p.leaving() && view.claims(p.machine()).isEmpty()) {
+            } else if (idle
+                    || p.condemned()
+                    || p.leaving() && view.claims(p.machine()).isEmpty()) {
                 retiring.put(p.machine(), now + 5_000);
                 retire.accept(p.machine(), false);
             }
--- a/src/main/java/birchusher/fleet/Consolidation.java
+++ b/src/main/java/birchusher/fleet/Consolidation.java
@@ -33,10 +33,17 @@
     private final ToDoubleFunction<Picture> linger;
     /** Machines whose replicas fit elsewhere, since when. */
     private final Map<String, Long> sparse = new HashMap<>();
+
     private long nextMove;
 
-    Consolidation(Catalog catalog, View view, long moveAfterMs, BiConsumer<String, Boolean> retire,
-            Function<Map<String, Picture>, List<Slot>> free, ToLongFunction<Claim> runningFor, ToDoubleFunction<Picture> linger) {
+    Consolidation(
+            Catalog catalog,
+            View view,
+            long moveAfterMs,
+            BiConsumer<String, Boolean> retire,
+            Function<Map<String, Picture>, List<Slot>> free,
+            ToLongFunction<Claim> runningFor,
+            ToDoubleFunction<Picture> linger) {
         this.catalog = catalog;
         this.view = view;
         this.moveAfterMs = moveAfterMs;
@@ -67,9 +74,14 @@
         int leaving = 0;
         for (Picture p : pictures.values()) {
             leaving += p.leaving() ? 1 : 0;
-            if (p.leaving() || !p.usable() || catalog.type(p.type()) == null || !restless(p) || !fitsElsewhere(p, slots, false)) {
+            if (p.leaving()
+                    || !p.usable()
+                    || catalog.type(p.type()) == null
+                    || !restless(p)
+                    || !fitsElsewhere(p, slots, false)) {
                 sparse.remove(p.machine());
-            } else if (now - sparse.computeIfAbsent(p.machine(), k -> now) > Math.max(moveAfterMs, linger.applyAsDouble(p))) {
+            } else if (now - sparse.computeIfAbsent(p.machine(), k -> now)
+                    > Math.max(moveAfterMs, linger.applyAsDouble(p))) {
                 ripe.add(p);
             }
         }
@@ -83,7 +95,10 @@
             if (fitsElsewhere(p, slots, true)) {
                 leaving++;
                 sparse.remove(p.machine());
-                LOG.info("machine {} is emptied, its {} replicas fit elsewhere", p.machine(), view.claims(p.machine()).size());
+                LOG.info(
+                        "machine {} is emptied, its {} replicas fit elsewhere",
+                        p.machine(),
+                        view.claims(p.machine()).size());
                 retire.accept(p.machine(), true);
             }
         }
@@ -92,7 +107,8 @@
     /** What returning a machine saves, for each replica that has to move. */
     private double worth(Picture p) {
         Catalog.Type t = catalog.type(p.type());
-        return (p.spot() ? t.spotPrice() : t.price()) / Math.max(1, view.claims(p.machine()).size());
+        return (p.spot() ? t.spotPrice() : t.price())
+                / Math.max(1, view.claims(p.machine()).size());
     }
 
     /** Whether nothing but replicas runs there, each for long enough to be moved. */
@@ -114,7 +130,10 @@
             // A job spread over zones stays in its zone, so that its rule still holds after the move.
             Slot to = null;
             for (Slot s : slots) {
-                if (s.fits(j) && s.allows(j) && s.startDelay(j) <= 0 && (s.zone() == p.zone() || j.tasks() == 1)
+                if (s.fits(j)
+                        && s.allows(j)
+                        && s.startDelay(j) <= 0
+                        && (s.zone() == p.zone() || j.tasks() == 1)
                         && !s.machine().equals(p.machine())) {
                     to = s;
                     break;
--- a/src/main/java/birchusher/fleet/MachineList.java
+++ b/src/main/java/birchusher/fleet/MachineList.java
@@ -43,11 +43,20 @@
     private final Known buyer;
     /** Listed machines that report to nobody, since when. */
     private final Map<String, Long> strangers = new HashMap<>();
+
     private final Set<String> running = new HashSet<>();
     private boolean listing;
     private long nextList;
 
-    MachineList(Effects fx, Settings s, Catalog catalog, View view, Seats seats, CloudLink cloud, double giveUpBoots, Known buyer) {
+    MachineList(
+            Effects fx,
+            Settings s,
+            Catalog catalog,
+            View view,
+            Seats seats,
+            CloudLink cloud,
+            double giveUpBoots,
+            Known buyer) {
         this.fx = fx;
         settings = s;
         this.catalog = catalog;
@@ -73,8 +82,8 @@
     }
 
     private void page(String after, Set<String> seen) {
-        boolean sent = cloud.call("GET", Wire.RENTALS + "?" + Wire.AFTER + "=" + after + "&" + Wire.LIMIT + "=500", null,
-                (status, m) -> {
+        boolean sent = cloud.call(
+                "GET", Wire.RENTALS + "?" + Wire.AFTER + "=" + after + "&" + Wire.LIMIT + "=500", null, (status, m) -> {
                     if (status != 200) {
                         listing = false;
                         return;
--- a/src/main/java/birchusher/fleet/Reserve.java
+++ b/src/main/java/birchusher/fleet/Reserve.java
@@ -26,12 +26,13 @@
     private static final int MAX_SEEN = 400;
     private static final long LOOK_MS = 1_000;
 
-    private record Seen(JobSpec spec, long at) { }
+    private record Seen(JobSpec spec, long at) {}
 
     private final Catalog catalog;
     private final View view;
     /** Per class the shortest time within which its jobs are to start. */
     private final Int2DoubleOpenHashMap startWithinS = new Int2DoubleOpenHashMap();
+
     private final Map<String, Seen> lately = new LinkedHashMap<>();
     private Set<String> kept = Set.of();
     private long nextLook;
@@ -62,7 +63,8 @@
             }
         }
         Map<Integer, List<JobSpec>> byClass = new HashMap<>();
-        lately.values().forEach(s -> byClass.computeIfAbsent(s.spec.cls(), k -> new ArrayList<>()).add(s.spec));
+        lately.values().forEach(s -> byClass.computeIfAbsent(s.spec.cls(), k -> new ArrayList<>())
+                .add(s.spec));
         Set<String> keep = new HashSet<>();
         byClass.values().forEach(l -> keepFor(l, pictures, keep));
         kept = keep;
@@ -80,8 +82,13 @@
         double bootS = 0;
         for (Picture p : pictures.values()) {
             Catalog.Type t = catalog.type(p.type());
-            if (!p.usable() || t == null || !largest.allows(t.index()) || !t.fits(largest) || p.spot() && !largest.spot()
-                    || largest.zone() >= 0 && largest.zone() != p.zone() || t.bootS() <= startWithinS.get(largest.cls())) {
+            if (!p.usable()
+                    || t == null
+                    || !largest.allows(t.index())
+                    || !t.fits(largest)
+                    || p.spot() && !largest.spot()
+                    || largest.zone() >= 0 && largest.zone() != p.zone()
+                    || t.bootS() <= startWithinS.get(largest.cls())) {
                 continue;
             }
             bootS = Math.max(bootS, t.bootS());
--- a/src/main/java/birchusher/http/Acceptor.java
+++ b/src/main/java/birchusher/http/Acceptor.java
@@ -16,7 +16,8 @@
     private final AsynchronousServerSocketChannel listener;
     private final Consumer<AsynchronousSocketChannel> then;
 
-    public Acceptor(EventLoop loop, AsynchronousServerSocketChannel listener, Consumer<AsynchronousSocketChannel> then) {
+    public Acceptor(
+            EventLoop loop, AsynchronousServerSocketChannel listener, Consumer<AsynchronousSocketChannel> then) {
         this.loop = loop;
         this.listener = listener;
         this.then = then;
--- a/src/main/java/birchusher/http/HttpClient.java
+++ b/src/main/java/birchusher/http/HttpClient.java
@@ -25,7 +25,7 @@
     public static final byte[] NOTHING = new byte[0];
 
     /** One request and who waits for its answer. */
-    private record Call(String address, String method, String path, byte[] body, int timeoutMs, Reply reply) { }
+    private record Call(String address, String method, String path, byte[] body, int timeoutMs, Reply reply) {}
 
     /** Takes a whole answer, or status 0 with no body. */
     public interface Reply {
@@ -37,6 +37,7 @@
     private final List<Connection> busy = new ArrayList<>();
     /** Idle connections, longest idle first. */
     private final LinkedHashSet<Connection> resting = new LinkedHashSet<>();
+
     private final int maxOpen;
     private int open;
 
@@ -62,7 +63,8 @@
                 resting.iterator().next().rest(false);
             }
             if (open >= maxOpen) {
-                // Nothing was sent, yet the core can only be told "no answer": it treats that as unclear, which is safe.
+                // Nothing was sent, yet the core can only be told "no answer": it treats that as unclear, which is
+                // safe.
                 loop.post(() -> reply.got(0, NOTHING));
                 return;
             }
@@ -112,8 +114,8 @@
                 channel = AsynchronousSocketChannel.open(loop.group());
                 channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 int colon = address.lastIndexOf(':');
-                InetSocketAddress to = new InetSocketAddress(address.substring(0, colon),
-                        Integer.parseInt(address.substring(colon + 1)));
+                InetSocketAddress to = new InetSocketAddress(
+                        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
                 channel.connect(to, null, handler(v -> {
                     if (call == c) {
                         send();
--- a/src/main/java/birchusher/http/HttpParser.java
+++ b/src/main/java/birchusher/http/HttpParser.java
@@ -18,9 +18,17 @@
     }
 
     /** One whole message. For requests {@code first} is the method and {@code second} the target. */
-    public record Message(String first, String second, int status, boolean close, byte[] body) { }
-
-    private enum State { START, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
+    public record Message(String first, String second, int status, boolean close, byte[] body) {}
+
+    private enum State {
+        START,
+        HEADERS,
+        BODY,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILERS
+    }
 
     private static final int MAX_LINE = 8 * 1024;
     private static final int MAX_HEADERS = 64;
@@ -120,7 +128,8 @@
                     header(l);
                     return null;
                 }
-                // Two lengths: whoever stands before us may have gone by the other one (RFC 9112, 6.3), so that what one
+                // Two lengths: whoever stands before us may have gone by the other one (RFC 9112, 6.3), so that what
+                // one
                 // takes for a body is the next request to the other. It must not be waited for either: a body of the
                 // stated length, read as chunks, was never complete, and its sender got no answer.
                 if (request && chunked && length >= 0) {
@@ -176,7 +185,10 @@
     private void start(String l) throws Malformed {
         String[] p = l.split(" ", 3);
         if (request) {
-            if (p.length != 3 || !p[2].startsWith("HTTP/1.") || p[0].isEmpty() || !p[1].startsWith("/")
+            if (p.length != 3
+                    || !p[2].startsWith("HTTP/1.")
+                    || p[0].isEmpty()
+                    || !p[1].startsWith("/")
                     || !p[0].chars().allMatch(c -> c >= 'A' && c <= 'Z')) {
                 throw new Malformed(400, "bad request line");
             }
--- a/src/main/java/birchusher/http/HttpWriter.java
+++ b/src/main/java/birchusher/http/HttpWriter.java
@@ -5,17 +5,22 @@
 
 /** Writes HTTP/1.1 messages. */
 public final class HttpWriter {
-    private HttpWriter() { }
+    private HttpWriter() {}
 
     public static ByteBuffer request(String method, String target, String host, byte[] body) {
-        return join(method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nContent-Type: application/msgpack\r\n"
-                + "Content-Length: " + body.length + "\r\n\r\n", body);
+        return join(
+                method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nContent-Type: application/msgpack\r\n"
+                        + "Content-Length: " + body.length + "\r\n\r\n",
+                body);
     }
 
     public static ByteBuffer response(int status, byte[] body, int retryAfterS, boolean close) {
-        return join("HTTP/1.1 " + status + " " + reason(status) + "\r\nContent-Type: application/msgpack\r\n"
-                + "Content-Length: " + body.length + "\r\n" + (retryAfterS > 0 ? "Retry-After: " + retryAfterS + "\r\n" : "")
-                + (close ? "Connection: close\r\n" : "") + "\r\n", body);
+        return join(
+                "HTTP/1.1 " + status + " " + reason(status) + "\r\nContent-Type: application/msgpack\r\n"
+                        + "Content-Length: " + body.length + "\r\n"
+                        + (retryAfterS > 0 ? "Retry-After: " + retryAfterS + "\r\n" : "")
+                        + (close ? "Connection: close\r\n" : "") + "\r\n",
+                body);
     }
 
     private static ByteBuffer join(String head, byte[] body) {
--- a/src/main/java/birchusher/http/Target.java
+++ b/src/main/java/birchusher/http/Target.java
@@ -36,8 +36,9 @@
             if (eq >= 0) {
                 try {
                     // Keys of the state service may hold a plus; the decoder is for forms, where it means a space.
-                    params.put(part.substring(0, eq), URLDecoder.decode(part.substring(eq + 1).replace("+", "%2B"),
-                            StandardCharsets.UTF_8));
+                    params.put(
+                            part.substring(0, eq),
+                            URLDecoder.decode(part.substring(eq + 1).replace("+", "%2B"), StandardCharsets.UTF_8));
                 } catch (IllegalArgumentException e) {
                     throw new Bad(part.substring(0, eq) + ": not percent-encoded as it should be");
                 }
--- a/src/main/java/birchusher/jobs/Desk.java
+++ b/src/main/java/birchusher/jobs/Desk.java
@@ -52,7 +52,10 @@
         txnOps = s.txnOps();
         cancelsLate = s.cancelsLate();
         if (cancelsLate) {
-            LOG.warn("cancel_s {} leaves too little beyond lease_s {}: cancellations are confirmed only when the job's tasks are gone", s.cancelS(), s.leaseS());
+            LOG.warn(
+                    "cancel_s {} leaves too little beyond lease_s {}: cancellations are confirmed only when the job's tasks are gone",
+                    s.cancelS(),
+                    s.leaseS());
         }
         // A row must fit the store's limit even when all tasks are placed.
         chunkSize = (int) Math.max(16, Math.min(500, (s.valueKb() * 1024 - 512) / Chunk.CLAIM_BYTES));
@@ -78,7 +81,8 @@
             return ended(id, e);
         }
         Job j = view.job(id);
-        if (j != null && (j.state() == Job.State.DONE || j.state() == Job.State.OPEN && j.allDone() && asNewAsItsPlaces(j))) {
+        if (j != null
+                && (j.state() == Job.State.DONE || j.state() == Job.State.OPEN && j.allDone() && asNewAsItsPlaces(j))) {
             return answer(id, Wire.DONE, j.spec.tasks(), 0);
         }
         return j != null && j.state() == Job.State.CANCELLED && mayTell(j) ? answer(id, Wire.CANCELLED, 0, 0) : null;
@@ -260,7 +264,10 @@
 
         @Override
         public boolean build(Tx tx) {
-            if (view.job(spec.id()) != null || view.unreadable(spec.id()) || view.ended(spec.id()) != null || tx.writes(Keys.JOB + spec.id())
+            if (view.job(spec.id()) != null
+                    || view.unreadable(spec.id())
+                    || view.ended(spec.id()) != null
+                    || tx.writes(Keys.JOB + spec.id())
                     || fx.now() > until) {
                 return false;
             }
@@ -316,8 +323,13 @@
             return;
         }
         if (view.job(id) == null) {
-            // Accepted elsewhere a moment ago, it is to be cancelled like any other: its state alone was no answer to a cancellation.
-            lookUp(exchange, id, j -> cancel(exchange, j), () -> fx.answer(exchange, 404, Map.of("error", "no such job")));
+            // Accepted elsewhere a moment ago, it is to be cancelled like any other: its state alone was no answer to a
+            // cancellation.
+            lookUp(
+                    exchange,
+                    id,
+                    j -> cancel(exchange, j),
+                    () -> fx.answer(exchange, 404, Map.of("error", "no such job")));
             return;
         }
         cancel(exchange, view.job(id));
@@ -357,7 +369,11 @@
         @Override
         public boolean build(Tx tx) {
             Job j = view.job(id);
-            if (j == null || j.state() != Job.State.OPEN || j.allDone() || tx.writes(Keys.JOB + id) || fx.now() > until) {
+            if (j == null
+                    || j.state() != Job.State.OPEN
+                    || j.allDone()
+                    || tx.writes(Keys.JOB + id)
+                    || fx.now() > until) {
                 return false;
             }
             // Another controller may be about to see, and to tell, that the last task is done: then this must fail.
--- a/src/main/java/birchusher/jobs/Events.java
+++ b/src/main/java/birchusher/jobs/Events.java
@@ -16,7 +16,7 @@
     private static final int KEPT = 4_096;
     private static final int SHOWN = 50;
 
-    private record Event(long at, String job, int task, long attempt, String machine, String what) { }
+    private record Event(long at, String job, int task, long attempt, String machine, String what) {}
 
     private final ArrayDeque<Event> ring = new ArrayDeque<>();
 
@@ -39,11 +39,20 @@
     /** The last ones of a job, newest first. */
     List<Map<String, Object>> of(long now, String job) {
         List<Map<String, Object>> l = new ArrayList<>();
-        for (Iterator<Event> i = ring.descendingIterator(); i.hasNext() && l.size() < SHOWN;) {
+        for (Iterator<Event> i = ring.descendingIterator(); i.hasNext() && l.size() < SHOWN; ) {
             Event e = i.next();
             if (e.job().equals(job)) {
-                l.add(Map.of("ago_s", (now - e.at()) / 1000.0, "index", e.task(), Wire.ATTEMPT, e.attempt(), Wire.MACHINE,
-                        e.machine(), "what", e.what()));
+                l.add(Map.of(
+                        "ago_s",
+                        (now - e.at()) / 1000.0,
+                        "index",
+                        e.task(),
+                        Wire.ATTEMPT,
+                        e.attempt(),
+                        Wire.MACHINE,
+                        e.machine(),
+                        "what",
+                        e.what()));
             }
         }
         return l;
--- a/src/main/java/birchusher/jobs/Listing.java
+++ b/src/main/java/birchusher/jobs/Listing.java
@@ -80,7 +80,9 @@
         String cls = t.text(Wire.CLASS, null);
         String after = t.text(Wire.AFTER, "");
         int most = most(t, MAX_JOBS);
-        if (stage != null && !List.of(Wire.QUEUED, Wire.RUNNING, Wire.DONE, Wire.CANCELLED).contains(stage)) {
+        if (stage != null
+                && !List.of(Wire.QUEUED, Wire.RUNNING, Wire.DONE, Wire.CANCELLED)
+                        .contains(stage)) {
             throw new Bad(Wire.STATE + ": queued, running, done or cancelled");
         }
         boolean ended = Wire.DONE.equals(stage) || Wire.CANCELLED.equals(stage);
@@ -117,7 +119,8 @@
     }
 
     /** Adds a page of the jobs that were put away; what is live and behind that page has to wait for a later one. */
-    private void putAway(long exchange, TreeMap<String, Map<String, Object>> rows, String stage, String after, int most) {
+    private void putAway(
+            long exchange, TreeMap<String, Map<String, Object>> rows, String stage, String after, int most) {
         boolean sent = store.page(Keys.END, after.isEmpty() ? "" : Keys.END + after, most, (status, m) -> {
             if (status != 200) {
                 fx.later(exchange, 503, 2);
@@ -183,7 +186,14 @@
             for (; i < j.spec.tasks() && tasks.size() < most; i++) {
                 Claim c = j.claim(i);
                 if (c != null) {
-                    tasks.add(Map.of("index", i, Wire.ATTEMPT, c.attempt(), Wire.MACHINE, c.machine(), "held_s",
+                    tasks.add(Map.of(
+                            "index",
+                            i,
+                            Wire.ATTEMPT,
+                            c.attempt(),
+                            Wire.MACHINE,
+                            c.machine(),
+                            "held_s",
                             Math.max(0, fx.now() - c.seenAt()) / 1000.0));
                 }
             }
@@ -201,8 +211,21 @@
             List<Object> l = new ArrayList<>();
             for (Settings.Team t : teams) {
                 int i = catalog.teams.find(t.name());
-                l.add(Map.of(Wire.TEAM, t.name(), "cpus_used", view.cpusOf(i), "cpus", t.cpus(), "cpus_max", t.cpusMax(),
-                        "gpus_used", view.gpusOf(i), "gpus", t.gpus(), "gpus_max", t.gpusMax()));
+                l.add(Map.of(
+                        Wire.TEAM,
+                        t.name(),
+                        "cpus_used",
+                        view.cpusOf(i),
+                        "cpus",
+                        t.cpus(),
+                        "cpus_max",
+                        t.cpusMax(),
+                        "gpus_used",
+                        view.gpusOf(i),
+                        "gpus",
+                        t.gpus(),
+                        "gpus_max",
+                        t.gpusMax()));
             }
             fx.answer(exchange, 200, Map.of("teams", l));
         });
--- a/src/main/java/birchusher/kv/Codec.java
+++ b/src/main/java/birchusher/kv/Codec.java
@@ -39,7 +39,7 @@
         void to(DataOutputStream out) throws IOException;
     }
 
-    private Codec() { }
+    private Codec() {}
 
     private static byte[] record(int kind, Fill fill) {
         try {
--- a/src/main/java/birchusher/kv/Engine.java
+++ b/src/main/java/birchusher/kv/Engine.java
@@ -36,17 +36,17 @@
     private static final Entry NOTHING = new Entry.Ended(0);
 
     /** What the edge has to do. */
-    public sealed interface Output { }
+    public sealed interface Output {}
 
-    public record Answer(long ticket, Reply reply) implements Output { }
+    public record Answer(long ticket, Reply reply) implements Output {}
 
     /** Make it durable as this record, in this order. */
-    public record Append(long sequence, Entry entry) implements Output { }
+    public record Append(long sequence, Entry entry) implements Output {}
 
     /** An entry not durable yet, and how to take it back. */
-    private record Step(long sequence, State before, int events) { }
+    private record Step(long sequence, State before, int events) {}
 
-    private record Held(long sequence, long ticket, Reply reply, boolean wrote) { }
+    private record Held(long sequence, long ticket, Reply reply, boolean wrote) {}
 
     private static final class Watcher {
         final String prefix;
@@ -70,6 +70,7 @@
     private final ArrayDeque<Event> history;
     /** Up to this revision, changes are not remembered. */
     private long forgotten;
+
     private final Map<Long, Long> leaseEnds = new HashMap<>();
     private final Map<Long, Watcher> watchers = new LinkedHashMap<>();
     private boolean stalled;
@@ -135,7 +136,8 @@
         for (Map.Entry<Long, Watcher> e : List.copyOf(watchers.entrySet())) {
             if (now >= e.getValue().until) {
                 watchers.remove(e.getKey());
-                out.add(new Answer(e.getKey(), new Reply.Events(List.of(), durableState().revision())));
+                out.add(new Answer(
+                        e.getKey(), new Reply.Events(List.of(), durableState().revision())));
             }
         }
         return taken();
@@ -194,7 +196,8 @@
     }
 
     private void answer(long ticket, Reply reply, boolean wrote) {
-        // While stalled, all that can be under way is the empty entry, and nothing rests on that: reads go on meanwhile.
+        // While stalled, all that can be under way is the empty entry, and nothing rests on that: reads go on
+        // meanwhile.
         if (steps.isEmpty() || stalled) {
             out.add(new Answer(ticket, reply));
         } else {
@@ -270,7 +273,8 @@
         boolean within = p.after() != null && p.after().compareTo(p.prefix()) >= 0;
         List<Map.Entry<String, Row>> rows = new ArrayList<>();
         int bytes = 0;
-        for (Map.Entry<String, Row> e : head.rows().tailMap(within ? p.after() : p.prefix(), !within).entrySet()) {
+        for (Map.Entry<String, Row> e :
+                head.rows().tailMap(within ? p.after() : p.prefix(), !within).entrySet()) {
             if (!e.getKey().startsWith(p.prefix())) {
                 break;
             }
@@ -311,7 +315,8 @@
 
     /** Whether it may be a key. */
     public static boolean key(String key) {
-        return !key.isEmpty() && key.getBytes(StandardCharsets.UTF_8).length <= Limits.KEY_BYTES
+        return !key.isEmpty()
+                && key.getBytes(StandardCharsets.UTF_8).length <= Limits.KEY_BYTES
                 && key.chars().noneMatch(c -> c <= ' ');
     }
 
@@ -341,14 +346,16 @@
         if (!failed.isEmpty()) {
             return new Reply.Failed(failed, head.revision());
         }
-        if (t.writes().stream().anyMatch(w -> w instanceof Write.Set || head.rows().containsKey(w.key()))) {
+        if (t.writes().stream()
+                .anyMatch(w -> w instanceof Write.Set || head.rows().containsKey(w.key()))) {
             append(new Entry.Changed(t.writes()));
         }
         return new Reply.Committed(head.revision());
     }
 
     private void watch(long now, long ticket, Request.Watch w) {
-        // A revision that is not known here comes from a state that this one does not go back to, as after an old backup.
+        // A revision that is not known here comes from a state that this one does not go back to, as after an old
+        // backup.
         if (w.since() < forgotten || w.since() > durableState().revision()) {
             out.add(new Answer(ticket, new Reply.TooOld()));
             return;
@@ -356,7 +363,8 @@
         Watcher watcher = new Watcher(w.prefix(), w.since(), now + Math.min(w.waitMs(), Limits.MOST_WAIT_MS));
         if (!tell(ticket, watcher)) {
             if (w.waitMs() <= 0) {
-                out.add(new Answer(ticket, new Reply.Events(List.of(), durableState().revision())));
+                out.add(new Answer(
+                        ticket, new Reply.Events(List.of(), durableState().revision())));
             } else if (watchers.size() >= Limits.MAX_WATCHES) {
                 out.add(new Answer(ticket, new Reply.TooMany(1)));
             } else {
@@ -374,7 +382,7 @@
             return true;
         }
         List<Event> events = new ArrayList<>();
-        for (Iterator<Event> i = history.descendingIterator(); i.hasNext();) {
+        for (Iterator<Event> i = history.descendingIterator(); i.hasNext(); ) {
             Event e = i.next();
             if (e.stamp() <= w.since) {
                 break;
--- a/src/main/java/birchusher/kv/Entry.java
+++ b/src/main/java/birchusher/kv/Entry.java
@@ -11,8 +11,8 @@
         }
     }
 
-    record Granted(long lease, long lifeMs) implements Entry { }
+    record Granted(long lease, long lifeMs) implements Entry {}
 
     /** A lease that ended, by its time or by request; its keys go with it, at one revision if there are any. */
-    record Ended(long lease) implements Entry { }
+    record Ended(long lease) implements Entry {}
 }
--- a/src/main/java/birchusher/kv/Limits.java
+++ b/src/main/java/birchusher/kv/Limits.java
@@ -19,6 +19,7 @@
     public static final long MOST_WAIT_MS = 60_000;
     /** Ours, for what the protocol leaves open. */
     public static final int MAX_WATCHES = 1_000;
+
     public static final int MAX_LEASES = 10_000;
 
     public Limits {
--- a/src/main/java/birchusher/kv/Reply.java
+++ b/src/main/java/birchusher/kv/Reply.java
@@ -5,38 +5,38 @@
 
 /** An answer; its edge gives it the published form. */
 public sealed interface Reply {
-    record Found(String key, Row row) implements Reply { }
+    record Found(String key, Row row) implements Reply {}
 
     /** There is no such key; the present revision. */
-    record Missing(long revision) implements Reply { }
+    record Missing(long revision) implements Reply {}
 
-    record Rows(List<Map.Entry<String, Row>> rows, boolean more, long revision) implements Reply { }
+    record Rows(List<Map.Entry<String, Row>> rows, boolean more, long revision) implements Reply {}
 
-    record Committed(long revision) implements Reply { }
+    record Committed(long revision) implements Reply {}
 
     /** Conditions that do not hold; nothing was changed. */
-    record Failed(List<String> keys, long revision) implements Reply { }
+    record Failed(List<String> keys, long revision) implements Reply {}
 
-    record Leased(long lease) implements Reply { }
+    record Leased(long lease) implements Reply {}
 
-    record Done() implements Reply { }
+    record Done() implements Reply {}
 
-    record Events(List<State.Event> events, long revision) implements Reply { }
+    record Events(List<State.Event> events, long revision) implements Reply {}
 
     /** The lease has ended or never was: 404, and 400 for a write that names it. */
-    record NoLease() implements Reply { }
+    record NoLease() implements Reply {}
 
     /** Older than what is remembered: the keys must be read again. */
-    record TooOld() implements Reply { }
+    record TooOld() implements Reply {}
 
-    record TooMany(int retryAfterS) implements Reply { }
+    record TooMany(int retryAfterS) implements Reply {}
 
     /** Not executed, and can't be at present. */
-    record Unavailable(int retryAfterS) implements Reply { }
+    record Unavailable(int retryAfterS) implements Reply {}
 
     /** Neither done nor not done: no answer may be given, the connection ends. */
-    record Unclear() implements Reply { }
+    record Unclear() implements Reply {}
 
     /** Malformed or beyond a limit; the text names the field. */
-    record Bad(String why) implements Reply { }
+    record Bad(String why) implements Reply {}
 }
--- a/src/main/java/birchusher/kv/Request.java
+++ b/src/main/java/birchusher/kv/Request.java
@@ -4,13 +4,13 @@
 
 /** What a client of the state service may ask, read and bounded by its edge. */
 public sealed interface Request {
-    record Get(String key) implements Request { }
+    record Get(String key) implements Request {}
 
     /** Rows whose key begins with {@code prefix} and comes after {@code after}, at most {@code most}. */
-    record Page(String prefix, String after, int most) implements Request { }
+    record Page(String prefix, String after, int most) implements Request {}
 
     /** A row must have this stamp; 0: there must be none. */
-    record Condition(String key, long stamp) { }
+    record Condition(String key, long stamp) {}
 
     /** @param bytes the size of the whole request, counted as JSON; {@code largest}: that of its largest value */
     record Txn(List<Condition> conditions, List<Write> writes, int bytes, int largest) implements Request {
@@ -20,12 +20,12 @@
         }
     }
 
-    record Grant(long lifeMs) implements Request { }
+    record Grant(long lifeMs) implements Request {}
 
-    record Extend(long lease) implements Request { }
+    record Extend(long lease) implements Request {}
 
-    record End(long lease) implements Request { }
+    record End(long lease) implements Request {}
 
     /** Waits until a key under the prefix has changed after {@code since}, or for that long. */
-    record Watch(String prefix, long since, long waitMs) implements Request { }
+    record Watch(String prefix, long since, long waitMs) implements Request {}
 }
--- a/src/main/java/birchusher/kv/State.java
+++ b/src/main/java/birchusher/kv/State.java
@@ -17,7 +17,7 @@
     public static final State EMPTY = new State(TreePMap.empty(), HashTreePMap.empty(), 0, 1);
 
     /** One key's change, for those who watch: no value means removed. */
-    public record Event(String key, byte[] value, long stamp) { }
+    public record Event(String key, byte[] value, long stamp) {}
 
     /** The state after an entry. Never fails on an entry that {@link Engine} made from this state. */
     public State apply(Entry e, Consumer<Event> events) {
@@ -25,14 +25,18 @@
             return write(c.writes(), events);
         }
         if (e instanceof Entry.Granted g) {
-            return new State(rows, leases.plus(g.lease(), new Lease(g.lease(), g.lifeMs())), revision,
+            return new State(
+                    rows,
+                    leases.plus(g.lease(), new Lease(g.lease(), g.lifeMs())),
+                    revision,
                     Math.max(nextLease, g.lease() + 1));
         }
         Lease l = leases.get(((Entry.Ended) e).lease());
         if (l == null) {
             return this;
         }
-        State s = l.keys().isEmpty() ? this
+        State s = l.keys().isEmpty()
+                ? this
                 : write(l.keys().stream().sorted().<Write>map(Write.Remove::new).toList(), events);
         return new State(s.rows, s.leases.minus(l.id()), s.revision, s.nextLease);
     }
@@ -62,7 +66,8 @@
 
     /** The row itself as kept in a snapshot: no event, no new revision. */
     State restored(String key, Row row) {
-        PMap<Long, Lease> l = row.lease() == 0 ? leases
+        PMap<Long, Lease> l = row.lease() == 0
+                ? leases
                 : leases.plus(row.lease(), leases.get(row.lease()).plus(key));
         return new State(rows.plus(key, row), l, revision, nextLease);
     }
--- a/src/main/java/birchusher/kv/Write.java
+++ b/src/main/java/birchusher/kv/Write.java
@@ -4,7 +4,7 @@
 public sealed interface Write {
     String key();
 
-    record Set(String key, byte[] value, long lease) implements Write { }
+    record Set(String key, byte[] value, long lease) implements Write {}
 
-    record Remove(String key) implements Write { }
+    record Remove(String key) implements Write {}
 }
--- a/src/main/java/birchusher/lease/Hazards.java
+++ b/src/main/java/birchusher/lease/Hazards.java
@@ -9,6 +9,7 @@
 public final class Hazards {
     /** What is assumed while nothing is known: one loss in this much run time. */
     private static final double PRIOR_S = 7_200;
+
     private static final double PRIOR_WEIGHT_S = 1_800;
     private static final double FADE_MS = 300_000;
     /** To notice a loss and to start elsewhere. */
--- a/src/main/java/birchusher/lease/LeaseTerms.java
+++ b/src/main/java/birchusher/lease/LeaseTerms.java
@@ -6,7 +6,8 @@
 /** The lengths that task leases are made of, in ms; from the operators' settings. */
 public record LeaseTerms(long baseMs, long renewMs, double capFactor, long sweepMs) {
     public static LeaseTerms from(Tuning t) {
-        return new LeaseTerms(t.ms("lease.base-s"), t.ms("lease.renew-s"), t.num("lease.cap-factor"), t.ms("lease.sweep-s"));
+        return new LeaseTerms(
+                t.ms("lease.base-s"), t.ms("lease.renew-s"), t.num("lease.cap-factor"), t.ms("lease.sweep-s"));
     }
 
     /** Base lease of a task whose image takes this long to fetch. */
--- a/src/main/java/birchusher/lease/MachineSpeed.java
+++ b/src/main/java/birchusher/lease/MachineSpeed.java
@@ -5,7 +5,7 @@
     private double sum = 3;
     private double weight = 3;
 
-    public MachineSpeed() { }
+    public MachineSpeed() {}
 
     public MachineSpeed(double known) {
         sum = 3 * known;
--- a/src/main/java/birchusher/lease/TaskLease.java
+++ b/src/main/java/birchusher/lease/TaskLease.java
@@ -2,7 +2,12 @@
 
 /** The lease of one attempt. Time comes in from outside; nothing here reads a clock. */
 public final class TaskLease {
-    public enum Renewal { GRANTED, AT_CAP, LAPSED, NOTHING_NEW }
+    public enum Renewal {
+        GRANTED,
+        AT_CAP,
+        LAPSED,
+        NOTHING_NEW
+    }
 
     private final long renewMs;
     private final long capMs;
--- a/src/main/java/birchusher/mesh/PeerCodec.java
+++ b/src/main/java/birchusher/mesh/PeerCodec.java
@@ -29,13 +29,14 @@
     public static final int VERSION = 3;
     /** The version before, without the sender's incarnation. Still read, so that controllers can be replaced one by one. */
     private static final int BEFORE = 2;
+
     public static final int MAX_BYTES = 512 * 1024;
     private static final int MAX_LIST = 20_000;
     private static final int WHOLE = 1;
     private static final int MAKES_ROOM = 2;
 
     /** A record with the member that sent it and which life of it; 0: not told. */
-    public record From(String member, long incarnation, PeerRecord record) { }
+    public record From(String member, long incarnation, PeerRecord record) {}
 
     private interface Writer<T> {
         void write(DataOutputStream out, T value) throws IOException;
@@ -45,7 +46,7 @@
         T read(DataInputStream in) throws IOException;
     }
 
-    private PeerCodec() { }
+    private PeerCodec() {}
 
     public static byte[] encode(String member, long incarnation, PeerRecord r) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
@@ -65,7 +66,8 @@
             } else if (r instanceof Offer o) {
                 out.writeByte(2);
                 out.writeLong(o.id());
-                // One byte, as a plain "whole" was: a controller of the version before reads both as that and refuses what has no room.
+                // One byte, as a plain "whole" was: a controller of the version before reads both as that and refuses
+                // what has no room.
                 out.writeByte((o.whole() ? WHOLE : 0) | (o.makesRoom() ? MAKES_ROOM : 0));
                 list(out, o.items(), PeerCodec::item);
             } else if (r instanceof Verdict v) {
@@ -135,24 +137,43 @@
             }
             String member = in.readUTF();
             long incarnation = version == BEFORE ? 0 : in.readLong();
-            PeerRecord r = switch (in.readByte()) {
-                case 1 -> new Heartbeat(in.readLong(), in.readBoolean(), list(in, d -> d.readLong()),
-                        list(in, d -> d.readLong()), list(in, PeerCodec::machine), list(in, d -> d.readUTF()), list(in, d -> d.readUTF()));
-                case 2 -> offer(in);
-                case 3 -> new Verdict(in.readLong(), list(in, d -> d.readUTF()),
-                        list(in, d -> d.readLong()));
-                case 4 -> new Stop(in.readUTF(), in.readInt(), in.readLong(), in.readDouble(), in.readUTF());
-                case 5 -> new Retire(in.readUTF(), in.readBoolean());
-                case 6 -> new Retired(in.readUTF(), in.readBoolean());
-                case 7 -> new Outcomes(list(in, d -> new Ended(d.readUTF(), d.readInt(), d.readLong(), d.readUTF(),
-                        d.readInt(), d.readLong(), d.readByte())));
-                case 8 -> new CalledOff(list(in, PeerCodec::item));
-                case 9 -> new Restoring(Math.max(0, in.readInt()));
-                case 10 -> new RevisionQuery(in.readLong(), in.readLong());
-                case 11 -> new RevisionReply(in.readLong(), in.readLong(), in.readBoolean(), in.readLong(), in.readLong(),
-                        list(in, d -> new Cancelled(d.readUTF(), d.readLong())));
-                default -> throw new Bad("peer record of unknown kind");
-            };
+            PeerRecord r =
+                    switch (in.readByte()) {
+                        case 1 -> new Heartbeat(
+                                in.readLong(),
+                                in.readBoolean(),
+                                list(in, d -> d.readLong()),
+                                list(in, d -> d.readLong()),
+                                list(in, PeerCodec::machine),
+                                list(in, d -> d.readUTF()),
+                                list(in, d -> d.readUTF()));
+                        case 2 -> offer(in);
+                        case 3 -> new Verdict(in.readLong(), list(in, d -> d.readUTF()), list(in, d -> d.readLong()));
+                        case 4 -> new Stop(in.readUTF(), in.readInt(), in.readLong(), in.readDouble(), in.readUTF());
+                        case 5 -> new Retire(in.readUTF(), in.readBoolean());
+                        case 6 -> new Retired(in.readUTF(), in.readBoolean());
+                        case 7 -> new Outcomes(list(
+                                in,
+                                d -> new Ended(
+                                        d.readUTF(),
+                                        d.readInt(),
+                                        d.readLong(),
+                                        d.readUTF(),
+                                        d.readInt(),
+                                        d.readLong(),
+                                        d.readByte())));
+                        case 8 -> new CalledOff(list(in, PeerCodec::item));
+                        case 9 -> new Restoring(Math.max(0, in.readInt()));
+                        case 10 -> new RevisionQuery(in.readLong(), in.readLong());
+                        case 11 -> new RevisionReply(
+                                in.readLong(),
+                                in.readLong(),
+                                in.readBoolean(),
+                                in.readLong(),
+                                in.readLong(),
+                                list(in, d -> new Cancelled(d.readUTF(), d.readLong())));
+                        default -> throw new Bad("peer record of unknown kind");
+                    };
             if (in.available() > 0) {
                 throw new Bad("peer record with bytes after its end");
             }
@@ -200,10 +221,24 @@
     }
 
     private static Machine machine(DataInputStream in) throws IOException {
-        return new Machine(in.readUTF(), in.readUTF(), in.readUTF(), in.readBoolean(), in.readLong(), in.readInt(),
-                in.readInt(), in.readInt(), in.readInt(), in.readDouble(), in.readDouble(),
-                in.readDouble(), in.readDouble(), list(in, d -> d.readUTF()), list(in, d -> d.readInt()),
-                list(in, d -> d.readUTF()), list(in, d -> d.readUTF()));
+        return new Machine(
+                in.readUTF(),
+                in.readUTF(),
+                in.readUTF(),
+                in.readBoolean(),
+                in.readLong(),
+                in.readInt(),
+                in.readInt(),
+                in.readInt(),
+                in.readInt(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readDouble(),
+                list(in, d -> d.readUTF()),
+                list(in, d -> d.readInt()),
+                list(in, d -> d.readUTF()),
+                list(in, d -> d.readUTF()));
     }
 
     private static <T> void list(DataOutputStream out, List<T> l, Writer<? super T> w) throws IOException {
--- a/src/main/java/birchusher/model/Catalog.java
+++ b/src/main/java/birchusher/model/Catalog.java
@@ -10,8 +10,18 @@
 /** The indices of every name the core uses, and the machine types once they are known. */
 public final class Catalog {
     /** One machine type. {@code zones} are indices; prices are per hour. */
-    public record Type(int index, String name, double cpus, double gpus, double mem, double cacheGb, double fetchGbPerS,
-            double price, double spotPrice, double bootS, int[] zones) {
+    public record Type(
+            int index,
+            String name,
+            double cpus,
+            double gpus,
+            double mem,
+            double cacheGb,
+            double fetchGbPerS,
+            double price,
+            double spotPrice,
+            double bootS,
+            int[] zones) {
         public boolean in(int zone) {
             for (int z : zones) {
                 if (z == zone) {
@@ -140,8 +150,18 @@
             z[i] = zones.add(String.valueOf(zs.get(i)));
         }
         String name = birchusher.core.Fields.text(m, f[0]);
-        return new Type(typeNames.add(name), name, num(m, f[1]), num(m, f[2]), num(m, f[3]), num(m, f[4]),
-                Math.max(1e-3, num(m, f[5])), num(m, f[6]), num(m, f[7]), num(m, f[9]), z);
+        return new Type(
+                typeNames.add(name),
+                name,
+                num(m, f[1]),
+                num(m, f[2]),
+                num(m, f[3]),
+                num(m, f[4]),
+                Math.max(1e-3, num(m, f[5])),
+                num(m, f[6]),
+                num(m, f[7]),
+                num(m, f[9]),
+                z);
     }
 
     private static double num(Map<String, Object> m, String key) {
--- a/src/main/java/birchusher/model/JobSpec.java
+++ b/src/main/java/birchusher/model/JobSpec.java
@@ -4,9 +4,27 @@
  * A job as submitted, names already indices (see {@link Catalog}). {@code zone} -1: any; {@code types} null: any;
  * {@code deadlineS} 0: none.
  */
-public record JobSpec(String id, int cls, int team, Shape shape, Priority priority, int tasks, double cpus,
-        double gpus, double mem, int image, double imageGb, int[] types, int zone, boolean oneZone, boolean spread,
-        boolean spot, double estimateS, double checkpointS, double saveS, double deadlineS) {
+public record JobSpec(
+        String id,
+        int cls,
+        int team,
+        Shape shape,
+        Priority priority,
+        int tasks,
+        double cpus,
+        double gpus,
+        double mem,
+        int image,
+        double imageGb,
+        int[] types,
+        int zone,
+        boolean oneZone,
+        boolean spread,
+        boolean spot,
+        double estimateS,
+        double checkpointS,
+        double saveS,
+        double deadlineS) {
 
     public boolean resumes() {
         return checkpointS > 0;
--- a/src/main/java/birchusher/model/Shape.java
+++ b/src/main/java/birchusher/model/Shape.java
@@ -1,4 +1,8 @@
 package birchusher.model;
 
 /** How a job's tasks belong together. */
-public enum Shape { ARRAY, GANG, SERVICE }
+public enum Shape {
+    ARRAY,
+    GANG,
+    SERVICE
+}
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -44,9 +44,11 @@
     private static final int MIN_OUT = 8;
     /** Waiting jobs for which one plan looks for work to stop. */
     private static final int MAX_WISHES = 12;
+
     private static final int MAX_PREEMPTING = 8;
     /** A job that has asked for others' room does not ask again before it can be seen what came of it. */
     private static final long PREEMPT_AGAIN_MS = 3_000;
+
     private static final String NOT_KNOWN_YET = "job not known yet";
 
     /** Sends a record to a member; index 0 is ourselves. */
@@ -61,6 +63,7 @@
         final Map<Integer, Long> accepted = new TreeMap<>();
         /** Counts on room that the owners make once its claim stands. */
         final boolean makesRoom;
+
         int waiting;
         boolean refused;
         long since;
@@ -74,12 +77,12 @@
     }
 
     /** A job that would be served late, by how much, and whether it lies within its team's guarantee. */
-    private record Wish(Job job, boolean guaranteed, double delayS) { }
+    private record Wish(Job job, boolean guaranteed, double delayS) {}
 
     /** So many errors without a task that ended well are more than one faulty machine at the beginning makes. */
     private static final int DOUBT = 6;
 
-    private record Asked(Group group, List<Planner.Choice> items) { }
+    private record Asked(Group group, List<Planner.Choice> items) {}
 
     private final Effects fx;
     private final Settings settings;
@@ -99,14 +102,17 @@
     private final IntSupplier returning;
     /** Per job and task: until when it is on its way and must not be planned again. */
     private final Map<String, Map<Integer, Long>> held = new HashMap<>();
+
     private int heldCount;
     /** Per job and machine: until when an offer there is not repeated. */
     private final Map<String, Map<String, Long>> refusals = new HashMap<>();
+
     private final Map<Long, Asked> asked = new HashMap<>();
     /** Offered, and not yet claimed or given up. Each takes a row or more. */
     private final Set<Group> out = new HashSet<>();
     /** Jobs that have asked for others' room: until when they don't ask again. */
     private final Map<String, Long> preempting = new HashMap<>();
+
     private final Map<String, long[]> errorSeen = new HashMap<>();
     private final long offerMs;
     private final long planGap;
@@ -118,10 +124,22 @@
     private long nextForget;
     /** Of offers. Begins anew with each life's time of day: a verdict on an earlier life's offer must not pass for one on ours. */
     private long nextId;
+
     private Planner.Plan last = new Planner.Plan(List.of(), List.of(), Set.of(), 0, 0, List.of());
 
-    public Driver(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Yard yard,
-            Planner planner, Counters counters, Tuning t, Mesh mesh, BooleanSupplier fleetKnown,
+    public Driver(
+            Effects fx,
+            Settings s,
+            Catalog catalog,
+            View view,
+            StoreLink store,
+            Seats seats,
+            Yard yard,
+            Planner planner,
+            Counters counters,
+            Tuning t,
+            Mesh mesh,
+            BooleanSupplier fleetKnown,
             IntSupplier returning) {
         this.fx = fx;
         this.settings = s;
@@ -160,7 +178,9 @@
     /** Whether a plan is due; the pictures need to be drawn only then. */
     public boolean due() {
         long now = fx.now();
-        return store.loaded() && catalog.typesKnown() && now >= nextPlan
+        return store.loaded()
+                && catalog.typesKnown()
+                && now >= nextPlan
                 && (plannedChanges != view.changes() || now - plannedAt >= 1_000);
     }
 
@@ -179,7 +199,8 @@
         slots.addAll(coming.get());
         Planner.Plan plan = planner.plan(slots, marks, underway(), now, fx.wall());
         last = plan;
-        // Large fleets and long queues make plans dear: they are then made less often, not at the cost of the reports. Every claim
+        // Large fleets and long queues make plans dear: they are then made less often, not at the cost of the reports.
+        // Every claim
         // is looked at too, for the room that it will leave.
         nextPlan = now + Math.max(planGap, Math.round((plan.work() + view.claimCount()) / slotsPerMs));
         counters.plans++;
@@ -206,7 +227,8 @@
                 return m.isEmpty();
             });
             preempting.values().removeIf(until -> now > until);
-            // An owner that died answers no offer: forgetting it only with the next offer once left a replica waiting for
+            // An owner that died answers no offer: forgetting it only with the next offer once left a replica waiting
+            // for
             // good, as its own old offer took the one place its zone rule allowed.
             asked.values().removeIf(a -> now - a.group.since > offerMs);
             out.removeIf(g -> g.waiting > 0 && now - g.since > offerMs);
@@ -251,7 +273,9 @@
 
         @Override
         public boolean doubted(Job j) {
-            return j.spec.shape() == Shape.ARRAY && j.doneCount() == 0 && j.errors() >= Math.min(DOUBT, Math.max(2, j.spec.tasks()));
+            return j.spec.shape() == Shape.ARRAY
+                    && j.doneCount() == 0
+                    && j.errors() >= Math.min(DOUBT, Math.max(2, j.spec.tasks()));
         }
     };
 
@@ -281,7 +305,8 @@
         long[] seen = errorSeen.computeIfAbsent(j.spec.id(), k -> new long[] {0, 0});
         if (seen[0] != errors) {
             seen[0] = errors;
-            seen[1] = fx.now() + Math.min(60_000, 500L << Math.min(7, errors / Math.max(1, Math.min(8, j.spec.tasks()))));
+            seen[1] =
+                    fx.now() + Math.min(60_000, 500L << Math.min(7, errors / Math.max(1, Math.min(8, j.spec.tasks()))));
         }
         return fx.now() < seen[1];
     }
@@ -306,8 +331,11 @@
                 continue;
             }
             double[] used = view.useOf(p.machine());
-            double[] f = {t.cpus() - p.strayUse()[0] - used[0], t.gpus() - p.strayUse()[1] - used[1],
-                t.mem() - p.strayUse()[2] - used[2]};
+            double[] f = {
+                t.cpus() - p.strayUse()[0] - used[0],
+                t.gpus() - p.strayUse()[1] - used[1],
+                t.mem() - p.strayUse()[2] - used[2]
+            };
             for (Planner.Choice c : underway.getOrDefault(p.machine(), List.of())) {
                 Claim stands = c.job().placed(c.task()) ? c.job().claim(c.task()) : null;
                 if (stands == null || !stands.machine().equals(p.machine())) {
@@ -321,8 +349,21 @@
                     minus(f, j.spec);
                 }
             }
-            slots.add(new Slot(p.machine(), t, p.zone(), p.spot(), p.session(), p.shard(), p.speed(), p.fetching(),
-                    p.images(), 0, true, f[0], f[1], f[2]));
+            slots.add(new Slot(
+                    p.machine(),
+                    t,
+                    p.zone(),
+                    p.spot(),
+                    p.session(),
+                    p.shard(),
+                    p.speed(),
+                    p.fetching(),
+                    p.images(),
+                    0,
+                    true,
+                    f[0],
+                    f[1],
+                    f[2]));
         }
         return slots;
     }
@@ -370,8 +411,10 @@
             String key = s.gang() ? s.id() : s.id() + "/" + c.task() / c.job().chunkSize;
             groups.computeIfAbsent(key, k -> new ArrayList<>()).add(c);
         }
-        // In a return no more than can be claimed before the offers end, the first in the plan's order: ten times as many were offered,
-        // and most of them only kept room from the others until they were given up. On other days the limit made arrays late.
+        // In a return no more than can be claimed before the offers end, the first in the plan's order: ten times as
+        // many were offered,
+        // and most of them only kept room from the others until they were given up. On other days the limit made arrays
+        // late.
         int rows = Math.max(MIN_OUT, store.rowsWithin(offerMs));
         int most = returning.getAsInt() > rows ? rows : Integer.MAX_VALUE;
         for (List<Planner.Choice> choices : groups.values()) {
@@ -388,7 +431,8 @@
     }
 
     /** For a gang that would miss an aim only as its images have to come: places where they are, if others may be stopped there. */
-    private List<Planner.Choice> sooner(Job j, List<Planner.Choice> choices, Planner.Plan plan, Map<String, Picture> pictures) {
+    private List<Planner.Choice> sooner(
+            Job j, List<Planner.Choice> choices, Planner.Plan plan, Map<String, Picture> pictures) {
         if (!j.spec.manyGang()) {
             return null;
         }
@@ -398,8 +442,15 @@
         }
         List<Slot> slots = slots(pictures);
         ahead(plan, j, slots);
-        List<Planner.Choice> l = preemption.gang(j, plan.guaranteed().contains(j.spec.id()), Double.MAX_VALUE, spareMs, plan, slots,
-                catalog.zones.size(), marks.refused(j.spec.id()));
+        List<Planner.Choice> l = preemption.gang(
+                j,
+                plan.guaranteed().contains(j.spec.id()),
+                Double.MAX_VALUE,
+                spareMs,
+                plan,
+                slots,
+                catalog.zones.size(),
+                marks.refused(j.spec.id()));
         return l == null || l.stream().anyMatch(c -> c.delayMs() > spareMs) ? null : l;
     }
 
@@ -449,7 +500,9 @@
         boolean all = true;
         for (PeerRecord.Item i : offer.items()) {
             Job j = view.job(i.job());
-            String no = j == null ? NOT_KNOWN_YET : yard.reserve(j.spec, i.task(), i.machine(), i.session(), offer.makesRoom());
+            String no = j == null
+                    ? NOT_KNOWN_YET
+                    : yard.reserve(j.spec, i.task(), i.machine(), i.session(), offer.makesRoom());
             refusals.add(no == null ? "" : no);
             all &= no == null;
             Integer shard = yard.shardOf(i.machine());
@@ -491,7 +544,9 @@
 
     public void verdict(PeerRecord.Verdict v) {
         Asked a = asked.remove(v.id());
-        if (a == null || v.refusals().size() != a.items().size() || v.terms().size() != a.items().size()) {
+        if (a == null
+                || v.refusals().size() != a.items().size()
+                || v.terms().size() != a.items().size()) {
             return;
         }
         Group g = a.group();
@@ -505,7 +560,8 @@
                 counters.refused++;
                 LOG.debug("offer of {} to {} refused: {}", key(c), c.slot().machine, no);
                 letGo(c);
-                refusals.computeIfAbsent(c.job().spec.id(), k -> new HashMap<>()).put(c.slot().machine, fx.now() + refusalMs(no));
+                refusals.computeIfAbsent(c.job().spec.id(), k -> new HashMap<>())
+                        .put(c.slot().machine, fx.now() + refusalMs(no));
             }
         }
         if (--g.waiting > 0) {
@@ -515,7 +571,9 @@
             out.remove(g);
             g.choices.forEach(this::letGo);
             preempting.remove(g.job.spec.id());
-            callOff(g.choices.stream().filter(c -> g.accepted.containsKey(c.task())).toList());
+            callOff(g.choices.stream()
+                    .filter(c -> g.accepted.containsKey(c.task()))
+                    .toList());
             return;
         }
         claim(g);
@@ -524,7 +582,7 @@
     private static long refusalMs(String why) {
         return switch (why) {
             case "failed here" -> 60_000;
-            // The owner's view is a watch behind: waiting for longer made gangs miss their start for nothing.
+                // The owner's view is a watch behind: waiting for longer made gangs miss their start for nothing.
             case NOT_KNOWN_YET -> 250;
             default -> 1_500;
         };
@@ -547,7 +605,8 @@
             }
             int row = c.task() / g.job.chunkSize;
             if (!s.gang() && !rows.contains(row) && rows.size() + 2 > settings.txnOps()) {
-                // Lost tasks of a huge array stand in more rows than a transaction may write: the others are planned again.
+                // Lost tasks of a huge array stand in more rows than a transaction may write: the others are planned
+                // again.
                 over.add(c);
                 letGo(c);
                 continue;
@@ -678,7 +737,10 @@
     private List<Planner.Choice> allowed(Tx tx, Group g, List<Planner.Choice> list) {
         JobSpec s = g.job.spec;
         Job j = view.job(s.id());
-        if (j == null || j.state() != Job.State.OPEN || s.gang() && j.claimCount() > replaceable(j) || tx.writes(Keys.JOB + s.id())) {
+        if (j == null
+                || j.state() != Job.State.OPEN
+                || s.gang() && j.claimCount() > replaceable(j)
+                || tx.writes(Keys.JOB + s.id())) {
             return List.of();
         }
         Settings.Team team = catalog.team(s.team());
@@ -686,8 +748,10 @@
         double cpus = view.cpusOf(s.team()) + extra[0];
         double gpus = view.gpusOf(s.team()) + extra[1];
         // Another change of this same transaction may already have placed tasks of this job.
-        // With a single row, what may be replaced leaves it by the same writing; of several rows, some may stay as they are.
-        Map<Integer, Integer> zones = Planner.zones(j, seats::zoneOf, i -> tx.peek(j, i), x -> j.chunks.size() == 1 && replaceable(x));
+        // With a single row, what may be replaced leaves it by the same writing; of several rows, some may stay as they
+        // are.
+        Map<Integer, Integer> zones =
+                Planner.zones(j, seats::zoneOf, i -> tx.peek(j, i), x -> j.chunks.size() == 1 && replaceable(x));
         List<Planner.Choice> ok = new ArrayList<>();
         for (Planner.Choice c : list) {
             Slot slot = c.slot();
@@ -697,9 +761,13 @@
             gpus += s.gpus();
             Chunk before = tx.peek(j, c.task() / j.chunkSize);
             Claim recorded = before == null ? null : before.claims.get(c.task());
-            boolean fine = !j.isDone(c.task()) && (recorded == null || replaceable(recorded))
-                    && seats.term(shard) == g.accepted.get(c.task()) && slot.allows(s) && zone == slot.zone
-                    && !Catalog.over(team.cpusMax(), cpus) && !Catalog.over(team.gpusMax(), gpus)
+            boolean fine = !j.isDone(c.task())
+                    && (recorded == null || replaceable(recorded))
+                    && seats.term(shard) == g.accepted.get(c.task())
+                    && slot.allows(s)
+                    && zone == slot.zone
+                    && !Catalog.over(team.cpusMax(), cpus)
+                    && !Catalog.over(team.gpusMax(), gpus)
                     && !(s.oneZone() && !zones.isEmpty() && !zones.containsKey(zone))
                     && !(s.spread() && zones.getOrDefault(zone, 0) >= s.zoneLimit());
             if (!fine) {
@@ -753,7 +821,8 @@
         }
         attempt++;
         if (zonedInRows(j)) {
-            // All claims of it write its first row, so that none can be made, or come late, beside another whose zone it does not know of.
+            // All claims of it write its first row, so that none can be made, or come late, beside another whose zone
+            // it does not know of.
             tx.chunk(j, 0);
         }
         for (Planner.Choice c : ok) {
@@ -793,7 +862,8 @@
             if (gathers && c.delayMs() > planner.spareMs(c.job(), fx.wall())) {
                 slow.put(s.id(), new Wish(c.job(), guaranteed, Double.MAX_VALUE));
             } else if (c.delayMs() > preemptDelay && (guaranteed || s.priority() == Priority.PRODUCTION || gathers)) {
-                // A gang's room is "soon" there again and again, and somebody else's then: what it has waited counts as well.
+                // A gang's room is "soon" there again and again, and somebody else's then: what it has waited counts as
+                // well.
                 double waited = gathers ? Math.max(0, fx.wall() - c.job().acceptedAt) : 0;
                 slow.put(s.id(), new Wish(c.job(), guaranteed, (c.delayMs() + waited) / 1000));
             }
@@ -835,7 +905,10 @@
         List<Planner.Choice> l = new ArrayList<>();
         for (Planner.Choice c : plan.choices()) {
             Slot slot = byName.get(c.slot().machine);
-            if (!c.slot().real || slot == null || c.job() == j || c.job().spec.priority().compareTo(j.spec.priority()) > 0) {
+            if (!c.slot().real
+                    || slot == null
+                    || c.job() == j
+                    || c.job().spec.priority().compareTo(j.spec.priority()) > 0) {
                 continue;
             }
             IntPredicate held = marks.held(c.job().spec.id());
@@ -851,14 +924,23 @@
         Job j = u.job();
         Set<String> refused = marks.refused(j.spec.id());
         if (j.spec.gang()) {
-            return j.placedCount() > 0 ? null : preemption.gang(j, u.guaranteed(), u.delayS(),
-                    planner.spareMs(j, fx.wall()), plan, slots, catalog.zones.size(), refused);
+            return j.placedCount() > 0
+                    ? null
+                    : preemption.gang(
+                            j,
+                            u.guaranteed(),
+                            u.delayS(),
+                            planner.spareMs(j, fx.wall()),
+                            plan,
+                            slots,
+                            catalog.zones.size(),
+                            refused);
         }
         IntPredicate taken = marks.held(j.spec.id());
         for (int task = 0; task < j.spec.tasks(); task++) {
             if (!j.isDone(task) && !j.placed(task) && (taken == null || !taken.test(task))) {
-                Planner.Choice c = preemption.single(j, task, u.guaranteed(), u.delayS(), plan, slots,
-                        planner.zones(j, underway()), refused);
+                Planner.Choice c = preemption.single(
+                        j, task, u.guaranteed(), u.delayS(), plan, slots, planner.zones(j, underway()), refused);
                 return c == null ? null : List.of(c);
             }
         }
--- a/src/main/java/birchusher/placement/Gates.java
+++ b/src/main/java/birchusher/placement/Gates.java
@@ -25,6 +25,7 @@
     private static final String SINCE = "s";
     /** A gate is opened when each quota holds this many tasks, and stays open while it holds a few. */
     private static final int OPEN_TASKS = 16;
+
     private static final int STAY_TASKS = 4;
     private static final double NO_LIMIT = 1e12;
 
@@ -56,7 +57,11 @@
         return Keys.GATE + team.name();
     }
 
-    enum Pass { YES, NO, TIGHTENED }
+    enum Pass {
+        YES,
+        NO,
+        TIGHTENED
+    }
 
     /**
      * Makes the claims of so many tasks, with what they take together, part of a transaction if the team's limit surely
@@ -73,7 +78,9 @@
         if (spent[t].version != version && version > bornAt) {
             begin(t, version);
         }
-        if (open && !tx.writes(key) && spent[t].version == version
+        if (open
+                && !tx.writes(key)
+                && spent[t].version == version
                 && fits(spent[t].cpus + cpus, spent[t].gpus + gpus, quota(row, CPUS), quota(row, GPUS))) {
             spent[t].cpus += cpus;
             spent[t].gpus += gpus;
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -40,10 +40,15 @@
     }
 
     /** Tasks of a job that found no room, not even soon. */
-    public record Unplaced(Job job, int tasks, boolean guaranteed) { }
+    public record Unplaced(Job job, int tasks, boolean guaranteed) {}
 
     /** {@code work} counts the slots looked at, so that planning can be paced by what it costs. */
-    public record Plan(List<Choice> choices, List<Unplaced> unplaced, Set<String> guaranteed, long speedLimited, long work,
+    public record Plan(
+            List<Choice> choices,
+            List<Unplaced> unplaced,
+            Set<String> guaranteed,
+            long speedLimited,
+            long work,
             List<Slot> booting) {
         /**
          * What machines should be bought for: tasks without room, and those that keep being planned to room that frees soon,
@@ -95,8 +100,12 @@
     /** A need that found no room; whatever needs as much and is allowed no more finds none either. */
     private record Misfit(JobSpec j) {
         boolean covers(JobSpec o) {
-            return o.cpus() >= j.cpus() && o.gpus() >= j.gpus() && o.mem() >= j.mem() && (j.spot() || !o.spot())
-                    && (j.zone() < 0 || j.zone() == o.zone()) && (j.types() == null || Arrays.equals(j.types(), o.types()));
+            return o.cpus() >= j.cpus()
+                    && o.gpus() >= j.gpus()
+                    && o.mem() >= j.mem()
+                    && (j.spot() || !o.spot())
+                    && (j.zone() < 0 || j.zone() == o.zone())
+                    && (j.types() == null || Arrays.equals(j.types(), o.types()));
         }
     }
 
@@ -114,16 +123,24 @@
     private static final double SIZE_WEIGHT = 10;
     /** So many tasks of a job are given places in one plan: more than are offered before the next. Tens of thousands cost more than all others. */
     private static final int MAX_CHOSEN = 1_000;
+
     private final LeaseTerms terms;
     /** By when, in s, a job is to begin whatever its size, where no aim of its class says so. */
     private final double beginByS;
     /** What a class's jobs should keep: to have started, or to be complete, so long after their submission. */
-    private record Aim(boolean start, double withinS) { }
+    private record Aim(boolean start, double withinS) {}
 
     private final Int2ObjectOpenHashMap<List<Aim>> aims = new Int2ObjectOpenHashMap<>();
 
-    public Planner(Catalog catalog, View view, Speeds speeds, Hazards hazards, Losses losses, LeaseTerms terms,
-            List<Settings.Objective> objectives, double beginByS) {
+    public Planner(
+            Catalog catalog,
+            View view,
+            Speeds speeds,
+            Hazards hazards,
+            Losses losses,
+            LeaseTerms terms,
+            List<Settings.Objective> objectives,
+            double beginByS) {
         this.beginByS = beginByS;
         this.catalog = catalog;
         this.view = view;
@@ -134,7 +151,8 @@
         for (Settings.Objective o : objectives) {
             boolean start = o.kind().equals("wait");
             if (o.cls() != null && (start || o.kind().equals("finished"))) {
-                aims.computeIfAbsent(catalog.classes.add(o.cls()), c -> new ArrayList<>()).add(new Aim(start, o.withinS()));
+                aims.computeIfAbsent(catalog.classes.add(o.cls()), c -> new ArrayList<>())
+                        .add(new Aim(start, o.withinS()));
             }
         }
     }
@@ -248,7 +266,11 @@
         List<Ranked> ranked = new ArrayList<>();
         for (Job j : view.jobs()) {
             if (waits(j)) {
-                Ranked r = new Ranked(j, j.spec.priority() == Priority.PRODUCTION, guaranteed.contains(j.spec.id()), false,
+                Ranked r = new Ranked(
+                        j,
+                        j.spec.priority() == Priority.PRODUCTION,
+                        guaranteed.contains(j.spec.id()),
+                        false,
                         rank(startBy(j, wall), drainMs(j, cpus, gpus), latest(j), wall));
                 ranked.add(r);
                 if (losses.any(j.spec.id())) {
@@ -261,7 +283,7 @@
     }
 
     /** {@code back}: only the tasks that their workers dropped, and only where they ran. */
-    private record Ranked(Job job, boolean production, boolean guaranteed, boolean back, long startBy) { }
+    private record Ranked(Job job, boolean production, boolean guaranteed, boolean back, long startBy) {}
 
     private static int compare(Ranked a, Ranked b) {
         // Production goes before guarantees: a replica beyond its team's guarantee must not starve behind batch work.
@@ -276,7 +298,8 @@
             return p;
         }
         if (a.back != b.back) {
-            // It starts at once where it ran; given to others first, its room waits for their images, and it for another room and image.
+            // It starts at once where it ran; given to others first, its room waits for their images, and it for
+            // another room and image.
             return a.back ? -1 : 1;
         }
         if (a.startBy < 0 != b.startBy < 0) {
@@ -305,7 +328,9 @@
         List<Ranked> order = order(all, guaranteed, wall);
         Slot[] slots = withRoom(all, order);
         Map<String, List<Choice>> underwayOf = new HashMap<>();
-        underway.forEach(c -> underwayOf.computeIfAbsent(c.job().spec.id(), k -> new ArrayList<>()).add(c));
+        underway.forEach(c -> underwayOf
+                .computeIfAbsent(c.job().spec.id(), k -> new ArrayList<>())
+                .add(c));
         work = all.size();
         Map<Alike, Candidates> alike = new HashMap<>();
         Map<String, Set<Integer>> back = new HashMap<>();
@@ -324,8 +349,10 @@
             IntPredicate held = marks.held(s.id());
             Set<String> refused = marks.refused(s.id());
             if (r.back) {
-                List<Choice> home = home(j, all, held, refused, zones(j, underwayOf.getOrDefault(s.id(), List.of())), use[s.team()]);
-                home.forEach(c -> back.computeIfAbsent(s.id(), k -> new HashSet<>()).add(c.task()));
+                List<Choice> home = home(
+                        j, all, held, refused, zones(j, underwayOf.getOrDefault(s.id(), List.of())), use[s.team()]);
+                home.forEach(
+                        c -> back.computeIfAbsent(s.id(), k -> new HashSet<>()).add(c.task()));
                 choices.addAll(home);
                 use[s.team()][0] += home.size() * s.cpus();
                 use[s.team()][1] += home.size() * s.gpus();
@@ -333,7 +360,10 @@
             }
             Set<Integer> isBack = back.getOrDefault(s.id(), Set.of());
             if (s.gang()) {
-                if (j.placedCount() > 0 || !isBack.isEmpty() || held != null && held.test(0) || awaited(s.id(), 0, present, now)) {
+                if (j.placedCount() > 0
+                        || !isBack.isEmpty()
+                        || held != null && held.test(0)
+                        || awaited(s.id(), 0, present, now)) {
                     continue;
                 }
                 List<Choice> gang = hopeless(s, misfits) ? null : gang(j, slots, refused, use[s.team()]);
@@ -374,7 +404,8 @@
                     slot = hopeless(s, misfits) ? null : best(j, slots, zones, -1, refused);
                 } else {
                     if (candidates == null && !hopeless(s, misfits)) {
-                        candidates = refused == null ? alike.computeIfAbsent(Alike.of(s), k -> new Candidates(j, slots, refused))
+                        candidates = refused == null
+                                ? alike.computeIfAbsent(Alike.of(s), k -> new Candidates(j, slots, refused))
                                 : new Candidates(j, slots, refused);
                         candidates.serve(j);
                     }
@@ -385,7 +416,8 @@
                 }
                 if (slot == null) {
                     // Its tasks are all alike: the rest finds no room either, and need not be looked at one by one.
-                    missing = withinLimit(s, use[s.team()], doubted ? 1 : s.tasks() - j.doneCount() - j.placedCount() - placed);
+                    missing = withinLimit(
+                            s, use[s.team()], doubted ? 1 : s.tasks() - j.doneCount() - j.placedCount() - placed);
                     use[s.team()][0] += missing * s.cpus();
                     use[s.team()][1] += missing * s.gpus();
                     break;
@@ -409,7 +441,13 @@
                 unplaced.add(new Unplaced(j, missing, r.guaranteed));
             }
         }
-        return new Plan(choices, unplaced, guaranteed, limited, work, all.stream().filter(Slot::booting).toList());
+        return new Plan(
+                choices,
+                unplaced,
+                guaranteed,
+                limited,
+                work,
+                all.stream().filter(Slot::booting).toList());
     }
 
     private long work;
@@ -450,11 +488,31 @@
      * Jobs that need and may use the same: all of a swarm. Each looked at every slot by itself, and plans came seconds apart for
      * everybody. Estimates count by their power of two.
      */
-    private record Alike(int cls, int image, double cpus, double gpus, double mem, List<Integer> types, int zone, boolean spot,
-            Priority priority, double checkpointS, int estimate) {
+    private record Alike(
+            int cls,
+            int image,
+            double cpus,
+            double gpus,
+            double mem,
+            List<Integer> types,
+            int zone,
+            boolean spot,
+            Priority priority,
+            double checkpointS,
+            int estimate) {
         static Alike of(JobSpec s) {
-            return new Alike(s.cls(), s.image(), s.cpus(), s.gpus(), s.mem(), s.types() == null ? null : Arrays.stream(s.types()).boxed().toList(),
-                    s.zone(), s.spot(), s.priority(), s.checkpointS(), Math.getExponent(s.estimateS()));
+            return new Alike(
+                    s.cls(),
+                    s.image(),
+                    s.cpus(),
+                    s.gpus(),
+                    s.mem(),
+                    s.types() == null ? null : Arrays.stream(s.types()).boxed().toList(),
+                    s.zone(),
+                    s.spot(),
+                    s.priority(),
+                    s.checkpointS(),
+                    Math.getExponent(s.estimateS()));
         }
     }
 
@@ -568,7 +626,8 @@
     }
 
     /** How many tasks of a job are recorded in each zone; whatever is not proven gone counts. */
-    public static Map<Integer, Integer> zones(Job j, IntUnaryOperator zoneOfShard, IntFunction<Chunk> chunks, Predicate<Claim> gone) {
+    public static Map<Integer, Integer> zones(
+            Job j, IntUnaryOperator zoneOfShard, IntFunction<Chunk> chunks, Predicate<Claim> gone) {
         Map<Integer, Integer> n = new HashMap<>();
         for (int i = 0; i < j.chunks.size(); i++) {
             Chunk c = chunks.apply(i);
@@ -607,7 +666,8 @@
     }
 
     /** What goes back where it ran, as far as there is room and the rules allow it; of a gang, all or nothing. */
-    private List<Choice> home(Job j, List<Slot> all, IntPredicate held, Set<String> refused, Map<Integer, Integer> zones, double[] use) {
+    private List<Choice> home(
+            Job j, List<Slot> all, IntPredicate held, Set<String> refused, Map<Integer, Integer> zones, double[] use) {
         JobSpec s = j.spec;
         Map<Integer, String> homes = losses.of(s.id());
         if (s.gang() && (homes.size() < s.tasks() || j.placedCount() > 0)) {
@@ -624,10 +684,16 @@
         List<Slot.Mark> trial = new ArrayList<>();
         homes.forEach((task, machine) -> {
             Slot slot = byName.get(machine);
-            boolean waits = task < s.tasks() && !j.isDone(task) && !j.placed(task) && (held == null || !held.test(task));
-            if (waits && slot != null && slot.fits(s) && slot.allows(s) && (refused == null || !refused.contains(machine))
+            boolean waits =
+                    task < s.tasks() && !j.isDone(task) && !j.placed(task) && (held == null || !held.test(task));
+            if (waits
+                    && slot != null
+                    && slot.fits(s)
+                    && slot.allows(s)
+                    && (refused == null || !refused.contains(machine))
                     && !(s.oneZone() && !zones.isEmpty() && !zones.containsKey(slot.zone))
-                    && !(s.spread() && zones.getOrDefault(slot.zone, 0) >= s.zoneLimit()) && !overLimit(s, use, l.size() + 1)) {
+                    && !(s.spread() && zones.getOrDefault(slot.zone, 0) >= s.zoneLimit())
+                    && !overLimit(s, use, l.size() + 1)) {
                 trial.add(slot.mark());
                 l.add(new Choice(j, task, slot, slot.startDelay(s)));
                 slot.take(s);
@@ -688,7 +754,9 @@
         Slot best = null;
         double bestScore = Double.MAX_VALUE;
         for (Slot s : slots) {
-            if (zone >= 0 && s.zone != zone || !s.fits(j.spec) || !s.allows(j.spec)
+            if (zone >= 0 && s.zone != zone
+                    || !s.fits(j.spec)
+                    || !s.allows(j.spec)
                     || refused != null && refused.contains(s.machine)) {
                 continue;
             }
@@ -740,8 +808,8 @@
             // The gate: such a machine is taken only when no capable one has room.
             score += 3_600_000;
         }
-        double left = Math.max((s.cpus - spec.cpus()) / s.type.cpus(),
-                s.type.gpus() > 0 ? (s.gpus - spec.gpus()) / s.type.gpus() : 0);
+        double left = Math.max(
+                (s.cpus - spec.cpus()) / s.type.cpus(), s.type.gpus() > 0 ? (s.gpus - spec.gpus()) / s.type.gpus() : 0);
         score += left * PACK_MS;
         if (spec.spot() && !s.spot) {
             score += 300;
--- a/src/main/java/birchusher/placement/Preemption.java
+++ b/src/main/java/birchusher/placement/Preemption.java
@@ -44,13 +44,21 @@
     }
 
     /** A place for one task where the work that has to leave costs least; null if none is clearly better than the delay without. */
-    Planner.Choice single(Job j, int task, boolean guaranteed, double delayS, Planner.Plan plan, List<Slot> slots,
-            Map<Integer, Integer> zones, Set<String> refused) {
+    Planner.Choice single(
+            Job j,
+            int task,
+            boolean guaranteed,
+            double delayS,
+            Planner.Plan plan,
+            List<Slot> slots,
+            Map<Integer, Integer> zones,
+            Set<String> refused) {
         JobSpec s = j.spec;
         Place best = null;
         double bestCost = worth(delayS);
         for (Slot slot : slots) {
-            if (!usable(slot, s, refused) || s.spread() && zones.getOrDefault(slot.zone, 0) >= s.zoneLimit()
+            if (!usable(slot, s, refused)
+                    || s.spread() && zones.getOrDefault(slot.zone, 0) >= s.zoneLimit()
                     || s.oneZone() && !zones.isEmpty() && !zones.containsKey(slot.zone)) {
                 continue;
             }
@@ -119,8 +127,15 @@
      * is stopped before the gang's claim stands; the machines' owners then do it, so no two gangs each gather half of their room.
      * Places whose images take longer than {@code spareMs} to come, so that the gang would miss an aim, come last.
      */
-    List<Planner.Choice> gang(Job j, boolean guaranteed, double delayS, double spareMs, Planner.Plan plan, List<Slot> slots,
-            int zoneCount, Set<String> refused) {
+    List<Planner.Choice> gang(
+            Job j,
+            boolean guaranteed,
+            double delayS,
+            double spareMs,
+            Planner.Plan plan,
+            List<Slot> slots,
+            int zoneCount,
+            Set<String> refused) {
         JobSpec s = j.spec;
         List<Planner.Choice> best = null;
         double bestCost = worth(delayS) * s.tasks();
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -16,16 +16,31 @@
     final int[] images;
     /** In how many ms the room is there; 0: now. */
     final long etaMs;
+
     final boolean real;
     double cpus;
     double gpus;
     double mem;
     /** Image planned here in this pass, so that several tasks of one image count one fetch. */
     int planned = -1;
+
     int plannedFetches;
 
-    public Slot(String machine, Catalog.Type type, int zone, boolean spot, long session, int shard, double speed,
-            int[] fetching, int[] images, long etaMs, boolean real, double cpus, double gpus, double mem) {
+    public Slot(
+            String machine,
+            Catalog.Type type,
+            int zone,
+            boolean spot,
+            long session,
+            int shard,
+            double speed,
+            int[] fetching,
+            int[] images,
+            long etaMs,
+            boolean real,
+            double cpus,
+            double gpus,
+            double mem) {
         this.machine = machine;
         this.type = type;
         this.zone = zone;
@@ -66,7 +81,7 @@
     }
 
     /** What a trial changes. */
-    public record Mark(double cpus, double gpus, double mem, int planned, int plannedFetches) { }
+    public record Mark(double cpus, double gpus, double mem, int planned, int plannedFetches) {}
 
     public Mark mark() {
         return new Mark(cpus, gpus, mem, planned, plannedFetches);
--- a/src/main/java/birchusher/pool/Gangs.java
+++ b/src/main/java/birchusher/pool/Gangs.java
@@ -28,7 +28,12 @@
     private static final long FORGET_MS = 120_000;
 
     /** How a task is: it has its program; its process runs; its process ended well; it ends for any other reason. */
-    private enum Phase { WAITING, RUNNING, ENDED, LEAVING }
+    private enum Phase {
+        WAITING,
+        RUNNING,
+        ENDED,
+        LEAVING
+    }
 
     private static final class Task {
         Phase phase;
@@ -100,7 +105,7 @@
     }
 
     private void judge(long now, Gang g, long tasks) {
-        for (Iterator<Task> i = g.tasks.values().iterator(); i.hasNext();) {
+        for (Iterator<Task> i = g.tasks.values().iterator(); i.hasNext(); ) {
             Task t = i.next();
             if (now - t.heard <= silentMs || t.phase == Phase.ENDED) {
                 continue;
@@ -125,7 +130,9 @@
         if (!g.started) {
             return "wait";
         }
-        return g.tasks.size() == tasks && g.tasks.values().stream().allMatch(t -> t.phase == Phase.ENDED) ? "all" : "go";
+        return g.tasks.size() == tasks && g.tasks.values().stream().allMatch(t -> t.phase == Phase.ENDED)
+                ? "all"
+                : "go";
     }
 
     public void tick(long now) {
--- a/src/main/java/birchusher/pool/Hosts.java
+++ b/src/main/java/birchusher/pool/Hosts.java
@@ -21,7 +21,7 @@
         }
     }
 
-    public record Host(String name, String type, String zone) { }
+    public record Host(String name, String type, String zone) {}
 
     public Hosts {
         types = List.copyOf(types);
@@ -42,6 +42,11 @@
 
     /** The zones that have hosts of a type. */
     List<String> zones(String type) {
-        return hosts.values().stream().filter(h -> h.type().equals(type)).map(Host::zone).distinct().sorted().toList();
+        return hosts.values().stream()
+                .filter(h -> h.type().equals(type))
+                .map(Host::zone)
+                .distinct()
+                .sorted()
+                .toList();
     }
 }
--- a/src/main/java/birchusher/pool/Outbox.java
+++ b/src/main/java/birchusher/pool/Outbox.java
@@ -9,13 +9,13 @@
 /** Collects what a step of the pool's machines decided, and keeps what is to happen once a write is durable. */
 public final class Outbox {
     /** What the edge has to do. */
-    public sealed interface Output { }
+    public sealed interface Output {}
 
     /** Answers a request. {@code retryAfterS} 0: no such header. */
-    public record Answer(long exchange, int status, Map<String, ?> body, int retryAfterS) implements Output { }
+    public record Answer(long exchange, int status, Map<String, ?> body, int retryAfterS) implements Output {}
 
     /** Rows to be made durable together; a null value removes one. {@link Outbox#written} is told what became of it. */
-    public record Write(long id, Map<String, Map<String, ?>> rows) implements Output { }
+    public record Write(long id, Map<String, Map<String, ?>> rows) implements Output {}
 
     private final Map<Long, Consumer<Boolean>> writing = new HashMap<>();
     private List<Output> out = new ArrayList<>();
