--- a/src/main/java/birchusher/pool/Pool.java
+++ b/src/main/java/birchusher/pool/Pool.java
@@ -39,11 +39,13 @@
     static final String NEXT = "next";
     /** From a rental to the first task: the agent asks, reports, and reports again with the token it was told. */
     private static final double READY_S = 3.0;
+
     private static final int MAX_COUNT = 50;
     private static final int MAX_DELETE = 100;
     private static final int MAX_LIST = 500;
     /** Answers to rentals that are remembered; a request that comes later than that many others is not known as a repeat. */
     private static final int MAX_ASKS = 5_000;
+
     private static final int MAX_WRITES = 64;
     /** A host whose agent was not heard of for this long is not rented. */
     private static final long SILENT_MS = 3_000;
@@ -51,9 +53,14 @@
     private static final long LEAVE_MS = 3_000;
     /** Steady clocks of two hosts may differ by 0.05 % each, and an answer may have been a while on its way out. */
     private static final double DRIFT = 1.002;
+
     private static final long MARGIN_MS = 1_000;
 
-    private enum Stage { RENTED, LEAVING, FAILED }
+    private enum Stage {
+        RENTED,
+        LEAVING,
+        FAILED
+    }
 
     /** What a host is rented as. */
     private record Rental(String machine, String boot, long since, Stage stage) {
@@ -62,7 +69,10 @@
         }
 
         static Rental of(Map<String, Object> m) {
-            return new Rental(Fields.text(m, "machine"), Fields.text(m, "boot"), Fields.count(m, "since"),
+            return new Rental(
+                    Fields.text(m, "machine"),
+                    Fields.text(m, "boot"),
+                    Fields.count(m, "since"),
                     Stage.valueOf(Fields.text(m, "stage")));
         }
 
@@ -80,6 +90,7 @@
         String boot;
         /** Number of its newest message; older ones that arrive late say what is no longer so. */
         long message;
+
         String address;
         long heard;
         /** It has said that it runs as the machine that it is rented as. */
@@ -90,7 +101,7 @@
         }
     }
 
-    private record Leaver(long exchange, Set<String> machines, long until) { }
+    private record Leaver(long exchange, Set<String> machines, long until) {}
 
     private final Hosts hosts;
     private final Map<String, ?> terms;
@@ -135,7 +146,11 @@
             }
         });
         order.forEach((n, ask) -> {
-            asks.put(ask, Fields.list(rows.get(ASK + ask), Wire.MACHINES).stream().map(String::valueOf).toList());
+            asks.put(
+                    ask,
+                    Fields.list(rows.get(ASK + ask), Wire.MACHINES).stream()
+                            .map(String::valueOf)
+                            .toList());
             asked = n;
         });
     }
@@ -150,8 +165,18 @@
         List<Object> l = new ArrayList<>();
         for (Hosts.Type t : hosts.types()) {
             Map<String, Object> m = new HashMap<>();
-            Object[] values = {t.name(), t.cpus(), t.gpus(), t.memGb(), 1_000.0, 1_000.0, t.price(), t.price(),
-                hosts.zones(t.name()), READY_S};
+            Object[] values = {
+                t.name(),
+                t.cpus(),
+                t.gpus(),
+                t.memGb(),
+                1_000.0,
+                1_000.0,
+                t.price(),
+                t.price(),
+                hosts.zones(t.name()),
+                READY_S
+            };
             for (int i = 0; i < values.length; i++) {
                 m.put(Wire.TYPE_FIELDS[i], values[i]);
             }
@@ -182,16 +207,26 @@
         }
         List<Member> free = new ArrayList<>();
         for (Member m : members.values()) {
-            if (!spot && m.rental == null && !m.busy && m.boot != null && now - m.heard <= SILENT_MS && free.size() < count
-                    && m.host.type().equals(type) && m.host.zone().equals(zone)) {
+            if (!spot
+                    && m.rental == null
+                    && !m.busy
+                    && m.boot != null
+                    && now - m.heard <= SILENT_MS
+                    && free.size() < count
+                    && m.host.type().equals(type)
+                    && m.host.zone().equals(zone)) {
                 free.add(m);
             }
         }
         if (free.isEmpty()) {
             // A host on its way back is no lack of hosts: whoever hears of one looks elsewhere for a good while.
-            boolean soon = !spot && members.values().stream().anyMatch(m -> now - m.heard <= SILENT_MS && m.boot != null
-                    && (m.busy || m.rental != null && m.rental.stage() != Stage.RENTED)
-                    && m.host.type().equals(type) && m.host.zone().equals(zone));
+            boolean soon = !spot
+                    && members.values().stream()
+                            .anyMatch(m -> now - m.heard <= SILENT_MS
+                                    && m.boot != null
+                                    && (m.busy || m.rental != null && m.rental.stage() != Stage.RENTED)
+                                    && m.host.type().equals(type)
+                                    && m.host.zone().equals(zone));
             out.refuse(exchange, 503, soon ? "trouble" : "no capacity", soon ? 1 : 5);
             return;
         }
@@ -262,7 +297,11 @@
         }
         Map<String, Map<String, ?>> rows = new HashMap<>();
         for (Member m : turn) {
-            rows.put(HOST + m.host.name(), m.rental.stage() == Stage.FAILED ? null : m.rental.with(Stage.LEAVING).row());
+            rows.put(
+                    HOST + m.host.name(),
+                    m.rental.stage() == Stage.FAILED
+                            ? null
+                            : m.rental.with(Stage.LEAVING).row());
         }
         change(turn, rows);
     }
@@ -294,7 +333,7 @@
 
     /** Answers deletions that have come to their end, or have waited long enough. */
     private void settle() {
-        for (Iterator<Leaver> i = leavers.iterator(); i.hasNext();) {
+        for (Iterator<Leaver> i = leavers.iterator(); i.hasNext(); ) {
             Leaver l = i.next();
             if (l.machines().stream().noneMatch(machines::containsKey)) {
                 i.remove();
@@ -319,10 +358,21 @@
                 break;
             }
             Member m = e.getValue();
-            l.add(Map.of(Wire.ID, e.getKey(), Wire.ADDR, m.address == null ? "unknown:1" : m.address, Wire.TYPE, m.host.type(),
-                    Wire.ZONE, m.host.zone(), Wire.SPOT, false,
-                    Wire.STATE, m.rental.stage() == Stage.FAILED ? "failed" : m.up ? Wire.RUNNING : "starting",
-                    Wire.AGE, Math.max(0, wall - m.rental.since()) / 1000.0));
+            l.add(Map.of(
+                    Wire.ID,
+                    e.getKey(),
+                    Wire.ADDR,
+                    m.address == null ? "unknown:1" : m.address,
+                    Wire.TYPE,
+                    m.host.type(),
+                    Wire.ZONE,
+                    m.host.zone(),
+                    Wire.SPOT,
+                    false,
+                    Wire.STATE,
+                    m.rental.stage() == Stage.FAILED ? "failed" : m.up ? Wire.RUNNING : "starting",
+                    Wire.AGE,
+                    Math.max(0, wall - m.rental.since()) / 1000.0));
         }
         return Map.of(Wire.MACHINES, l, Wire.MORE, more);
     }
@@ -347,11 +397,15 @@
             return;
         }
         if (!boot.equals(m.boot)) {
-            // Whoever holds the lock on the agent's directory and found the other's mark there knows that it is dead; nobody
+            // Whoever holds the lock on the agent's directory and found the other's mark there knows that it is dead;
+            // nobody
             // else does before a lease has passed.
             if (m.boot != null && !m.boot.equals(before) && now - m.heard <= silentEnough()) {
-                out.refuse(exchange, 409, "another agent speaks for host " + name + ", heard "
-                        + (now - m.heard) / 1000 + " s ago", 5);
+                out.refuse(
+                        exchange,
+                        409,
+                        "another agent speaks for host " + name + ", heard " + (now - m.heard) / 1000 + " s ago",
+                        5);
                 return;
             }
             m.boot = boot;
@@ -418,9 +472,13 @@
             x.put("agent", m.host.name());
             x.put(Wire.TYPE, m.host.type());
             x.put(Wire.ZONE, m.host.zone());
-            x.put(Wire.STATE, m.rental == null ? m.boot == null || at - m.heard > SILENT_MS ? "absent" : "parked"
-                    : m.rental.stage() == Stage.RENTED ? m.up ? Wire.RUNNING : "starting"
-                    : m.rental.stage() == Stage.LEAVING ? "leaving" : "failed");
+            x.put(
+                    Wire.STATE,
+                    m.rental == null
+                            ? m.boot == null || at - m.heard > SILENT_MS ? "absent" : "parked"
+                            : m.rental.stage() == Stage.RENTED
+                                    ? m.up ? Wire.RUNNING : "starting"
+                                    : m.rental.stage() == Stage.LEAVING ? "leaving" : "failed");
             x.put(Wire.MACHINE, m.rental == null ? null : m.rental.machine());
             x.put("heard_s", m.address == null ? null : (at - m.heard) / 1000.0);
             l.add(x);
@@ -436,7 +494,9 @@
 
     /** Hosts whose agents are heard of. */
     public List<String> heard(long at) {
-        return members.values().stream().filter(m -> m.address != null && at - m.heard <= SILENT_MS).map(m -> m.host.name())
+        return members.values().stream()
+                .filter(m -> m.address != null && at - m.heard <= SILENT_MS)
+                .map(m -> m.host.name())
                 .toList();
     }
 }
--- a/src/main/java/birchusher/pool/Programs.java
+++ b/src/main/java/birchusher/pool/Programs.java
@@ -23,15 +23,17 @@
     static final int MAX_PROGRAMS = 200_000;
     /** Of one program, as JSON. */
     public static final int MAX_BYTES = 48 * 1024;
+
     private static final int MAX_WORDS = 1_000;
     private static final int MAX_ENV = 200;
     private static final long KEEP_MS = 600_000;
     /** An upload whose job never came is dropped after this. */
     private static final long KEEP_UNKNOWN_MS = 86_400_000;
+
     private static final Set<String> SIGNALS = Set.of("TERM", "INT", "HUP", "USR1", "USR2");
 
     /** Time of day of the upload, and the program. */
-    private record Kept(long since, Map<String, Object> program) { }
+    private record Kept(long since, Map<String, Object> program) {}
 
     private final Outbox out;
     private final TreeMap<String, Kept> programs = new TreeMap<>();
@@ -42,7 +44,8 @@
         this.out = out;
         rows.forEach((key, row) -> {
             if (key.startsWith(ROW)) {
-                programs.put(key.substring(ROW.length()),
+                programs.put(
+                        key.substring(ROW.length()),
                         new Kept(Fields.count(row, "since"), Fields.map(row.get("program"), "program")));
             }
         });
@@ -93,7 +96,8 @@
             }
         }
         List<?> command = Fields.list(body, "command");
-        if (command.isEmpty() || command.size() > MAX_WORDS
+        if (command.isEmpty()
+                || command.size() > MAX_WORDS
                 || command.stream().anyMatch(w -> !(w instanceof String s) || s.indexOf('\0') >= 0)
                 || ((String) command.get(0)).isEmpty()) {
             throw new Bad("command: 1 to " + MAX_WORDS + " words, the first not empty");
@@ -104,7 +108,9 @@
             throw new Bad("env: at most " + MAX_ENV);
         }
         env.forEach((k, v) -> {
-            if (!k.matches("[A-Za-z_][A-Za-z0-9_]*") || k.startsWith("BIRCHUSHER_") || !(v instanceof String s)
+            if (!k.matches("[A-Za-z_][A-Za-z0-9_]*")
+                    || k.startsWith("BIRCHUSHER_")
+                    || !(v instanceof String s)
                     || s.indexOf('\0') >= 0) {
                 throw new Bad("env." + k + ": not a name, one of ours, or not text");
             }
--- a/src/main/java/birchusher/recovery/Census.java
+++ b/src/main/java/birchusher/recovery/Census.java
@@ -29,7 +29,11 @@
     private static final long PLAN_MS = 1_000;
 
     /** What owners tell of a machine: nothing yet, a report whose worker has not shown its owner's term, or all that can be had. */
-    public enum Told { NOTHING, REPORTS, FIT }
+    public enum Told {
+        NOTHING,
+        REPORTS,
+        FIT
+    }
 
     /** Of a cluster's return; each ends by evidence, or when nothing more is waited for. */
     public enum Phase {
@@ -48,6 +52,7 @@
     private final Map<String, Long> open = new HashMap<>();
     /** Machines that were fit since they were first told of: what makes one unfit later is not a matter of this. */
     private final Set<String> fit = new HashSet<>();
+
     private long knownFrom;
     private boolean returned;
     private long now;
@@ -78,7 +83,8 @@
      * @param gone whether a machine is known to be gone
      * @param listed machines that the cloud's list shows as running though nobody tells of them
      */
-    public void look(long now, boolean read, Function<String, Told> told, Predicate<String> gone, Iterable<String> listed) {
+    public void look(
+            long now, boolean read, Function<String, Told> told, Predicate<String> gone, Iterable<String> listed) {
         this.now = now;
         if (!read) {
             next(Phase.READING, now);
@@ -105,7 +111,8 @@
         next(waitedFor * FEW > expected ? Phase.HEARING : view.goneCount() > 0 ? Phase.RESTORING : Phase.ORDINARY, now);
     }
 
-    private void expect(String machine, Function<String, Told> told, Predicate<String> gone, Map<String, Long> before, long now) {
+    private void expect(
+            String machine, Function<String, Told> told, Predicate<String> gone, Map<String, Long> before, long now) {
         expected++;
         Told t = told.apply(machine);
         if (t == Told.NOTHING) {
@@ -127,8 +134,12 @@
         }
         returned = p != Phase.READING && (returned || p != Phase.HEARING);
         if (phase == Phase.HEARING && most >= 10) {
-            LOG.info("recovery: {} machines were waited for, {} of them in vain, for {} ms; {} losses to be written", most, open.size(),
-                    now - since, view.goneCount());
+            LOG.info(
+                    "recovery: {} machines were waited for, {} of them in vain, for {} ms; {} losses to be written",
+                    most,
+                    open.size(),
+                    now - since,
+                    view.goneCount());
         }
         if (p == Phase.HEARING) {
             most = waitedFor;
--- a/src/main/java/birchusher/recovery/Losses.java
+++ b/src/main/java/birchusher/recovery/Losses.java
@@ -21,7 +21,7 @@
      */
     private static final long AWAIT_MS = 1_500;
 
-    private record Home(String machine, long at) { }
+    private record Home(String machine, long at) {}
 
     private final Map<String, TreeMap<Integer, Home>> homes = new HashMap<>();
     private int kept;
@@ -29,6 +29,7 @@
     private final long patienceMs;
     /** What the others tell of theirs, by member. */
     private final int[] elsewhere;
+
     private final long[] toldAt;
     private long nextForget;
 
@@ -43,7 +44,8 @@
     }
 
     public void dropped(String job, int task, String machine, long now) {
-        if (kept < MAX_KEPT && homes.computeIfAbsent(job, k -> new TreeMap<>()).put(task, new Home(machine, now)) == null) {
+        if (kept < MAX_KEPT
+                && homes.computeIfAbsent(job, k -> new TreeMap<>()).put(task, new Home(machine, now)) == null) {
             kept++;
         }
     }
--- a/src/main/java/birchusher/recovery/Orders.java
+++ b/src/main/java/birchusher/recovery/Orders.java
@@ -13,9 +13,10 @@
 public final class Orders {
     /** By the users' rules a start that is stopped sooner does not count. */
     private static final long STOPPED_SOON_MS = 30_000;
+
     private static final int MAX_KEPT = 20_000;
 
-    private record Returned(int kind, long at) { }
+    private record Returned(int kind, long at) {}
 
     private final Map<String, Long> starts = new LinkedHashMap<>();
     private final ArrayDeque<Returned> returned = new ArrayDeque<>();
@@ -25,7 +26,7 @@
 
     /** @param again whether the task had been started before */
     public void start(String attempt, boolean again, long now) {
-        for (Iterator<Long> oldest = starts.values().iterator(); oldest.hasNext();) {
+        for (Iterator<Long> oldest = starts.values().iterator(); oldest.hasNext(); ) {
             if (now - oldest.next() <= STOPPED_SOON_MS && starts.size() < MAX_KEPT) {
                 break;
             }
@@ -58,7 +59,7 @@
     public void rent(int kind, int n, long bootMs, long now) {
         returned.removeIf(r -> r.kind == kind && now - r.at > bootMs);
         int left = n;
-        for (Iterator<Returned> i = returned.iterator(); i.hasNext() && left > 0;) {
+        for (Iterator<Returned> i = returned.iterator(); i.hasNext() && left > 0; ) {
             if (i.next().kind == kind) {
                 i.remove();
                 left--;
--- a/src/main/java/birchusher/recovery/Squaring.java
+++ b/src/main/java/birchusher/recovery/Squaring.java
@@ -23,36 +23,60 @@
     }
 
     /** What the report shows of it. */
-    public enum Shown { ABSENT, FETCHING, WAITING, RUNNING, SAVING, DONE, ERROR, ENDED }
+    public enum Shown {
+        ABSENT,
+        FETCHING,
+        WAITING,
+        RUNNING,
+        SAVING,
+        DONE,
+        ERROR,
+        ENDED
+    }
 
     /**
      * What this owner knows beside. {@code before}: an earlier report under its own eyes showed the attempt; {@code loose}: a start
      * sent straight to the worker has not been answered and may yet arrive; {@code fenced}: the worker has seen our term, so nothing of
      * an earlier owner can reach it any more; {@code told}: the attempt's end is known and on its way into the rows.
      */
-    public record Known(boolean before, boolean loose, boolean fenced, boolean told) { }
+    public record Known(boolean before, boolean loose, boolean fenced, boolean told) {}
 
-    public enum Write { NOTHING, DONE, ERROR, LOST, NOT_STARTED }
+    public enum Write {
+        NOTHING,
+        DONE,
+        ERROR,
+        LOST,
+        NOT_STARTED
+    }
 
     /** {@code FENCE}: an unanswered start has to be kept out by a higher term before anything else may follow. */
-    public enum Order { NOTHING, START, STOP, REAP, FENCE }
+    public enum Order {
+        NOTHING,
+        START,
+        STOP,
+        REAP,
+        FENCE
+    }
 
-    private Squaring() { }
+    private Squaring() {}
 
     /** What goes into the rows: a claim leaves them only with a proof that the task is not on the machine and can't come to be there. */
     public static Write write(Row row, Shown shown, Known k) {
         return switch (row) {
             case NONE, LATER -> Write.NOTHING;
-            // A worker drops all of its tasks between two sessions.
+                // A worker drops all of its tasks between two sessions.
             case EARLIER -> Write.LOST;
             case CLAIMED, UNWANTED -> switch (shown) {
                 case FETCHING, WAITING, RUNNING, SAVING -> Write.NOTHING;
-                // Work that ended while nobody listened counts, also if nobody wants it any more.
+                    // Work that ended while nobody listened counts, also if nobody wants it any more.
                 case DONE -> Write.DONE;
                 case ERROR -> Write.ERROR;
                 case ENDED -> Write.LOST;
-                case ABSENT -> k.before() && !k.loose() ? Write.LOST
-                        : row == Row.UNWANTED && !k.before() && !k.loose() && k.fenced() ? Write.NOT_STARTED : Write.NOTHING;
+                case ABSENT -> k.before() && !k.loose()
+                        ? Write.LOST
+                        : row == Row.UNWANTED && !k.before() && !k.loose() && k.fenced()
+                                ? Write.NOT_STARTED
+                                : Write.NOTHING;
             };
         };
     }
@@ -63,7 +87,7 @@
             case NONE, EARLIER, LATER -> switch (shown) {
                 case ABSENT -> Order.NOTHING;
                 case DONE, ERROR, ENDED -> k.loose() ? Order.FENCE : k.told() ? Order.NOTHING : Order.REAP;
-                // Kept out of a double start: it is stopped whatever it was doing.
+                    // Kept out of a double start: it is stopped whatever it was doing.
                 default -> Order.STOP;
             };
             case CLAIMED -> shown == Shown.ABSENT && !k.before() && !k.told() ? Order.START : Order.NOTHING;
--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/seats/Seats.java
@@ -28,6 +28,7 @@
     private static final long GIVE_MS = 1_000;
     /** While we miss a controller in the mesh, a beat in our seat's row shows the others that we live. */
     private static final long BEAT_MS = 2_500;
+
     private static final long BEAT_SEEN_MS = 6_500;
     /** A controller that falls silent in the mesh has this long for its first beat. */
     private static final long GRACE_MS = 1_200;
@@ -47,6 +48,7 @@
     private final int perZone;
     /** When the state was first read; -1: not yet. */
     private long readAt = -1;
+
     private final List<Settings.Peer> members = new ArrayList<>();
     private final long[] heardAt;
     private final long[] aliveSince;
@@ -69,6 +71,7 @@
     private final long[] lastTake;
     /** When workers that could not reach its owner last made us take a shard, and how often. */
     private final long[] pressedAt;
+
     private final int[] presses;
     private final long[] wantedAt;
     private final long[] seenIncarnation;
@@ -79,6 +82,7 @@
     private final long[][] seenTerm;
     /** Per shard the highest term that another controller has told to own it by: higher than ours, we are replaced. */
     private final long[] heardTerm;
+
     private final Staleness staleness;
     private boolean taking;
     public long takeovers;
@@ -144,7 +148,9 @@
 
     private long ofOurs(String key, String owner) {
         Map<String, Object> row = view.row(key);
-        return row == null || owner != null && !settings.member().equals(row.get(owner)) ? 0 : Fields.countOr(row, "i", 0);
+        return row == null || owner != null && !settings.member().equals(row.get(owner))
+                ? 0
+                : Fields.countOr(row, "i", 0);
     }
 
     /** As many as the fullest zone has controllers, so that all of them can own workers; the same for all controllers. */
@@ -193,8 +199,10 @@
     /** Owner, its incarnation and the term; no owner: null. */
     private record ShardRow(String member, long incarnation, long term) {
         static ShardRow of(Map<String, Object> row) {
-            return row == null ? new ShardRow(null, 0, 0)
-                    : new ShardRow(String.valueOf(row.get("m")), Fields.countOr(row, "i", 0), Fields.countOr(row, "t", 0));
+            return row == null
+                    ? new ShardRow(null, 0, 0)
+                    : new ShardRow(
+                            String.valueOf(row.get("m")), Fields.countOr(row, "i", 0), Fields.countOr(row, "t", 0));
         }
     }
 
@@ -220,7 +228,9 @@
     }
 
     public boolean owns(int shard) {
-        return holding() && !giving[shard] && named(shard, settings.member(), incarnation)
+        return holding()
+                && !giving[shard]
+                && named(shard, settings.member(), incarnation)
                 && heardTerm[shard] <= term(shard);
     }
 
@@ -320,7 +330,9 @@
     }
 
     private boolean seenAble(int i) {
-        return i == 0 ? store.healthy() : live(i) ? storeOk[i] : seen(i) && (storeOk[i] || fx.now() - beatAt[i] < BEAT_SEEN_MS);
+        return i == 0
+                ? store.healthy()
+                : live(i) ? storeOk[i] : seen(i) && (storeOk[i] || fx.now() - beatAt[i] < BEAT_SEEN_MS);
     }
 
     /** Notes whose seat rows have changed. The first look tells nothing: the row may be a dead one's. */
@@ -697,7 +709,8 @@
         if (taking) {
             return;
         }
-        // Counted from the reading, not from the start: after a start inside an outage whoever read first once took all shards, 0.1 s
+        // Counted from the reading, not from the start: after a start inside an outage whoever read first once took all
+        // shards, 0.1 s
         // before the others, and handed them over six seconds later, in the middle of squaring their workers' reports.
         boolean hopeful = now - readAt < suspectMs + 500;
         List<Integer> take = new ArrayList<>();
@@ -708,7 +721,8 @@
             String owner = owner(s);
             int o = owner == null ? -1 : index(owner);
             boolean orphan = owner == null || !validOwner(s) || o == 0;
-            // Without a worker that has lost its owner, the silence may be the mesh's alone: taking would start a fight.
+            // Without a worker that has lost its owner, the silence may be the mesh's alone: taking would start a
+            // fight.
             boolean silent = o > 0 && !seen(o) && !hopeful && now - wantedAt[s] < 6_000;
             boolean unserved = o > 0 && badStoreSince[o] >= 0 && now - badStoreSince[o] > 4_000;
             if (orphan || silent || unserved) {
@@ -741,7 +755,8 @@
 
     private void take(List<Integer> shards) {
         taking = true;
-        long[] versions = shards.stream().mapToLong(s -> view.version(shardKey(s))).toArray();
+        long[] versions =
+                shards.stream().mapToLong(s -> view.version(shardKey(s))).toArray();
         store.offer(new ShardChange(0) {
             private boolean unclear;
 
@@ -774,8 +789,14 @@
                         }
                     }
                     term++;
-                    tx.put(shardKey(s), row(settings.member(), incarnation, term,
-                            ours ? Fields.countOr(old, "o", term) : term, before));
+                    tx.put(
+                            shardKey(s),
+                            row(
+                                    settings.member(),
+                                    incarnation,
+                                    term,
+                                    ours ? Fields.countOr(old, "o", term) : term,
+                                    before));
                     lastTake[s] = fx.now();
                     n++;
                 }
@@ -795,7 +816,11 @@
             void over(boolean ok) {
                 taking = false;
                 // Without an answer, and then seen to be ours: it was carried out.
-                if (ok || unclear && shards.stream().anyMatch(s -> mine(s) && view.version(shardKey(s)) != versions[shards.indexOf(s)])) {
+                if (ok
+                        || unclear
+                                && shards.stream()
+                                        .anyMatch(s ->
+                                                mine(s) && view.version(shardKey(s)) != versions[shards.indexOf(s)])) {
                     takeovers++;
                     LOG.info("shards {} are ours, term {}", shards, lastTerm());
                     follow(fx.now());
@@ -807,8 +832,10 @@
     private void giveWhatIsNot(long now) {
         for (int i = 1; i < members.size(); i++) {
             if (live(i) && !storeOk[i]) {
-                // An outage that begins is noticed by one after the other, and preferences follow. Handing over then left half
-                // of the shards with nobody to answer their workers until the outage was over, and their leases were not.
+                // An outage that begins is noticed by one after the other, and preferences follow. Handing over then
+                // left half
+                // of the shards with nobody to answer their workers until the outage was over, and their leases were
+                // not.
                 return;
             }
         }
@@ -818,10 +845,16 @@
             }
             int p = preferred(s, false);
             Map<String, Object> seat = p <= 0 ? null : view.row(Keys.SEAT + memberName(p));
-            // Whom its workers could not reach looks as well as ever from here, unless it was restarted. Given back after six seconds, the shard went round for as
+            // Whom its workers could not reach looks as well as ever from here, unless it was restarted. Given back
+            // after six seconds, the shard went round for as
             // long as such a cut lasted, and its workers' leases ended.
-            boolean unreached = aliveSince[p] <= pressedAt[s] && now - pressedAt[s] < leaseMs << Math.min(MAX_DOUBLINGS, Math.max(0, presses[s] - 1));
-            if (seat == null || !live(p) || unreached || now - aliveSince[p] < settleMs || now - ownedSince[s] < settleMs) {
+            boolean unreached = aliveSince[p] <= pressedAt[s]
+                    && now - pressedAt[s] < leaseMs << Math.min(MAX_DOUBLINGS, Math.max(0, presses[s] - 1));
+            if (seat == null
+                    || !live(p)
+                    || unreached
+                    || now - aliveSince[p] < settleMs
+                    || now - ownedSince[s] < settleMs) {
                 continue;
             }
             give(s, memberName(p), Fields.countOr(seat, "i", 0));
--- a/src/main/java/birchusher/seats/Staleness.java
+++ b/src/main/java/birchusher/seats/Staleness.java
@@ -21,6 +21,7 @@
 public final class Staleness {
     /** More cancellations than this are not told, and then the word is none. */
     private static final int MOST_NEWS = 500;
+
     private static final long ASK_FROM_MS = 1_000;
 
     private final Effects fx;
@@ -53,7 +54,9 @@
 
     /** What to ask the other members now; null while the state service proves our view. */
     public RevisionQuery ask() {
-        return store.loaded() && fx.now() - store.provenAt() > ASK_FROM_MS ? new RevisionQuery(fx.now(), view.applied()) : null;
+        return store.loaded() && fx.now() - store.provenAt() > ASK_FROM_MS
+                ? new RevisionQuery(fx.now(), view.applied())
+                : null;
     }
 
     /** Our word for another member, with the cancellations that its view lacks. */
@@ -63,7 +66,12 @@
             return new RevisionReply(q.sentAt(), itsIncarnation, false, -1, -1, List.of());
         }
         List<Cancelled> news = view.cancellations().since(q.applied(), MOST_NEWS);
-        return new RevisionReply(q.sentAt(), itsIncarnation, store.healthy(), view.known(), news == null ? -1 : q.applied(),
+        return new RevisionReply(
+                q.sentAt(),
+                itsIncarnation,
+                store.healthy(),
+                view.known(),
+                news == null ? -1 : q.applied(),
                 news == null ? List.of() : news);
     }
 
@@ -73,7 +81,8 @@
      */
     public void replied(int member, RevisionReply r, long ourIncarnation) {
         boolean kept = view.hear(r.cancelled());
-        boolean covered = r.known() >= 0 && (r.known() <= view.applied() || r.since() >= 0 && r.since() <= view.applied() && kept);
+        boolean covered = r.known() >= 0
+                && (r.known() <= view.applied() || r.since() >= 0 && r.since() <= view.applied() && kept);
         if (covered && !r.served() && r.incarnation() == ourIncarnation && r.sentAt() <= fx.now()) {
             toldAt[member] = Math.max(toldAt[member], r.sentAt());
         }
--- a/src/main/java/birchusher/server/Loop.java
+++ b/src/main/java/birchusher/server/Loop.java
@@ -25,14 +25,20 @@
     private final MeshLinks mesh;
     /** Nanoseconds in requests, replies, peers' records and ticks; with how late ticks come, what an operator sizes by. */
     private final long[] spent = new long[4];
+
     private long latest;
     private long nextLine;
 
     public Loop(Settings s, Tuning t) throws IOException {
         core = new Core(s, t, EventLoop.now(), System.currentTimeMillis());
         // Some sockets are kept for our own calls and for the other controllers.
-        server = new HttpServer(events, s.listen().host(), s.listen().port(),
-                Math.max(8, s.maxConnections() - ownCalls(s) - 50), MAX_BODY, this::request);
+        server = new HttpServer(
+                events,
+                s.listen().host(),
+                s.listen().port(),
+                Math.max(8, s.maxConnections() - ownCalls(s) - 50),
+                MAX_BODY,
+                this::request);
         client = new HttpClient(events, ownCalls(s));
         mesh = new MeshLinks(this, events, s);
     }
@@ -70,8 +76,13 @@
         spent[3] += System.nanoTime() - from;
         if (EventLoop.now() >= nextLine) {
             nextLine = EventLoop.now() + 30_000;
-            LOG.info("time spent in ms: requests={} replies={} peers={} ticks={}, latest tick {} ms late", spent[0] / 1_000_000,
-                    spent[1] / 1_000_000, spent[2] / 1_000_000, spent[3] / 1_000_000, latest);
+            LOG.info(
+                    "time spent in ms: requests={} replies={} peers={} ticks={}, latest tick {} ms late",
+                    spent[0] / 1_000_000,
+                    spent[1] / 1_000_000,
+                    spent[2] / 1_000_000,
+                    spent[3] / 1_000_000,
+                    latest);
             latest = 0;
         }
     }
@@ -81,7 +92,12 @@
             if (e instanceof Effect.Answer a) {
                 server.answer(a.exchange(), a.status(), Pack.encode(a.body()), a.retryAfterS());
             } else if (e instanceof Effect.Call c) {
-                client.call(c.address(), c.method(), c.path(), c.body() == null ? HttpClient.NOTHING : Pack.encode(c.body()), c.timeoutMs(),
+                client.call(
+                        c.address(),
+                        c.method(),
+                        c.path(),
+                        c.body() == null ? HttpClient.NOTHING : Pack.encode(c.body()),
+                        c.timeoutMs(),
                         (status, body) -> reply(c.id(), status, body));
             } else if (e instanceof Effect.Send s) {
                 mesh.send(s.peer(), s.record());
--- a/src/main/java/birchusher/server/MeshLinks.java
+++ b/src/main/java/birchusher/server/MeshLinks.java
@@ -43,7 +43,8 @@
     void open() throws IOException {
         listener = AsynchronousServerSocketChannel.open(events.group());
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        listener.bind(new InetSocketAddress(settings.mesh().host(), settings.mesh().port()), 32);
+        listener.bind(
+                new InetSocketAddress(settings.mesh().host(), settings.mesh().port()), 32);
         new Acceptor(events, listener, this::accepted).accept();
     }
 
@@ -165,22 +166,25 @@
                 AsynchronousSocketChannel ch = AsynchronousSocketChannel.open(events.group());
                 channel = ch;
                 ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
-                ch.connect(new InetSocketAddress(address.host(), address.port()), null, new CompletionHandler<Void, Void>() {
-                    @Override
-                    public void completed(Void v, Void a) {
-                        events.post(() -> {
-                            if (channel == ch) {
-                                connected = true;
-                                write();
+                ch.connect(
+                        new InetSocketAddress(address.host(), address.port()),
+                        null,
+                        new CompletionHandler<Void, Void>() {
+                            @Override
+                            public void completed(Void v, Void a) {
+                                events.post(() -> {
+                                    if (channel == ch) {
+                                        connected = true;
+                                        write();
+                                    }
+                                });
                             }
-                        });
-                    }
 
-                    @Override
-                    public void failed(Throwable e, Void a) {
-                        events.post(() -> dropIf(ch));
-                    }
-                });
+                            @Override
+                            public void failed(Throwable e, Void a) {
+                                events.post(() -> dropIf(ch));
+                            }
+                        });
             } catch (IOException e) {
                 drop();
             }
--- a/src/main/java/birchusher/settings/Settings.java
+++ b/src/main/java/birchusher/settings/Settings.java
@@ -3,11 +3,30 @@
 import java.util.List;
 
 /** What the platform hands over, checked. Units are in the names. */
-public record Settings(String member, String zone, Address listen, Address mesh, List<Peer> peers,
-        Address cloud, Address store, List<String> zones, List<Team> teams, List<Objective> objectives,
-        double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS,
-        double stateRps, double stateWriteRps, double valueKb, int txnOps,
-        double cloudRps, double listLagS, int maxConnections, double clockOffMs) {
+public record Settings(
+        String member,
+        String zone,
+        Address listen,
+        Address mesh,
+        List<Peer> peers,
+        Address cloud,
+        Address store,
+        List<String> zones,
+        List<Team> teams,
+        List<Objective> objectives,
+        double reportS,
+        double leaseS,
+        double gangWaitS,
+        double gangPeerS,
+        double cancelS,
+        double stateRps,
+        double stateWriteRps,
+        double valueKb,
+        int txnOps,
+        double cloudRps,
+        double listLagS,
+        int maxConnections,
+        double clockOffMs) {
 
     public record Address(String host, int port) {
         @Override
@@ -16,19 +35,21 @@
         }
     }
 
-    public record Peer(String member, String zone, Address address) { }
+    public record Peer(String member, String zone, Address address) {}
 
-    public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) { }
+    public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
 
-    public record Objective(String kind, String cls, double withinS, double share) { }
+    public record Objective(String kind, String cls, double withinS, double share) {}
 
     /** By the protocol a worker waits so long for an answer, and asks the next controller after that much more. */
     public static final long NO_ANSWER_MS = 4_000;
+
     public static final long NEXT_MS = 1_000;
     /** Steady clocks of two machines may differ by this share. */
     public static final double DRIFT = 0.0005;
     /** For an answer on its way out, and for the moments at which a worker looks at its lease. */
     private static final long STALE_MARGIN_MS = 1_000;
+
     private static final long LEAST_STALE_MS = 5_000;
 
     /**
--- a/src/main/java/birchusher/settings/SettingsReader.java
+++ b/src/main/java/birchusher/settings/SettingsReader.java
@@ -14,7 +14,7 @@
 
 /** Reads the platform's JSON file. Unknown fields are ignored; a bad one is named. */
 public final class SettingsReader {
-    private SettingsReader() { }
+    private SettingsReader() {}
 
     public static Settings read(byte[] json) {
         Map<String, Object> top = Fields.map(tree(json), "settings");
@@ -39,25 +39,48 @@
         List<Settings.Team> teams = new ArrayList<>();
         for (Object o : Fields.list(dep, "teams")) {
             Map<String, Object> m = Fields.map(o, "teams");
-            teams.add(new Settings.Team(Fields.text(m, "name"), Fields.amountOr(m, "cpus", 0),
-                    Fields.amountOr(m, "cpus_max", 0), Fields.amountOr(m, "gpus", 0), Fields.amountOr(m, "gpus_max", 0)));
+            teams.add(new Settings.Team(
+                    Fields.text(m, "name"),
+                    Fields.amountOr(m, "cpus", 0),
+                    Fields.amountOr(m, "cpus_max", 0),
+                    Fields.amountOr(m, "gpus", 0),
+                    Fields.amountOr(m, "gpus_max", 0)));
         }
         List<Settings.Objective> objectives = new ArrayList<>();
         if (dep.get("objectives") != null) {
             for (Object o : Fields.list(dep, "objectives")) {
                 Map<String, Object> m = Fields.map(o, "objectives");
-                objectives.add(new Settings.Objective(Fields.text(m, "kind"), Fields.textOrNull(m, "class"),
-                        Fields.amountOr(m, "within_s", 0), Fields.amountOr(m, "share", 0)));
+                objectives.add(new Settings.Objective(
+                        Fields.text(m, "kind"),
+                        Fields.textOrNull(m, "class"),
+                        Fields.amountOr(m, "within_s", 0),
+                        Fields.amountOr(m, "share", 0)));
             }
         }
-        return new Settings(Fields.text(top, "member"), Fields.text(top, "area"), address(top, "listen"),
-                address(top, "mesh_addr"), List.copyOf(peers), address(ext, "cloud"), address(ext, "state"),
-                List.copyOf(zones), List.copyOf(teams), List.copyOf(objectives),
-                positive(workers, "report_s"), positive(workers, "lease_s"), Fields.amount(workers, "gang_wait_s"),
-                Fields.amount(workers, "gang_peer_s"), Fields.amount(workers, "cancel_s"),
-                positive(state, "rps"), positive(state, "write_rps"), positive(state, "value_kb"),
-                (int) positive(state, "txn_ops"), positive(cloud, "rps"), Fields.amount(cloud, "list_lag_s"),
-                (int) positive(res, "max_connections"), Fields.amountOr(dep, "clock_off_ms", 1000));
+        return new Settings(
+                Fields.text(top, "member"),
+                Fields.text(top, "area"),
+                address(top, "listen"),
+                address(top, "mesh_addr"),
+                List.copyOf(peers),
+                address(ext, "cloud"),
+                address(ext, "state"),
+                List.copyOf(zones),
+                List.copyOf(teams),
+                List.copyOf(objectives),
+                positive(workers, "report_s"),
+                positive(workers, "lease_s"),
+                Fields.amount(workers, "gang_wait_s"),
+                Fields.amount(workers, "gang_peer_s"),
+                Fields.amount(workers, "cancel_s"),
+                positive(state, "rps"),
+                positive(state, "write_rps"),
+                positive(state, "value_kb"),
+                (int) positive(state, "txn_ops"),
+                positive(cloud, "rps"),
+                Fields.amount(cloud, "list_lag_s"),
+                (int) positive(res, "max_connections"),
+                Fields.amountOr(dep, "clock_off_ms", 1000));
     }
 
     /** Any JSON as maps, lists, text, numbers and booleans. */
--- a/src/main/java/birchusher/statehost/Edge.java
+++ b/src/main/java/birchusher/statehost/Edge.java
@@ -20,7 +20,7 @@
 /** The published form of the state service's requests and replies. Pure. */
 final class Edge {
     /** How a reply goes out; {@code status} 0: not at all, the connection ends. */
-    record Out(int status, Map<String, ?> body, int retryAfterS) { }
+    record Out(int status, Map<String, ?> body, int retryAfterS) {}
 
     /** A request that the protocol does not have. */
     static final class NotThere extends Exception {
@@ -33,7 +33,7 @@
         }
     }
 
-    private Edge() { }
+    private Edge() {}
 
     static Request read(String method, String target, byte[] body) throws NotThere {
         try {
@@ -120,7 +120,8 @@
                         throw new Bad(Wire.VALUE + ": missing");
                     }
                     largest = Math.max(largest, Json.size(w.get(Wire.VALUE)));
-                    writes.add(new Write.Set(key(w, Wire.PUT), Pack.encode(w.get(Wire.VALUE)), Fields.countOr(w, Wire.LEASE, 0)));
+                    writes.add(new Write.Set(
+                            key(w, Wire.PUT), Pack.encode(w.get(Wire.VALUE)), Fields.countOr(w, Wire.LEASE, 0)));
                 } else {
                     writes.add(new Write.Remove(key(w, Wire.DELETE)));
                 }
--- a/src/main/java/birchusher/statehost/Host.java
+++ b/src/main/java/birchusher/statehost/Host.java
@@ -133,7 +133,8 @@
     public void close() throws IOException, InterruptedException {
         syncs.shutdown();
         snapshots.shutdown();
-        if (!syncs.awaitTermination(CLOSE_S, TimeUnit.SECONDS) || !snapshots.awaitTermination(CLOSE_S, TimeUnit.SECONDS)) {
+        if (!syncs.awaitTermination(CLOSE_S, TimeUnit.SECONDS)
+                || !snapshots.awaitTermination(CLOSE_S, TimeUnit.SECONDS)) {
             throw new IOException("the disk has not answered for " + CLOSE_S + " s");
         }
         keeper.close();
--- a/src/main/java/birchusher/statehost/Keeper.java
+++ b/src/main/java/birchusher/statehost/Keeper.java
@@ -56,7 +56,8 @@
                     long at = log.append(records.get(i));
                     if (at != first + i) {
                         // Answers would be given for another record than the one synced.
-                        throw new IllegalStateException("record " + at + " in the log, " + (first + i) + " in the engine");
+                        throw new IllegalStateException(
+                                "record " + at + " in the log, " + (first + i) + " in the engine");
                     }
                 }
                 log.sync();
@@ -72,7 +73,8 @@
 
         /** Why it does not count, or why old files could not be dropped; null if neither. */
         public String trouble() {
-            return failed != null ? "not written: " + failed.getMessage()
+            return failed != null
+                    ? "not written: " + failed.getMessage()
                     : unpruned != null ? "old files stay: " + unpruned.getMessage() : null;
         }
     }
@@ -87,12 +89,14 @@
     private final ArrayDeque<byte[]> pending = new ArrayDeque<>();
     /** The last record given to a batch. */
     private long handed;
+
     private Batch underWay;
     private long prune = NONE;
     private boolean picturing;
     private long pictureFrom;
     /** Bytes of log since the newest snapshot, and as many of them as the picture being written stands for. */
     private long logBytes;
+
     private long picturedBytes;
 
     private Keeper(Disk disk, Log log, Engine engine, long snapshotBytes) {
@@ -215,7 +219,8 @@
     private void append(long sequence, Entry e) {
         pending.add(Codec.encode(e));
         if (handed + pending.size() != sequence) {
-            throw new IllegalStateException("record " + (handed + pending.size()) + " gathered, " + sequence + " in the engine");
+            throw new IllegalStateException(
+                    "record " + (handed + pending.size()) + " gathered, " + sequence + " in the engine");
         }
     }
 
--- a/src/main/java/birchusher/statehost/StateServer.java
+++ b/src/main/java/birchusher/statehost/StateServer.java
@@ -37,7 +37,9 @@
 
     private void request(long exchange, String method, String target, byte[] body) {
         if (target.equals(Wire.READY)) {
-            answer(exchange, host.stalled() ? Edge.error(503, "the log can't be written", 1) : new Edge.Out(200, Map.of(), 0));
+            answer(
+                    exchange,
+                    host.stalled() ? Edge.error(503, "the log can't be written", 1) : new Edge.Out(200, Map.of(), 0));
             return;
         }
         try {
--- a/src/main/java/birchusher/store/Cancellations.java
+++ b/src/main/java/birchusher/store/Cancellations.java
@@ -16,7 +16,8 @@
     private static final int KEPT = 2_000;
     private static final int MOST_TOLD = 2_000;
 
-    private final TreeSet<Cancelled> seen = new TreeSet<>(Comparator.comparingLong(Cancelled::revision).thenComparing(Cancelled::job));
+    private final TreeSet<Cancelled> seen =
+            new TreeSet<>(Comparator.comparingLong(Cancelled::revision).thenComparing(Cancelled::job));
     private final Map<String, Long> told = new HashMap<>();
     /** What is kept is complete for the revisions above this one. */
     private long completeAbove = Long.MAX_VALUE;
--- a/src/main/java/birchusher/store/Change.java
+++ b/src/main/java/birchusher/store/Change.java
@@ -24,7 +24,7 @@
     void committed(long revision);
 
     /** It was sent and not answered: it may yet be applied, whatever the view says meanwhile. It will be worked out again. */
-    default void unclear() { }
+    default void unclear() {}
 
     /** {@code build} said that there is nothing left to do, or the change expired. */
     void dropped();
--- a/src/main/java/birchusher/store/Chunk.java
+++ b/src/main/java/birchusher/store/Chunk.java
@@ -23,6 +23,7 @@
 
     /** Of a row as text: one claim, 64 bits of the done set, and the rest. */
     public static final int CLAIM_BYTES = 42;
+
     private static final int WORD_BYTES = 17;
     private static final int ROW_BYTES = 100;
 
@@ -62,8 +63,16 @@
         }
         StringBuilder sb = new StringBuilder();
         for (Claim c : claims.values()) {
-            sb.append(sb.isEmpty() ? "" : ";").append(c.task() - base).append(':').append(c.attempt()).append(':')
-                    .append(c.machine()).append(':').append(c.session()).append(':').append(c.shard());
+            sb.append(sb.isEmpty() ? "" : ";")
+                    .append(c.task() - base)
+                    .append(':')
+                    .append(c.attempt())
+                    .append(':')
+                    .append(c.machine())
+                    .append(':')
+                    .append(c.session())
+                    .append(':')
+                    .append(c.shard());
         }
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("a", attempts);
@@ -111,8 +120,12 @@
         long session = number(s, at);
         int shard = (int) number(s, at);
         Claim old = before == null ? null : before.claims.get(task);
-        boolean same = old != null && old.attempt() == attempt && old.session() == session && old.shard() == shard
-                && old.machine().length() == to - from && s.startsWith(old.machine(), from);
+        boolean same = old != null
+                && old.attempt() == attempt
+                && old.session() == session
+                && old.shard() == shard
+                && old.machine().length() == to - from
+                && s.startsWith(old.machine(), from);
         claims.put(task, same ? old : new Claim(job, task, attempt, s.substring(from, to), session, shard));
     }
 
--- a/src/main/java/birchusher/store/Job.java
+++ b/src/main/java/birchusher/store/Job.java
@@ -9,17 +9,23 @@
 
 /** A job that has not been put away yet, with its placement. */
 public final class Job {
-    public enum State { OPEN, DONE, CANCELLED }
+    public enum State {
+        OPEN,
+        DONE,
+        CANCELLED
+    }
 
     public final JobSpec spec;
     public final int chunkSize;
     /** Time of day when it was accepted, in ms. */
     public final long acceptedAt;
+
     private State state;
     /** The revision that accepted it orders jobs by age. */
     public final long age;
     /** Read only outside of the view; a row that does not exist yet is null. */
     public final List<Chunk> chunks = new ArrayList<>();
+
     private int done;
     private int claims;
     /** Claims that are proven gone while their row still shows them; by task. Small: only between a proof and its writing. */
@@ -70,7 +76,7 @@
      * A claim whose task is proven gone. The proof is its owner's, and good for writing only while that owner's term stands; our
      * {@code own} proof holds as long as we own the shard, whatever its term. {@code started}: the task had been ordered to start.
      */
-    public record Gone(Claim claim, long term, boolean own, boolean started) { }
+    public record Gone(Claim claim, long term, boolean own, boolean started) {}
 
     /** The proof that a task's recorded claim is over, or null. */
     public Gone gone(int task) {
--- a/src/main/java/birchusher/store/Keys.java
+++ b/src/main/java/birchusher/store/Keys.java
@@ -15,7 +15,7 @@
     public static final String TYPES = "b/live/types";
     public static final String END = "b/end/";
 
-    private Keys() { }
+    private Keys() {}
 
     public static String place(String job, int chunk) {
         return PLACE + job + "/" + chunk;
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -28,6 +28,7 @@
     private static final long TXN_TIMEOUT_MS = 2_500;
     /** A quiet watch proves nothing until it is answered: then a read of its own does. */
     private static final long MOST_UNPROVEN_MS = 2_000;
+
     private static final int MAX_ROWS = 500;
     private static final int MAX_ENDS = 1_000;
     private static final long PATIENCE_MS = 2_000;
@@ -35,13 +36,14 @@
     private static final int TXN_BYTES = 64 * 1024;
     /** Changes up to this rank are waited for by somebody; the others leave so many rows to them. */
     private static final int LAST_AWAITED = 3;
+
     private static final int SPARED_ROWS = 2;
 
     /** {@code unclear}: sent once without an answer, it may yet be applied. */
-    private record Queued(Change change, long seq, long since, boolean unclear) { }
+    private record Queued(Change change, long seq, long since, boolean unclear) {}
 
     /** {@code turn}: only what is read by a later request is as new as the question; two may come in one millisecond. */
-    private record Waiting(long since, long turn, Consumer<Boolean> then) { }
+    private record Waiting(long since, long turn, Consumer<Boolean> then) {}
 
     private final Effects fx;
     private final View view;
@@ -50,7 +52,8 @@
     private final Bucket requests;
     private final Bucket writes;
     private final PriorityQueue<Queued> queue = new PriorityQueue<>((a, b) -> a.change.rank() != b.change.rank()
-            ? Integer.compare(a.change.rank(), b.change.rank()) : Long.compare(a.seq, b.seq));
+            ? Integer.compare(a.change.rank(), b.change.rank())
+            : Long.compare(a.seq, b.seq));
     private final List<Waiting> fresh = new ArrayList<>();
     private final long watchGap;
     private final long freshGap;
@@ -59,9 +62,11 @@
     private boolean loading;
     /** Where a reading goes on after a page that was refused; null: from the beginning. */
     private String resumeAfter;
+
     private long resumeRevision;
     /** Whether all rows of ended jobs have been read since the live ones were, so that what is not in the view does not exist. */
     private boolean endsRead;
+
     private boolean endsReading;
     private String endsAfter = "";
     private long nextEnds;
@@ -75,15 +80,18 @@
     private long nextTxn;
     /** When the first of the queued changes wants to be sent; the others then go with it. */
     private long nextDue = Long.MAX_VALUE;
+
     private long provenAt = -1_000_000;
     private final long proveEvery;
     private long failingSince = -1;
     /** After a conflict or an unclear answer, nothing is built before the view has come this far. */
     private long needRevision;
+
     private boolean needFresh;
     private long generation;
     /** Counts questions and reads, in their order. */
     private long turn;
+
     private long transactions;
     private long rowsWritten;
     private long conflicts;
@@ -98,10 +106,16 @@
         double share = Math.min(1, t.num("store.share"));
         double fair = 1.0 / (1 + s.peers().size());
         double start = Math.min(share, 1.5 * fair);
-        requests = new Bucket(s.stateRps() * start, s.stateRps() * Math.min(share, fair * 0.8), s.stateRps() * share,
+        requests = new Bucket(
+                s.stateRps() * start,
+                s.stateRps() * Math.min(share, fair * 0.8),
+                s.stateRps() * share,
                 s.stateRps() * start * 0.6);
-        writes = new Bucket(s.stateWriteRps() * start, s.stateWriteRps() * Math.min(share, fair * 0.8),
-                s.stateWriteRps() * share, Math.max(s.txnOps(), s.stateWriteRps() * start));
+        writes = new Bucket(
+                s.stateWriteRps() * start,
+                s.stateWriteRps() * Math.min(share, fair * 0.8),
+                s.stateWriteRps() * share,
+                Math.max(s.txnOps(), s.stateWriteRps() * start));
         watchGap = t.ms("store.watch-gap-s");
         freshGap = t.ms("store.fresh-gap-s");
         txnGap = t.ms("store.batch-gap-s");
@@ -165,7 +179,8 @@
     }
 
     private static String pagePath(String prefix, String after, int most) {
-        return Wire.STORE + "?" + Wire.PREFIX + "=" + prefix + "&" + Wire.AFTER + "=" + after + "&" + Wire.LIMIT + "=" + most;
+        return Wire.STORE + "?" + Wire.PREFIX + "=" + prefix + "&" + Wire.AFTER + "=" + after + "&" + Wire.LIMIT + "="
+                + most;
     }
 
     /** Lease calls are never held back: everything hangs on them. */
@@ -228,13 +243,18 @@
         } else if (watching && behind) {
             askFresh();
         }
-        if (!sending && !queue.isEmpty() && now >= nextTxn && now >= nextDue && !needFresh && view.applied() >= needRevision) {
+        if (!sending
+                && !queue.isEmpty()
+                && now >= nextTxn
+                && now >= nextDue
+                && !needFresh
+                && view.applied() >= needRevision) {
             send(now);
         }
     }
 
     private void expire(long now) {
-        for (int i = 0; i < fresh.size();) {
+        for (int i = 0; i < fresh.size(); ) {
             if (now - fresh.get(i).since > 1_200 || !healthy()) {
                 fresh.remove(i).then.accept(false);
             } else {
@@ -259,7 +279,8 @@
     private void load() {
         loading = true;
         if (resumeAfter != null) {
-            // From where it was refused: begun anew each time, a long reading that everybody does at once never came to its end.
+            // From where it was refused: begun anew each time, a long reading that everybody does at once never came to
+            // its end.
             page(resumeAfter, resumeRevision, generation);
             return;
         }
@@ -346,7 +367,8 @@
         Effects.Reply reply = (status, m) -> {
             watching = false;
             // Every change wakes every controller's watch: the gap keeps that within each one's part of the requests.
-            nextWatch = fx.now() + (status == 200 ? Math.max(watchGap, Math.round(1_000 / (0.4 * requests.perSecond()))) : 500);
+            nextWatch = fx.now()
+                    + (status == 200 ? Math.max(watchGap, Math.round(1_000 / (0.4 * requests.perSecond()))) : 500);
             if (gen == generation) {
                 upToDate(status, m, sent, at, clears);
             }
@@ -449,7 +471,9 @@
      */
     private long due(Queued q) {
         long patience = q.change.patienceMs();
-        return patience == 0 ? q.since : q.since + Math.min(patience, 50 + Math.round(PATIENCE_MS * writes.shortage(fx.now())));
+        return patience == 0
+                ? q.since
+                : q.since + Math.min(patience, 50 + Math.round(PATIENCE_MS * writes.shortage(fx.now())));
     }
 
     /** How many rows this controller may expect to write within a time, at its present part of the changes. */
@@ -459,8 +483,9 @@
 
     /** How the state service was used: transactions, rows written, conflicts, refusals, queue, present rates. */
     public String line() {
-        return "txns=" + transactions + " rows=" + rowsWritten + " conflicts=" + conflicts + " too_many=" + tooMany + " queue="
-                + queue.size() + " rps=" + Math.round(requests.perSecond()) + " write_rps=" + Math.round(writes.perSecond());
+        return "txns=" + transactions + " rows=" + rowsWritten + " conflicts=" + conflicts + " too_many=" + tooMany
+                + " queue=" + queue.size() + " rps=" + Math.round(requests.perSecond()) + " write_rps="
+                + Math.round(writes.perSecond());
     }
 
     /**
@@ -489,10 +514,13 @@
         while (!queue.isEmpty()) {
             Queued q = queue.poll();
             int writesAfter = tx.writeCount() + q.change.cost();
-            full = full || !batch.isEmpty() && (writesAfter > settings.txnOps()
-                    || tx.conditionCount() + q.change.conditions(tx) > settings.txnOps() * 4
-                    || !writes.has(now, writesAfter + spared(q.change)) || !hasBytes(tx, q.change.cost())
-                    || batch.size() >= MAX_BATCH);
+            full = full
+                    || !batch.isEmpty()
+                            && (writesAfter > settings.txnOps()
+                                    || tx.conditionCount() + q.change.conditions(tx) > settings.txnOps() * 4
+                                    || !writes.has(now, writesAfter + spared(q.change))
+                                    || !hasBytes(tx, q.change.cost())
+                                    || batch.size() >= MAX_BATCH);
             if (full || due(q) > now) {
                 waiting.add(q);
             } else if (q.change.build(tx)) {
@@ -502,8 +530,11 @@
             }
         }
         for (Queued q : waiting) {
-            if (!batch.isEmpty() && batch.size() < MAX_BATCH && tx.conditionCount() + q.change.conditions(tx) <= settings.txnOps() * 4
-                    && q.change.rides(tx) && hasBytes(tx, 1)) {
+            if (!batch.isEmpty()
+                    && batch.size() < MAX_BATCH
+                    && tx.conditionCount() + q.change.conditions(tx) <= settings.txnOps() * 4
+                    && q.change.rides(tx)
+                    && hasBytes(tx, 1)) {
                 if (q.change.build(tx)) {
                     batch.add(q);
                 } else {
@@ -554,8 +585,13 @@
                 }
                 case 400 -> {
                     nextTxn = fx.now() + 250;
-                    LOG.error("transaction refused as malformed: {} ({} rows, {} conditions)", m, Fields.list(body, Wire.THEN).size(), tx.conditionCount());
-                    // Such as a lease that has ended. What was sent before without an answer may yet be applied, whatever becomes of this:
+                    LOG.error(
+                            "transaction refused as malformed: {} ({} rows, {} conditions)",
+                            m,
+                            Fields.list(body, Wire.THEN).size(),
+                            tx.conditionCount());
+                    // Such as a lease that has ended. What was sent before without an answer may yet be applied,
+                    // whatever becomes of this:
                     // a handover given up here would be answered for by two.
                     batch.forEach(q -> {
                         if (q.unclear) {
--- a/src/main/java/birchusher/store/Tx.java
+++ b/src/main/java/birchusher/store/Tx.java
@@ -19,6 +19,7 @@
     private final Map<Integer, double[]> claimed = new HashMap<>();
     /** A key and the names that go with it in a condition or a write. */
     private static final int AROUND = 120;
+
     private int putBytes;
 
     public Tx(View view) {
@@ -135,7 +136,9 @@
 
     /** Brings the committed rows into the view at once, so that the next transaction builds on them. */
     public void applyTo(View v, long revision) {
-        puts.entrySet().stream().sorted(Map.Entry.comparingByKey()).forEach(e -> v.put(e.getKey(), e.getValue(), revision));
+        puts.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .forEach(e -> v.put(e.getKey(), e.getValue(), revision));
         removes.forEach(k -> v.remove(k, revision));
     }
 }
--- a/src/main/java/birchusher/store/View.java
+++ b/src/main/java/birchusher/store/View.java
@@ -30,7 +30,7 @@
     private static final int ENDED_KEPT = 20_000;
 
     /** How a job ended; {@code done} false means cancelled. */
-    public record Ended(boolean done, int tasks) { }
+    public record Ended(boolean done, int tasks) {}
 
     private final Catalog catalog;
     private final JobCodec codec;
@@ -41,6 +41,7 @@
     private final Map<String, OnMachine> byMachine = new HashMap<>();
     /** Placement rows that came before their job's row (listing order). */
     private final Map<String, Map<String, Object>> orphans = new HashMap<>();
+
     private final LinkedHashMap<String, Ended> ended = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1;
 
@@ -53,6 +54,7 @@
     private boolean endedDropped;
     /** Accepted jobs whose rows can't be read, as after a change of the settings: known all the same. */
     private final Set<String> unreadable = new HashSet<>();
+
     private final double[] cpus;
     private final double[] gpus;
     private final Cancellations cancellations = new Cancellations();
@@ -63,11 +65,11 @@
     private long rowChanges;
     private int claimed;
     private int goneMarks;
-    private Consumer<String> touched = m -> { };
+    private Consumer<String> touched = m -> {};
     private LongSupplier clock = () -> 0;
     private ToIntFunction<String> kindOf = m -> -1;
-    private Left left = (c, lost) -> { };
-    private Consumer<Claim> came = c -> { };
+    private Left left = (c, lost) -> {};
+    private Consumer<Claim> came = c -> {};
 
     /** Told of each claim that leaves its row, and whether its task has still to run. */
     public interface Left {
@@ -380,8 +382,12 @@
             touchAll(j);
             return;
         }
-        j = new Job(codec.readRow(Fields.map(value.get("j"), "j")), (int) Math.max(1, Fields.count(value, "k")),
-                Fields.count(value, "t"), state, version);
+        j = new Job(
+                codec.readRow(Fields.map(value.get("j"), "j")),
+                (int) Math.max(1, Fields.count(value, "k")),
+                Fields.count(value, "t"),
+                state,
+                version);
         jobs.put(id, j);
         catalog.imageSize(j.spec.image(), j.spec.imageGb());
         for (int i = 0; i < j.chunks.size(); i++) {
--- a/src/main/java/birchusher/wal/HostDisk.java
+++ b/src/main/java/birchusher/wal/HostDisk.java
@@ -42,7 +42,9 @@
     public List<String> names() throws IOException {
         List<String> names = new ArrayList<>();
         try (Stream<Path> files = Files.list(dir)) {
-            files.filter(Files::isRegularFile).map(p -> p.getFileName().toString()).filter(n -> !n.equals(LOCK))
+            files.filter(Files::isRegularFile)
+                    .map(p -> p.getFileName().toString())
+                    .filter(n -> !n.equals(LOCK))
                     .forEach(names::add);
         }
         return names;
@@ -55,7 +57,10 @@
 
     @Override
     public Out create(String name) throws IOException {
-        return new File(FileChannel.open(dir.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+        return new File(FileChannel.open(
+                dir.resolve(name),
+                StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE,
                 StandardOpenOption.TRUNCATE_EXISTING));
     }
 
--- a/src/main/java/birchusher/wal/Log.java
+++ b/src/main/java/birchusher/wal/Log.java
@@ -99,7 +99,8 @@
             if (r.tail.torn()) {
                 log.out.cut(log.good);
             }
-            // What a killed process wrote and had not synced was read just now, and will be answered from: it must last.
+            // What a killed process wrote and had not synced was read just now, and will be answered from: it must
+            // last.
             log.out.sync();
         }
         disk.syncNames();
@@ -129,7 +130,8 @@
     /** Gathers one record; returns its number. Nothing is durable before {@link #sync}. */
     public long append(byte[] payload) {
         if (payload.length > Segment.MAX_RECORD) {
-            throw new IllegalArgumentException("a record of " + payload.length + " bytes, " + Segment.MAX_RECORD + " is the most");
+            throw new IllegalArgumentException(
+                    "a record of " + payload.length + " bytes, " + Segment.MAX_RECORD + " is the most");
         }
         batch.add(payload);
         batchBytes += Segment.FRAME + payload.length;
--- a/src/main/java/birchusher/wal/Names.java
+++ b/src/main/java/birchusher/wal/Names.java
@@ -2,7 +2,7 @@
 
 /** File names that carry a sequence in 16 hexadecimal digits, so that they sort by it. */
 final class Names {
-    private Names() { }
+    private Names() {}
 
     /** The number after the prefix, -1 if the name is of another form. */
     static long number(String name, String prefix) {
--- a/src/main/java/birchusher/wal/Recovery.java
+++ b/src/main/java/birchusher/wal/Recovery.java
@@ -12,7 +12,7 @@
  */
 final class Recovery {
     /** Where the log goes on: its last file, null if none can be written on, and how much of it is good. */
-    record Tail(String file, int good, boolean torn) { }
+    record Tail(String file, int good, boolean torn) {}
 
     private final Disk disk;
     private final Log.Reader to;
@@ -22,10 +22,12 @@
     final List<String> notes = new ArrayList<>();
     /** Files that are left over and hold nothing that counts. */
     final List<String> leftOver;
+
     long base;
     long last;
     /** Bytes of log read, about what was written since the snapshot. */
     long logBytes;
+
     Tail tail;
 
     Recovery(Disk disk, Log.Reader to) throws IOException {
@@ -49,8 +51,11 @@
             from = i;
         }
         if (from < 0 && !segments.isEmpty()) {
-            throw new Damaged(segments.get(0), 0, "begins with record " + Segment.first(segments.get(0))
-                    + ", but what is kept before it ends with " + base);
+            throw new Damaged(
+                    segments.get(0),
+                    0,
+                    "begins with record " + Segment.first(segments.get(0)) + ", but what is kept before it ends with "
+                            + base);
         }
         for (int i = from; i >= 0 && i < segments.size(); i++) {
             readSegment(segments.get(i), i == from, i == segments.size() - 1);
@@ -72,7 +77,8 @@
             }
         }
         to.begin();
-        // Without any snapshot the log must reach back to the first record; with nothing at all, this is a new directory.
+        // Without any snapshot the log must reach back to the first record; with nothing at all, this is a new
+        // directory.
         if (first != null && (segments.isEmpty() || Segment.first(segments.get(0)) != 1)) {
             throw first;
         }
--- a/src/main/java/birchusher/wal/Repair.java
+++ b/src/main/java/birchusher/wal/Repair.java
@@ -23,8 +23,11 @@
     public record Plan(Damaged why, long snapshot, long kept, int lost, List<String> files) {
         /** For the operator. */
         public List<String> lines() {
-            return List.of("damaged: " + why.getMessage(), "kept: all up to record " + kept,
-                    lost == 0 ? "lost: what came after record " + kept + ", if anything; none of it can be read"
+            return List.of(
+                    "damaged: " + why.getMessage(),
+                    "kept: all up to record " + kept,
+                    lost == 0
+                            ? "lost: what came after record " + kept + ", if anything; none of it can be read"
                             : "lost: what came after record " + kept + ", of which " + lost + " could still be read",
                     "copied beside themselves with " + COPY + " in their names: " + String.join(", ", files));
         }
@@ -49,13 +52,13 @@
 
     private static final Log.Reader NOTHING = new Log.Reader() {
         @Override
-        public void begin() { }
+        public void begin() {}
 
         @Override
-        public void row(byte[] payload) { }
+        public void row(byte[] payload) {}
 
         @Override
-        public void record(long sequence, byte[] payload) { }
+        public void record(long sequence, byte[] payload) {}
     };
 
     /**
@@ -70,7 +73,8 @@
         } catch (Damaged e) {
             Repair r = new Repair(disk);
             long kept = r.kept();
-            return new Plan(e, r.found.base, kept, r.readable.tailMap(kept, false).size(), r.found.segments());
+            return new Plan(
+                    e, r.found.base, kept, r.readable.tailMap(kept, false).size(), r.found.segments());
         }
     }
 
@@ -95,7 +99,8 @@
             while (!taken.add(name + COPY + n)) {
                 n++;
             }
-            try (InputStream in = disk.read(name); Disk.Out out = disk.create(name + COPY + n)) {
+            try (InputStream in = disk.read(name);
+                    Disk.Out out = disk.create(name + COPY + n)) {
                 out.write(ByteBuffer.wrap(in.readAllBytes()));
                 out.sync();
             }
--- a/src/main/java/birchusher/wal/Segment.java
+++ b/src/main/java/birchusher/wal/Segment.java
@@ -38,7 +38,7 @@
         }
     }
 
-    private Segment() { }
+    private Segment() {}
 
     static String name(long first) {
         return String.format("%s%016x", PREFIX, first);
@@ -50,7 +50,10 @@
     }
 
     static ByteBuffer header(long first) {
-        ByteBuffer b = ByteBuffer.allocate(HEADER).putInt(SEGMENT_MAGIC).putInt(VERSION).putLong(first);
+        ByteBuffer b = ByteBuffer.allocate(HEADER)
+                .putInt(SEGMENT_MAGIC)
+                .putInt(VERSION)
+                .putLong(first);
         b.putInt(crc(b, 0, HEADER - 4));
         return b.flip();
     }
@@ -58,7 +61,12 @@
     /** Appends one record to a buffer with room for it. */
     static void frame(ByteBuffer to, long sequence, long synced, byte[] payload) {
         int at = to.position();
-        to.putInt(RECORD_MAGIC).putInt(payload.length).putLong(sequence).putLong(synced).putInt(0).put(payload);
+        to.putInt(RECORD_MAGIC)
+                .putInt(payload.length)
+                .putLong(sequence)
+                .putLong(synced)
+                .putInt(0)
+                .put(payload);
         to.putInt(at + 24, frameCrc(to, at, payload.length));
     }
 
@@ -80,7 +88,9 @@
             return false;
         }
         int length = b.getInt(at + 4);
-        return length >= 0 && length <= MAX_RECORD && length <= b.limit() - at - FRAME
+        return length >= 0
+                && length <= MAX_RECORD
+                && length <= b.limit() - at - FRAME
                 && b.getInt(at + 24) == frameCrc(b, at, length);
     }
 
@@ -91,7 +101,8 @@
             return new Scan(0, b.limit(), first - 1, durableAfter(b, 0));
         }
         if (b.getInt(4) != VERSION) {
-            throw new IOException(name + ": version " + b.getInt(4) + " of the log is not known here, " + VERSION + " is");
+            throw new IOException(
+                    name + ": version " + b.getInt(4) + " of the log is not known here, " + VERSION + " is");
         }
         if (b.getLong(8) != first) {
             throw new Damaged(name, 8, "says that it begins with record " + b.getLong(8));
--- a/src/main/java/birchusher/wal/Snapshot.java
+++ b/src/main/java/birchusher/wal/Snapshot.java
@@ -39,7 +39,7 @@
         void write(Sink to) throws IOException;
     }
 
-    private Snapshot() { }
+    private Snapshot() {}
 
     static String name(long sequence) {
         return String.format("%s%016x", PREFIX, sequence);
@@ -56,9 +56,13 @@
     public static void write(Disk disk, long sequence, Body body) throws IOException {
         String name = name(sequence);
         try (Disk.Out out = disk.create(name + ASIDE)) {
-            out.write(ByteBuffer.allocate(HEADER).putInt(MAGIC).putInt(VERSION).putLong(sequence).flip());
-            try (DataOutputStream rows = new DataOutputStream(new LZ4FrameOutputStream(new Bytes(out),
-                    BLOCKSIZE.SIZE_256KB, Bits.BLOCK_INDEPENDENCE, Bits.CONTENT_CHECKSUM))) {
+            out.write(ByteBuffer.allocate(HEADER)
+                    .putInt(MAGIC)
+                    .putInt(VERSION)
+                    .putLong(sequence)
+                    .flip());
+            try (DataOutputStream rows = new DataOutputStream(new LZ4FrameOutputStream(
+                    new Bytes(out), BLOCKSIZE.SIZE_256KB, Bits.BLOCK_INDEPENDENCE, Bits.CONTENT_CHECKSUM))) {
                 rows.writeLong(sequence);
                 long[] count = {0};
                 body.write(p -> {
@@ -87,10 +91,15 @@
             }
             int version = head.getInt();
             if (version != VERSION) {
-                throw new IOException(name + ": version " + version + " of the snapshot is not known here, " + VERSION + " is");
+                throw new IOException(
+                        name + ": version " + version + " of the snapshot is not known here, " + VERSION + " is");
             }
             try {
-                rows(name, head.getLong(), new DataInputStream(new BufferedInputStream(new LZ4FrameInputStream(in))), to);
+                rows(
+                        name,
+                        head.getLong(),
+                        new DataInputStream(new BufferedInputStream(new LZ4FrameInputStream(in))),
+                        to);
             } catch (Damaged e) {
                 throw e;
             } catch (IOException | RuntimeException e) {
--- a/src/main/java/birchusher/wire/JobCodec.java
+++ b/src/main/java/birchusher/wire/JobCodec.java
@@ -105,10 +105,31 @@
         }
         int[] typeIdx = null;
         if (types != null) {
-            typeIdx = types.stream().mapToInt(typeIndex).filter(i -> i != Names.NONE).toArray();
+            typeIdx = types.stream()
+                    .mapToInt(typeIndex)
+                    .filter(i -> i != Names.NONE)
+                    .toArray();
         }
-        return new JobSpec(id, catalog.classes.add(cls), team, shape, priority, (int) tasks, cpus, gpus, mem,
-                catalog.images.add(image), imageGb, typeIdx, zone, oneZone, spread, spot, estimate, checkpoint, save,
+        return new JobSpec(
+                id,
+                catalog.classes.add(cls),
+                team,
+                shape,
+                priority,
+                (int) tasks,
+                cpus,
+                gpus,
+                mem,
+                catalog.images.add(image),
+                imageGb,
+                typeIdx,
+                zone,
+                oneZone,
+                spread,
+                spot,
+                estimate,
+                checkpoint,
+                save,
                 deadline);
     }
 
--- a/src/main/java/birchusher/wire/Json.java
+++ b/src/main/java/birchusher/wire/Json.java
@@ -14,7 +14,7 @@
 public final class Json {
     private static final JsonFactory FACTORY = new JsonFactory();
 
-    private Json() { }
+    private Json() {}
 
     /** The bytes that this would take as JSON without white space. */
     public static int size(Object o) {
--- a/src/main/java/birchusher/wire/Pack.java
+++ b/src/main/java/birchusher/wire/Pack.java
@@ -15,7 +15,7 @@
 public final class Pack {
     private static final int MAX_DEPTH = 12;
 
-    private Pack() { }
+    private Pack() {}
 
     public static Object decode(byte[] bytes) {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
--- a/src/main/java/birchusher/wire/Wire.java
+++ b/src/main/java/birchusher/wire/Wire.java
@@ -84,8 +84,10 @@
     public static final String MORE = "has_next";
     public static final String AGE = "age_s";
     /** Fields of a machine type, in the order that {@code Catalog.type} expects. */
-    public static final String[] TYPE_FIELDS = {"name", CPUS, GPUS, MEM, "cache_gb", "fetch_gb_per_s", "hourly",
-        "market_price", "groves", "ready_s"};
+    public static final String[] TYPE_FIELDS = {
+        "name", CPUS, GPUS, MEM, "cache_gb", "fetch_gb_per_s", "hourly", "market_price", "groves", "ready_s"
+    };
+
     public static final String TYPE_LIST = "builds";
     // fields of the state service
     public static final String REVISION = "epoch";
@@ -103,7 +105,7 @@
     public static final String EVENTS = "events";
     public static final String FAILED = "failed";
 
-    private Wire() { }
+    private Wire() {}
 
     public static Shape shape(String s) {
         return switch (s) {
--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -51,8 +51,17 @@
     private final SafetyChecks checks;
     private final Owner owner;
 
-    Commands(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Outcomes outcomes, Orders account,
-            SafetyChecks checks, Owner owner) {
+    Commands(
+            Effects fx,
+            Settings s,
+            Catalog catalog,
+            View view,
+            StoreLink store,
+            Seats seats,
+            Outcomes outcomes,
+            Orders account,
+            SafetyChecks checks,
+            Owner owner) {
         this.fx = fx;
         this.settings = s;
         this.catalog = catalog;
@@ -77,9 +86,14 @@
 
     /** Whether nobody wants this attempt to run any more. */
     boolean unwanted(Machine m, Claim c) {
-        return c.job().state() != Job.State.OPEN || broken(c.job()) || view.cancelled(c.job().spec.id())
-                || m != null && (m.stops.containsKey(c.attemptKey()) || m.noticeAt >= 0 || m.gone
-                || fx.now() - m.held.getOrDefault(c.attemptKey(), fx.now()) > HELD_MS);
+        return c.job().state() != Job.State.OPEN
+                || broken(c.job())
+                || view.cancelled(c.job().spec.id())
+                || m != null
+                        && (m.stops.containsKey(c.attemptKey())
+                                || m.noticeAt >= 0
+                                || m.gone
+                                || fx.now() - m.held.getOrDefault(c.attemptKey(), fx.now()) > HELD_MS);
     }
 
     /** A gang attempt that has lost a task can't go on; all its claims were made at once, so a gap means a loss. */
@@ -93,7 +107,8 @@
             return orders;
         }
         if (!seats.settled(m.shard)) {
-            // Cancelled is for good, however old the view: without this, a new owner renewed such tasks and could not stop them.
+            // Cancelled is for good, however old the view: without this, a new owner renewed such tasks and could not
+            // stop them.
             for (Entry e : m.entries.values()) {
                 if (!e.exited() && view.cancelled(e.key().substring(0, e.key().lastIndexOf('/')))) {
                     orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
@@ -107,8 +122,11 @@
             Claim c = claims.get(e.key());
             Stop stop = m.stops.get(e.attemptKey());
             Squaring.Row row = c == null || c.attempt() != e.attempt() ? Squaring.Row.NONE : row(m, c);
-            if (row == Squaring.Row.UNWANTED && (stop != null || m.noticeAt >= 0 || c.job().allDone()) && !view.cancelled(c.job().spec.id())) {
-                // A wish to stop has its own grace, and what is done elsewhere ends by itself. What a cancelled task saves is of no use,
+            if (row == Squaring.Row.UNWANTED
+                    && (stop != null || m.noticeAt >= 0 || c.job().allDone())
+                    && !view.cancelled(c.job().spec.id())) {
+                // A wish to stop has its own grace, and what is done elsewhere ends by itself. What a cancelled task
+                // saves is of no use,
                 // and its grace may be longer than a cancellation has.
                 row = Squaring.Row.CLAIMED;
             }
@@ -133,7 +151,10 @@
             if (must == Squaring.Order.FENCE) {
                 fence(m, ak, now);
             }
-            if (must != Squaring.Order.START || m.session == m.deadSession || straight && m.loose.containsKey(ak) || m.held.containsKey(ak)) {
+            if (must != Squaring.Order.START
+                    || m.session == m.deadSession
+                    || straight && m.loose.containsKey(ak)
+                    || m.held.containsKey(ak)) {
                 continue;
             }
             if (!m.runs.containsKey(ak)) {
@@ -172,19 +193,25 @@
     }
 
     static Squaring.Shown shown(Entry e) {
-        return e == null ? Squaring.Shown.ABSENT : switch (e.phase()) {
-            case FETCHING -> Squaring.Shown.FETCHING;
-            case WAITING -> Squaring.Shown.WAITING;
-            case RUNNING -> Squaring.Shown.RUNNING;
-            case SAVING -> Squaring.Shown.SAVING;
-            case EXITED -> e.why() == Entry.Why.DONE ? Squaring.Shown.DONE
-                    : e.why() == Entry.Why.ERROR ? Squaring.Shown.ERROR : Squaring.Shown.ENDED;
-        };
+        return e == null
+                ? Squaring.Shown.ABSENT
+                : switch (e.phase()) {
+                    case FETCHING -> Squaring.Shown.FETCHING;
+                    case WAITING -> Squaring.Shown.WAITING;
+                    case RUNNING -> Squaring.Shown.RUNNING;
+                    case SAVING -> Squaring.Shown.SAVING;
+                    case EXITED -> e.why() == Entry.Why.DONE
+                            ? Squaring.Shown.DONE
+                            : e.why() == Entry.Why.ERROR ? Squaring.Shown.ERROR : Squaring.Shown.ENDED;
+                };
     }
 
     Squaring.Known known(Machine m, String ak) {
         Run run = m.runs.get(ak);
-        return new Squaring.Known(run != null && run.shown, m.loose.containsKey(ak) || onItsWay(m, ak), m.token >= seats.term(m.shard),
+        return new Squaring.Known(
+                run != null && run.shown,
+                m.loose.containsKey(ak) || onItsWay(m, ak),
+                m.token >= seats.term(m.shard),
                 outcomes.pending(ak));
     }
 
@@ -237,12 +264,20 @@
                 starts.add(x.get(Wire.TASK) + "#" + x.get(Wire.ATTEMPT));
             }
         }
-        fx.call(Target.WORKER, m.address, "POST", Wire.DO,
+        fx.call(
+                Target.WORKER,
+                m.address,
+                "POST",
+                Wire.DO,
                 Map.of(Wire.TOKEN, seats.term(m.shard), Wire.SESSION, session, Wire.COMMANDS, orders),
-                (int) DO_TIMEOUT_MS, (status, body) -> {
+                (int) DO_TIMEOUT_MS,
+                (status, body) -> {
                     m.calling = false;
                     if (status == 0) {
-                        LOG.info("machine {} did not answer {} commands after {} ms", m.name, orders.size(),
+                        LOG.info(
+                                "machine {} did not answer {} commands after {} ms",
+                                m.name,
+                                orders.size(),
                                 fx.now() - sent);
                         return;
                     }
--- a/src/main/java/birchusher/workers/Counters.java
+++ b/src/main/java/birchusher/workers/Counters.java
@@ -20,6 +20,7 @@
     public long returns;
     /** Plans made, and slots looked at for them. */
     public long plans;
+
     public long planned;
     /** Reports that nobody waits for any more: copies, and what their workers gave up. */
     public long copies;
@@ -27,6 +28,7 @@
     public long overtaken;
     /** Safety rules found broken ({@link SafetyChecks}); anything but 0 is a fault of ours. */
     public long unsafe;
+
     private final Histogram waits = new Histogram(3_600_000L, 2);
 
     public void started(long waitMs) {
@@ -44,8 +46,10 @@
     public String line() {
         return "renewed=" + renewed + " at_cap=" + atCap + " lapsed=" + lapsed + " speed_limited=" + speedLimited
                 + " refused=" + refused + " stops=" + stops + " errors=" + errors + " condemned=" + condemned
-                + " notices=" + notices + " copies=" + copies + " overtaken=" + overtaken + " unsafe=" + unsafe + " done=" + done + " restarts=" + restarts + " claims=" + claims + " rentals="
-                + rentals + " returns=" + returns + " plans=" + plans + " slots_looked_at=" + planned + " wait_p50_ms=" + waits.getValueAtPercentile(50) + " wait_p95_ms="
+                + " notices=" + notices + " copies=" + copies + " overtaken=" + overtaken + " unsafe=" + unsafe
+                + " done=" + done + " restarts=" + restarts + " claims=" + claims + " rentals="
+                + rentals + " returns=" + returns + " plans=" + plans + " slots_looked_at=" + planned + " wait_p50_ms="
+                + waits.getValueAtPercentile(50) + " wait_p95_ms="
                 + waits.getValueAtPercentile(95);
     }
 }
--- a/src/main/java/birchusher/workers/Departed.java
+++ b/src/main/java/birchusher/workers/Departed.java
@@ -11,7 +11,7 @@
 final class Departed {
     private static final int MAX_KEPT = 20_000;
 
-    private record Last(long session, long seq, boolean gone) { }
+    private record Last(long session, long seq, boolean gone) {}
 
     private final Map<String, Last> machines = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1;
--- a/src/main/java/birchusher/workers/Entry.java
+++ b/src/main/java/birchusher/workers/Entry.java
@@ -7,9 +7,25 @@
 
 /** One task as a worker reports it. */
 public record Entry(String key, long attempt, Phase phase, Why why, boolean saved) {
-    public enum Phase { FETCHING, WAITING, RUNNING, SAVING, EXITED }
+    public enum Phase {
+        FETCHING,
+        WAITING,
+        RUNNING,
+        SAVING,
+        EXITED
+    }
 
-    public enum Why { NONE, DONE, STOPPED, PEERS, ALONE, ERROR, NO_ROOM, BUSY, UNKNOWN }
+    public enum Why {
+        NONE,
+        DONE,
+        STOPPED,
+        PEERS,
+        ALONE,
+        ERROR,
+        NO_ROOM,
+        BUSY,
+        UNKNOWN
+    }
 
     public boolean exited() {
         return phase == Phase.EXITED;
@@ -20,25 +36,32 @@
     }
 
     public static Entry read(Map<String, Object> m) {
-        Phase phase = switch (Fields.text(m, Wire.STATE)) {
-            case "fetching" -> Phase.FETCHING;
-            case "waiting" -> Phase.WAITING;
-            case "running" -> Phase.RUNNING;
-            case "flushing" -> Phase.SAVING;
-            case "exited" -> Phase.EXITED;
-            default -> throw new Bad(Wire.STATE + ": unknown");
-        };
-        Why why = m.get(Wire.WHY) == null ? Why.NONE : switch (Fields.text(m, Wire.WHY)) {
-            case "done" -> Why.DONE;
-            case "halted" -> Why.STOPPED;
-            case "mates_gone" -> Why.PEERS;
-            case "incomplete" -> Why.ALONE;
-            case "full" -> Why.NO_ROOM;
-            case "in_use" -> Why.BUSY;
-            case "no_such" -> Why.UNKNOWN;
-            default -> Why.ERROR;
-        };
-        return new Entry(Fields.text(m, Wire.TASK), Fields.count(m, Wire.ATTEMPT), phase, why,
+        Phase phase =
+                switch (Fields.text(m, Wire.STATE)) {
+                    case "fetching" -> Phase.FETCHING;
+                    case "waiting" -> Phase.WAITING;
+                    case "running" -> Phase.RUNNING;
+                    case "flushing" -> Phase.SAVING;
+                    case "exited" -> Phase.EXITED;
+                    default -> throw new Bad(Wire.STATE + ": unknown");
+                };
+        Why why = m.get(Wire.WHY) == null
+                ? Why.NONE
+                : switch (Fields.text(m, Wire.WHY)) {
+                    case "done" -> Why.DONE;
+                    case "halted" -> Why.STOPPED;
+                    case "mates_gone" -> Why.PEERS;
+                    case "incomplete" -> Why.ALONE;
+                    case "full" -> Why.NO_ROOM;
+                    case "in_use" -> Why.BUSY;
+                    case "no_such" -> Why.UNKNOWN;
+                    default -> Why.ERROR;
+                };
+        return new Entry(
+                Fields.text(m, Wire.TASK),
+                Fields.count(m, Wire.ATTEMPT),
+                phase,
+                why,
                 Boolean.TRUE.equals(m.get(Wire.SAVED)));
     }
 }
--- a/src/main/java/birchusher/workers/Machine.java
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -33,7 +33,7 @@
         }
     }
 
-    record Reservation(String key, double cpus, double gpus, double mem, long until) { }
+    record Reservation(String key, double cpus, double gpus, double mem, long until) {}
 
     private static final int MAX_IMAGES = 64;
 
@@ -49,9 +49,11 @@
     long token;
     /** What we have granted its worker by our answers. */
     final WorkerLease workerLease;
+
     long heardAt = -1;
     /** See {@link Hearing}: whether the worker hears us, when that was last shown, and whether it did as its session before ended. */
     boolean hears;
+
     long hearsAt = -1;
     boolean deafBefore;
     long noticeAt = -1;
@@ -68,6 +70,7 @@
     final Map<String, Long> held = new HashMap<>();
     /** Jobs that failed here since one last ended well, each with its errors. */
     final Map<String, Integer> errorJobs = new HashMap<>();
+
     final ArrayDeque<Integer> images = new ArrayDeque<>();
     MachineSpeed speed = new MachineSpeed();
     boolean calling;
@@ -78,6 +81,7 @@
     long quarantineUntil;
     /** When errors of several jobs are to be judged; -1: none are. */
     long judgeAt = -1;
+
     long idleSince = -1;
     long deadSession = -1;
 
--- a/src/main/java/birchusher/workers/Outcomes.java
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -29,7 +29,12 @@
      * is back with a later session, the second by one that says nothing.
      */
     public enum Kind {
-        DONE, LOST, ERROR, NOT_STARTED, DROPPED, SILENT;
+        DONE,
+        LOST,
+        ERROR,
+        NOT_STARTED,
+        DROPPED,
+        SILENT;
 
         boolean isLoss() {
             return this == LOST || ofMany();
@@ -43,6 +48,7 @@
     private static final long DRIVER_MS = 4_000;
     /** A thousand tasks dropped at once need longer: written by their owners meanwhile, each loss once cost a row of its own. */
     private static final long MANY_MS = 12_000;
+
     private static final int MAX_ITEMS = 400;
     /** Claims have ranks up to 4 and the last priority. */
     private static final int AFTER_CLAIMS = 4 + Priority.values().length;
@@ -52,9 +58,10 @@
      * other drivers only then.
      */
     private static final long PATIENCE_MS = 2_000;
+
     private static final long SHORT_PATIENCE_MS = 300;
 
-    private record Pending(Claim claim, Kind kind, long writeBy, boolean queued) { }
+    private record Pending(Claim claim, Kind kind, long writeBy, boolean queued) {}
 
     /** Sends a record to a member. */
     public interface Mesh {
@@ -71,8 +78,7 @@
     private final Map<String, Pending> pending = new LinkedHashMap<>();
     private final Map<Integer, List<PeerRecord.Ended>> outbox = new LinkedHashMap<>();
 
-    public Outcomes(Effects fx, View view, StoreLink store, Seats seats, Counters counters, Losses losses,
-            Mesh mesh) {
+    public Outcomes(Effects fx, View view, StoreLink store, Seats seats, Counters counters, Losses losses, Mesh mesh) {
         this.fx = fx;
         this.view = view;
         this.store = store;
@@ -96,8 +102,15 @@
         gone(c, kind, seats.term(c.shard()), true, driver == 0);
         if (driver > 0) {
             pending.put(c.attemptKey(), new Pending(c, kind, fx.now() + (kind.ofMany() ? MANY_MS : DRIVER_MS), false));
-            outbox.computeIfAbsent(driver, k -> new ArrayList<>()).add(new PeerRecord.Ended(c.job().spec.id(), c.task(),
-                    c.attempt(), c.machine(), c.shard(), seats.term(c.shard()), kind.ordinal()));
+            outbox.computeIfAbsent(driver, k -> new ArrayList<>())
+                    .add(new PeerRecord.Ended(
+                            c.job().spec.id(),
+                            c.task(),
+                            c.attempt(),
+                            c.machine(),
+                            c.shard(),
+                            seats.term(c.shard()),
+                            kind.ordinal()));
         } else {
             write(c, kind);
         }
@@ -110,15 +123,16 @@
             view.gone(new Job.Gone(c, term, own, kind.isLoss()));
         }
         if (kind == Kind.DROPPED && ours) {
-            // Only a machine that lives has their room and images: nothing was rented for the losses of dead ones while they counted here.
+            // Only a machine that lives has their room and images: nothing was rented for the losses of dead ones while
+            // they counted here.
             losses.dropped(c.job().spec.id(), c.task(), c.machine(), fx.now());
         }
     }
 
     private void write(Claim c, Kind kind) {
         pending.put(c.attemptKey(), new Pending(c, kind, Long.MAX_VALUE, true));
-        boolean queued = store.offer(new Settle(c.job().spec.id(), c.task(), c.attempt(), c.machine(), c.shard(),
-                seats.term(c.shard()), kind, true));
+        boolean queued = store.offer(new Settle(
+                c.job().spec.id(), c.task(), c.attempt(), c.machine(), c.shard(), seats.term(c.shard()), kind, true));
         if (!queued) {
             pending.remove(c.attemptKey());
             view.notGone(c);
@@ -145,7 +159,7 @@
         });
         outbox.clear();
         List<Pending> late = null;
-        for (var it = pending.values().iterator(); it.hasNext();) {
+        for (var it = pending.values().iterator(); it.hasNext(); ) {
             Pending p = it.next();
             if (!stands(p.claim)) {
                 it.remove();
@@ -169,10 +183,15 @@
         for (PeerRecord.Ended e : r.items()) {
             if (e.shard() >= 0 && e.shard() < seats.shardCount() && e.kind() >= 0 && e.kind() < Kind.values().length) {
                 Kind kind = Kind.values()[e.kind()];
-                boolean queued = store.offer(new Settle(e.job(), e.task(), e.attempt(), e.machine(), e.shard(), e.term(), kind, false));
+                boolean queued = store.offer(
+                        new Settle(e.job(), e.task(), e.attempt(), e.machine(), e.shard(), e.term(), kind, false));
                 Job j = view.job(e.job());
                 Claim c = j == null || e.task() >= j.spec.tasks() ? null : j.claim(e.task());
-                if (queued && c != null && c.attempt() == e.attempt() && c.machine().equals(e.machine()) && c.shard() == e.shard()) {
+                if (queued
+                        && c != null
+                        && c.attempt() == e.attempt()
+                        && c.machine().equals(e.machine())
+                        && c.shard() == e.shard()) {
                     gone(c, kind, e.term(), false, true);
                 }
             }
@@ -211,7 +230,8 @@
 
         @Override
         public int rank() {
-            // What was dropped leaves its row with the claim that brings it back: going first, it took the changes those need.
+            // What was dropped leaves its row with the claim that brings it back: going first, it took the changes
+            // those need.
             return kind.ofMany() ? AFTER_CLAIMS : 3;
         }
 
--- a/src/main/java/birchusher/workers/OwnerRedirect.java
+++ b/src/main/java/birchusher/workers/OwnerRedirect.java
@@ -20,14 +20,16 @@
     private static final long LOST_MS = 8_000;
     /** Three heartbeats: an owner that has died is no longer heard by then, and its shards are taken as always. */
     private static final long OUTLIVED_MS = 1_500;
+
     private static final int FEW_LOST = 3;
     private static final int ONE_IN = 10;
     /** A worker that was sent to the same owner again within this is still on its way there. */
     private static final long AGAIN_MS = 15_000;
+
     private static final int MAX_REDIRECTED = 5_000;
 
     /** Since when, and when last, a worker has been sent to one owner; in ms of the steady clock. */
-    private record Redirected(long first, long last) { }
+    private record Redirected(long first, long last) {}
 
     private final Effects effects;
     private final Seats seats;
@@ -36,6 +38,7 @@
     private final Map<Integer, Long> probing = new HashMap<>();
     /** Per shard: machines that its owner tells of and that lately came here all the same, and when they first did. */
     private final Map<Integer, Map<String, Long>> lost = new HashMap<>();
+
     private final Map<String, Redirected> redirected = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1;
 
@@ -61,10 +64,13 @@
         }
         long now = effects.now();
         // Per owner: having been sent to one that died since says nothing about the one that took its place.
-        Redirected sent = redirected.compute(report.machine() + "@" + owner,
+        Redirected sent = redirected.compute(
+                report.machine() + "@" + owner,
                 (key, old) -> new Redirected(old == null || now - old.last > AGAIN_MS ? now : old.first, now));
-        if (severalLost(shard, owner, report.machine(), now) || now - sent.first > PROBE_MS && silent(report.machine())) {
-            // Sent away, it could not report there, and is back; where connections are refused at once, after a second each time.
+        if (severalLost(shard, owner, report.machine(), now)
+                || now - sent.first > PROBE_MS && silent(report.machine())) {
+            // Sent away, it could not report there, and is back; where connections are refused at once, after a second
+            // each time.
             probe(shard, report);
         }
         effects.answer(exchange, 421, Map.of(Wire.REPORT_TO, seats.memberName(owner)));
@@ -92,7 +98,9 @@
             return false;
         }
         long since = Collections.min(here.values());
-        long known = book.pictures().values().stream().filter(picture -> picture.shard() == shard).count();
+        long known = book.pictures().values().stream()
+                .filter(picture -> picture.shard() == shard)
+                .count();
         return now - since >= OUTLIVED_MS && here.size() * ONE_IN >= known;
     }
 
@@ -111,7 +119,9 @@
             }
             Report answer = Report.read(body);
             // What came here was its last message, or the one before: no copy that was long on its way.
-            if (answer.machine().equals(report.machine()) && answer.session() == report.session() && answer.seq() <= report.seq() + 2) {
+            if (answer.machine().equals(report.machine())
+                    && answer.session() == report.session()
+                    && answer.seq() <= report.seq() + 2) {
                 seats.pressed(shard);
             }
         });
--- a/src/main/java/birchusher/workers/Picture.java
+++ b/src/main/java/birchusher/workers/Picture.java
@@ -7,7 +7,20 @@
  * {@code silentMs} is 0 while reports come as they should; {@code idleSince} is our steady time, -1 while it has work. {@code reserved}: tasks whose
  * claims are awaited.
  */
-public record Picture(String machine, int type, int zone, boolean spot, long session, int shard, boolean usable,
-        boolean condemned, boolean leaving, int silentMs, long idleSince, double speed, double[] strayUse,
-        int[] fetching, int[] images, List<String> reserved) {
-}
+public record Picture(
+        String machine,
+        int type,
+        int zone,
+        boolean spot,
+        long session,
+        int shard,
+        boolean usable,
+        boolean condemned,
+        boolean leaving,
+        int silentMs,
+        long idleSince,
+        double speed,
+        double[] strayUse,
+        int[] fetching,
+        int[] images,
+        List<String> reserved) {}
--- a/src/main/java/birchusher/workers/PictureBook.java
+++ b/src/main/java/birchusher/workers/PictureBook.java
@@ -24,9 +24,9 @@
     /** For so long it is remembered, for an owner to come. */
     private static final long FORGET_MS = 60_000;
 
-    private record Told(PeerRecord.Machine machine, long at) { }
+    private record Told(PeerRecord.Machine machine, long at) {}
 
-    private record Theirs(Picture picture, int owner, long at) { }
+    private record Theirs(Picture picture, int owner, long at) {}
 
     private final Effects fx;
     private final Catalog catalog;
@@ -53,7 +53,7 @@
         for (Picture p : own) {
             all.put(p.machine(), p);
         }
-        for (var it = theirs.values().iterator(); it.hasNext();) {
+        for (var it = theirs.values().iterator(); it.hasNext(); ) {
             Theirs t = it.next();
             if (fx.now() - t.at > FORGET_MS) {
                 it.remove();
@@ -117,12 +117,28 @@
             fetching.add(catalog.images.name(p.fetching()[i]));
             fetchMs.add(p.fetching()[i + 1]);
         }
-        int flags = (p.usable() ? PeerRecord.Machine.USABLE : 0) | (p.condemned() ? PeerRecord.Machine.CONDEMNED : 0)
+        int flags = (p.usable() ? PeerRecord.Machine.USABLE : 0)
+                | (p.condemned() ? PeerRecord.Machine.CONDEMNED : 0)
                 | (p.leaving() ? PeerRecord.Machine.LEAVING : 0);
         int idle = p.idleSince() < 0 ? -1 : (int) (fx.now() - p.idleSince());
-        return new PeerRecord.Machine(p.machine(), catalog.typeNames.name(p.type()), catalog.zones.name(p.zone()), p.spot(),
-                p.session(), p.shard(), flags, p.silentMs() / 1_000 * 1_000, idle, p.speed(), p.strayUse()[0],
-                p.strayUse()[1], p.strayUse()[2], fetching, fetchMs, images, p.reserved());
+        return new PeerRecord.Machine(
+                p.machine(),
+                catalog.typeNames.name(p.type()),
+                catalog.zones.name(p.zone()),
+                p.spot(),
+                p.session(),
+                p.shard(),
+                flags,
+                p.silentMs() / 1_000 * 1_000,
+                idle,
+                p.speed(),
+                p.strayUse()[0],
+                p.strayUse()[1],
+                p.strayUse()[2],
+                fetching,
+                fetchMs,
+                images,
+                p.reserved());
     }
 
     public void heard(int from, PeerRecord.Heartbeat h) {
@@ -146,18 +162,39 @@
                 fetching[2 * i] = catalog.images.add(m.fetching().get(i));
                 fetching[2 * i + 1] = m.fetchMs().get(i);
             }
-            theirs.put(m.name(), new Theirs(new Picture(m.name(), catalog.typeNames.add(m.type()), zone, m.spot(),
-                    m.session(), m.shard(), (m.flags() & PeerRecord.Machine.USABLE) != 0,
-                    (m.flags() & PeerRecord.Machine.CONDEMNED) != 0, (m.flags() & PeerRecord.Machine.LEAVING) != 0,
-                    m.silentMs(), m.idleMs() < 0 ? -1 : now - m.idleMs(), m.speed(),
-                    new double[] {m.strayCpus(), m.strayGpus(), m.strayMem()}, fetching, images, m.reserved().stream().filter(PictureBook::isTask).toList()), from, now));
+            theirs.put(
+                    m.name(),
+                    new Theirs(
+                            new Picture(
+                                    m.name(),
+                                    catalog.typeNames.add(m.type()),
+                                    zone,
+                                    m.spot(),
+                                    m.session(),
+                                    m.shard(),
+                                    (m.flags() & PeerRecord.Machine.USABLE) != 0,
+                                    (m.flags() & PeerRecord.Machine.CONDEMNED) != 0,
+                                    (m.flags() & PeerRecord.Machine.LEAVING) != 0,
+                                    m.silentMs(),
+                                    m.idleMs() < 0 ? -1 : now - m.idleMs(),
+                                    m.speed(),
+                                    new double[] {m.strayCpus(), m.strayGpus(), m.strayMem()},
+                                    fetching,
+                                    images,
+                                    m.reserved().stream()
+                                            .filter(PictureBook::isTask)
+                                            .toList()),
+                            from,
+                            now));
         }
     }
 
     /** A job's id, a slash and a number: what comes from outside is checked once, here. */
     private static boolean isTask(String key) {
         int slash = key.lastIndexOf('/');
-        return slash > 0 && key.length() - slash - 1 <= 6 && key.length() > slash + 1
+        return slash > 0
+                && key.length() - slash - 1 <= 6
+                && key.length() > slash + 1
                 && key.chars().skip(slash + 1).allMatch(c -> c >= '0' && c <= '9');
     }
 }
--- a/src/main/java/birchusher/workers/Report.java
+++ b/src/main/java/birchusher/workers/Report.java
@@ -6,8 +6,17 @@
 import java.util.Map;
 
 /** A worker's report, checked. {@code noticeS} below 0: none. */
-public record Report(String machine, String address, String type, String zone, boolean spot, long session, long seq,
-        long token, double noticeS, Map<String, Entry> tasks) {
+public record Report(
+        String machine,
+        String address,
+        String type,
+        String zone,
+        boolean spot,
+        long session,
+        long seq,
+        long token,
+        double noticeS,
+        Map<String, Entry> tasks) {
     private static final int MAX_TASKS = 2_000;
 
     public static Report read(Map<String, Object> m) {
@@ -19,9 +28,16 @@
                 throw new Fields.Bad(Wire.TASKS + ": too many");
             }
         }
-        return new Report(Fields.text(m, Wire.MACHINE), Fields.text(m, Wire.ADDR), Fields.text(m, Wire.TYPE),
-                Fields.text(m, Wire.ZONE), Fields.flag(m, Wire.SPOT), Fields.count(m, Wire.SESSION),
-                Fields.count(m, Wire.SEQ), Fields.countOr(m, Wire.TOKEN, 0),
-                m.get(Wire.NOTICE) == null ? -1 : Fields.amount(m, Wire.NOTICE), tasks);
+        return new Report(
+                Fields.text(m, Wire.MACHINE),
+                Fields.text(m, Wire.ADDR),
+                Fields.text(m, Wire.TYPE),
+                Fields.text(m, Wire.ZONE),
+                Fields.flag(m, Wire.SPOT),
+                Fields.count(m, Wire.SESSION),
+                Fields.count(m, Wire.SEQ),
+                Fields.countOr(m, Wire.TOKEN, 0),
+                m.get(Wire.NOTICE) == null ? -1 : Fields.amount(m, Wire.NOTICE),
+                tasks);
     }
 }
--- a/src/main/java/birchusher/workers/Room.java
+++ b/src/main/java/birchusher/workers/Room.java
@@ -26,6 +26,7 @@
     private final Outcomes outcomes;
     /** Whether a job, by its id, lies within its team's guarantee. */
     private final Predicate<String> guaranteed;
+
     private final long reserveMs;
 
     Room(Effects fx, Catalog catalog, View view, Outcomes outcomes, Predicate<String> guaranteed, long reserveMs) {
@@ -44,7 +45,10 @@
     void make(Machine m, Stops stops) {
         Catalog.Type t = catalog.type(m.type);
         double[] used = view.useOf(m.name);
-        if (t == null || used[0] <= t.cpus() + Catalog.EPS && used[1] <= t.gpus() + Catalog.EPS && used[2] <= t.mem() + Catalog.EPS) {
+        if (t == null
+                || used[0] <= t.cpus() + Catalog.EPS
+                        && used[1] <= t.gpus() + Catalog.EPS
+                        && used[2] <= t.mem() + Catalog.EPS) {
             m.held.clear();
             return;
         }
@@ -80,8 +84,14 @@
             }
             for (Claim u : unstarted) {
                 JobSpec j = v.job().spec;
-                if (j.yieldsTo(u.job().spec, guaranteed.test(j.id()), guaranteed.test(u.job().spec.id()))) {
-                    stops.stop(v, j.resumes() ? j.saveS() + 1 : 0, "makes room for " + u.job().spec.id());
+                if (j.yieldsTo(
+                        u.job().spec,
+                        guaranteed.test(j.id()),
+                        guaranteed.test(u.job().spec.id()))) {
+                    stops.stop(
+                            v,
+                            j.resumes() ? j.saveS() + 1 : 0,
+                            "makes room for " + u.job().spec.id());
                     plus(planned, j);
                     break;
                 }
@@ -105,7 +115,9 @@
     }
 
     private static boolean fits(double[] room, JobSpec j) {
-        return room[0] >= j.cpus() - Catalog.EPS && room[1] >= j.gpus() - Catalog.EPS && room[2] >= j.mem() - Catalog.EPS;
+        return room[0] >= j.cpus() - Catalog.EPS
+                && room[1] >= j.gpus() - Catalog.EPS
+                && room[2] >= j.mem() - Catalog.EPS;
     }
 
     /** Free room by the truth known here: records, reports and reservations. */
@@ -183,7 +195,8 @@
         double[] f = free(m);
         if (makesRoom) {
             for (Claim c : view.claims(m.name).values()) {
-                if (c.job().gone(c.task()) == null && c.job().spec.yieldsTo(j, guaranteed.test(c.job().spec.id()), guaranteed.test(j.id()))) {
+                if (c.job().gone(c.task()) == null
+                        && c.job().spec.yieldsTo(j, guaranteed.test(c.job().spec.id()), guaranteed.test(j.id()))) {
                     plus(f, c.job().spec);
                 }
             }
--- a/src/main/java/birchusher/workers/SafetyChecks.java
+++ b/src/main/java/birchusher/workers/SafetyChecks.java
@@ -37,6 +37,7 @@
             return size() > MAX_TASKS;
         }
     };
+
     private long loggedAt = Long.MIN_VALUE / 2;
 
     SafetyChecks(Effects effects, Counters counters, Machines machines) {
@@ -83,8 +84,15 @@
         long now = effects.now();
         if (now - loggedAt >= LOG_EVERY_MS) {
             loggedAt = now;
-            LOG.error("safety rule broken rule={} task={} attempt={} machine={} session={} lease_left_ms={} {}", rule, claim.key(), claim.attempt(),
-                    machine.name, machine.session, machines.leaseEnd(machine) - now, machine.workerLease.evidence(now));
+            LOG.error(
+                    "safety rule broken rule={} task={} attempt={} machine={} session={} lease_left_ms={} {}",
+                    rule,
+                    claim.key(),
+                    claim.attempt(),
+                    machine.name,
+                    machine.session,
+                    machines.leaseEnd(machine) - now,
+                    machine.workerLease.evidence(now));
         }
         assert false : rule + ": " + claim.key() + " attempt " + claim.attempt() + ", " + machine.name;
     }
--- a/src/main/java/birchusher/workers/WorkerLease.java
+++ b/src/main/java/birchusher/workers/WorkerLease.java
@@ -25,15 +25,17 @@
     private static final long MARGIN_MS = 1_000;
 
     /** Since when this controller owns the worker's shard, and when its earlier owners became unable to answer; below 0: not yet. */
-    record Ownership(long since, long fencedAt) { }
+    record Ownership(long since, long fencedAt) {}
 
     private final long durationMs;
     private long session;
     /** The highest tick of a report that was answered in this session. A worker has one report in flight, so it waits for none below. */
     private long lastReport;
+
     private long lastMessageAt = -1;
     /** No report that was answered can have been sent later; -1: none was answered. */
     private long grantedAt = -1;
+
     private long shownTerm;
     /** When a message first showed {@link #shownTerm}: until then an earlier owner may have been the one that it heard. */
     private long shownAt = -1;
@@ -91,8 +93,8 @@
 
     /** How long ago a report was answered last, and anything heard, for log lines; -1: never. */
     String evidence(long now) {
-        return "tick=" + lastReport + " granted_ms=" + ago(grantedAt, now) + " heard_ms=" + ago(lastMessageAt, now) + " shown_term=" + shownTerm
-                + " shown_ms=" + ago(shownAt, now);
+        return "tick=" + lastReport + " granted_ms=" + ago(grantedAt, now) + " heard_ms=" + ago(lastMessageAt, now)
+                + " shown_term=" + shownTerm + " shown_ms=" + ago(shownAt, now);
     }
 
     private static long ago(long at, long now) {
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/Yard.java
@@ -15,11 +15,9 @@
 import birchusher.store.Job;
 import birchusher.store.StoreLink;
 import birchusher.store.View;
-import birchusher.wire.Wire;
 import birchusher.workers.Machine.Run;
 import birchusher.workers.Machine.Stop;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,6 +51,7 @@
     private final Outcomes outcomes;
     /** What the owners before us told of their machines, so that a new owner starts from what the old one knew. */
     private final PictureBook book;
+
     private final Room room;
     private final Commands commands;
     private final Orders orders;
@@ -66,12 +65,26 @@
     private final long quarantineMs;
     /** Since when we have listened without a break: whoever stood still has heard nobody, which tells nothing of the machines. */
     private long listeningFrom = -1;
+
     private long lastTick = Long.MIN_VALUE / 2;
     private long nextSweep;
     private long nextLeaseSweep;
 
-    public Yard(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Seats seats, Speeds speeds, Tuning t,
-            Counters counters, Outcomes outcomes, PictureBook book, Orders orders, Listener listener, Predicate<String> guaranteed) {
+    public Yard(
+            Effects fx,
+            Settings s,
+            Catalog catalog,
+            View view,
+            StoreLink store,
+            Seats seats,
+            Speeds speeds,
+            Tuning t,
+            Counters counters,
+            Outcomes outcomes,
+            PictureBook book,
+            Orders orders,
+            Listener listener,
+            Predicate<String> guaranteed) {
         this.fx = fx;
         this.settings = s;
         this.catalog = catalog;
@@ -195,7 +208,12 @@
         boolean later = r.session() > m.session;
         boolean followed = m.heardAt >= 0;
         if (!followed) {
-            LOG.info("machine {} reports: {} in {}, session {}, {} tasks", m.name, r.type(), r.zone(), r.session(),
+            LOG.info(
+                    "machine {} reports: {} in {}, session {}, {} tasks",
+                    m.name,
+                    r.type(),
+                    r.zone(),
+                    r.session(),
                     r.tasks().size());
         }
         m.session = r.session();
@@ -252,7 +270,9 @@
                 if (write == Squaring.Write.LOST) {
                     boolean dropped = row == Squaring.Row.EARLIER;
                     // A worker that hears nobody will not take it back: nothing is to wait for that.
-                    release(c, !dropped ? Outcomes.Kind.LOST : m.deafBefore ? Outcomes.Kind.SILENT : Outcomes.Kind.DROPPED,
+                    release(
+                            c,
+                            !dropped ? Outcomes.Kind.LOST : m.deafBefore ? Outcomes.Kind.SILENT : Outcomes.Kind.DROPPED,
                             dropped ? "a later session" : "absent from a newer report");
                 } else if (write == Squaring.Write.NOT_STARTED) {
                     // Never shown, and nothing of ours or of an earlier owner is under way any more.
@@ -363,7 +383,10 @@
         long now = fx.now();
         switch (write) {
             case DONE -> {
-                if (run.lease.runningSince() >= 0 && c.attempt() == 1 && !run.countedAtCap && j.estimateS() > 0
+                if (run.lease.runningSince() >= 0
+                        && c.attempt() == 1
+                        && !run.countedAtCap
+                        && j.estimateS() > 0
                         && !outcomes.pending(e.attemptKey())) {
                     double took = (now - run.lease.runningSince()) / 1000.0;
                     speeds.observe(j.cls(), j.estimateS(), took);
@@ -465,8 +488,12 @@
             }
             Run run = m.runs.get(ak);
             double expected = j.estimateS() * speeds.bias(j.cls()) * 1000 / m.speed.value();
-            boolean endsInTime = !j.service() && !j.resumes() && run != null && run.lease.runningSince() >= 0
-                    && run.lease.runningSince() + expected < m.noticeAt && left > 2_500;
+            boolean endsInTime = !j.service()
+                    && !j.resumes()
+                    && run != null
+                    && run.lease.runningSince() >= 0
+                    && run.lease.runningSince() + expected < m.noticeAt
+                    && left > 2_500;
             if (!endsInTime) {
                 stopJobTask(c, j.resumes() ? j.saveS() + 1 : 0, "notice");
             }
@@ -477,9 +504,17 @@
 
     private boolean usable(Machine m) {
         long now = fx.now();
-        return m.heardAt >= 0 && seats.owns(m.shard) && !m.condemned && !m.leaving && !m.gone && m.noticeAt < 0
-                && m.session != m.deadSession && m.token >= seats.term(m.shard) && m.hears
-                && commands.reporting(m, now) && now >= m.quarantineUntil;
+        return m.heardAt >= 0
+                && seats.owns(m.shard)
+                && !m.condemned
+                && !m.leaving
+                && !m.gone
+                && m.noticeAt < 0
+                && m.session != m.deadSession
+                && m.token >= seats.term(m.shard)
+                && m.hears
+                && commands.reporting(m, now)
+                && now >= m.quarantineUntil;
     }
 
     /** Checks a task offered to one of our machines and keeps room for it; returns why not, or null. */
@@ -583,7 +618,9 @@
                 // Between two owners: what is known must not be forgotten, loose commands above all.
                 continue;
             }
-            if (m.heardAt >= 0 && now - m.heardAt > 120_000 && view.claims(m.name).isEmpty()
+            if (m.heardAt >= 0
+                            && now - m.heardAt > 120_000
+                            && view.claims(m.name).isEmpty()
                     || m.gone && view.claims(m.name).isEmpty() && now - m.heardAt > 30_000) {
                 departed.leaves(m);
                 machines.remove(m.name);
@@ -648,8 +685,13 @@
         }
         if (m.deadSession != m.session) {
             m.deadSession = m.session;
-            LOG.info("lease over machine={} session={} term={} owned_ms={} {}", m.name, m.session, seats.term(m.shard),
-                    now - seats.ownedSince(m.shard), m.workerLease.evidence(now));
+            LOG.info(
+                    "lease over machine={} session={} term={} owned_ms={} {}",
+                    m.name,
+                    m.session,
+                    seats.term(m.shard),
+                    now - seats.ownedSince(m.shard),
+                    m.workerLease.evidence(now));
         }
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
             if (m.session == 0 || c.session() <= m.session) {
@@ -662,7 +704,8 @@
 
     /** When the worker of a machine of ours has certainly dropped its tasks, or {@link WorkerLease#NEVER}. */
     private long leaseEnd(Machine m) {
-        return m.workerLease.endsBy(seats.term(m.shard), new WorkerLease.Ownership(seats.ownedSince(m.shard), seats.fencedAt(m.shard)));
+        return m.workerLease.endsBy(
+                seats.term(m.shard), new WorkerLease.Ownership(seats.ownedSince(m.shard), seats.fencedAt(m.shard)));
     }
 
     public List<Picture> pictures() {
@@ -673,9 +716,23 @@
                 continue;
             }
             room.forgetReservations(m);
-            l.add(new Picture(m.name, m.type, m.zone, m.spot, m.session, m.shard, usable(m), m.condemned, m.leaving,
-                    silentMs(m, now), m.idleSince, m.speed.value(), room.stray(m), fetching(m, now),
-                    m.images.stream().mapToInt(i -> i).toArray(), m.reserved.isEmpty() ? List.of() : List.copyOf(m.reserved.keySet())));
+            l.add(new Picture(
+                    m.name,
+                    m.type,
+                    m.zone,
+                    m.spot,
+                    m.session,
+                    m.shard,
+                    usable(m),
+                    m.condemned,
+                    m.leaving,
+                    silentMs(m, now),
+                    m.idleSince,
+                    m.speed.value(),
+                    room.stray(m),
+                    fetching(m, now),
+                    m.images.stream().mapToInt(i -> i).toArray(),
+                    m.reserved.isEmpty() ? List.of() : List.copyOf(m.reserved.keySet())));
         }
         return l;
     }
@@ -698,7 +755,9 @@
             if (m.images.contains(image) || e != null && e.phase() != Entry.Phase.FETCHING) {
                 continue;
             }
-            long ms = run == null || run.fetchUntil < 0 ? fetchMs(m, c.job().spec) : Math.max(1_000, run.fetchUntil - now);
+            long ms = run == null || run.fetchUntil < 0
+                    ? fetchMs(m, c.job().spec)
+                    : Math.max(1_000, run.fetchUntil - now);
             left.merge(image, (int) ms, Math::min);
         }
         int[] flat = new int[left.size() * 2];
--- a/src/test/java/birchusher/HttpParserTest.java
+++ b/src/test/java/birchusher/HttpParserTest.java
@@ -34,31 +34,44 @@
     @Test
     void chunkedAnswersAreJoined() throws Malformed {
         HttpParser p = new HttpParser(false, 100);
-        HttpParser.Message m = p.feed(bytes(
-                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"));
+        HttpParser.Message m = p.feed(
+                bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"));
         assertThat(m.status()).isEqualTo(200);
         assertThat(new String(m.body(), StandardCharsets.ISO_8859_1)).isEqualTo("abcde");
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"GET\r\n\r\n", "GET / FTP/1\r\n\r\n", "get / HTTP/1.1\r\n\r\n", "GET x HTTP/1.1\r\n\r\n",
-        "GET / HTTP/1.1\r\n: v\r\n\r\n", "GET / HTTP/1.1\r\nA\r\n\r\n", "GET / HTTP/1.1\r\n folded: v\r\n\r\n",
-        "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\n",
-        "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
-        "POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
-        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
-        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n+1\r\n",
-        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n",
-        "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "GET\r\n\r\n",
+                "GET / FTP/1\r\n\r\n",
+                "get / HTTP/1.1\r\n\r\n",
+                "GET x HTTP/1.1\r\n\r\n",
+                "GET / HTTP/1.1\r\n: v\r\n\r\n",
+                "GET / HTTP/1.1\r\nA\r\n\r\n",
+                "GET / HTTP/1.1\r\n folded: v\r\n\r\n",
+                "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\n",
+                "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+                "POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n+1\r\n",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n",
+                "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            })
     void whatIsMalformedIsA400(String s) {
-        assertThatThrownBy(() -> new HttpParser(true, 100).feed(bytes(s))).isInstanceOfSatisfying(Malformed.class,
-                e -> assertThat(e.status).isEqualTo(400));
+        assertThatThrownBy(() -> new HttpParser(true, 100).feed(bytes(s)))
+                .isInstanceOfSatisfying(
+                        Malformed.class, e -> assertThat(e.status).isEqualTo(400));
     }
 
     @Test
     void tooLargeABodyIsA413BeforeAnyOfItIsRead() {
-        assertThatThrownBy(() -> new HttpParser(true, 100).feed(bytes("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n")))
-                .isInstanceOfSatisfying(Malformed.class, e -> assertThat(e.status).isEqualTo(413));
+        assertThatThrownBy(
+                        () -> new HttpParser(true, 100).feed(bytes("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n")))
+                .isInstanceOfSatisfying(
+                        Malformed.class, e -> assertThat(e.status).isEqualTo(413));
     }
 
     @Test
--- a/src/test/java/birchusher/KnownRed.java
+++ b/src/test/java/birchusher/KnownRed.java
@@ -20,7 +20,11 @@
     private static List<String> lines() {
         Path list = Path.of("KNOWN-RED.txt");
         try {
-            List<String> l = Files.exists(list) ? Files.readAllLines(list).stream().filter(x -> !x.isBlank()).toList() : List.of();
+            List<String> l = Files.exists(list)
+                    ? Files.readAllLines(list).stream()
+                            .filter(x -> !x.isBlank())
+                            .toList()
+                    : List.of();
             if (l.size() > MOST) {
                 throw new IllegalStateException("KNOWN-RED.txt: more than " + MOST + " lines");
             }
@@ -36,7 +40,10 @@
 
     @Override
     public void handleTestExecutionException(ExtensionContext test, Throwable failure) throws Throwable {
-        String line = line(LINES, test.getRequiredTestClass().getName() + "." + test.getRequiredTestMethod().getName());
+        String line = line(
+                LINES,
+                test.getRequiredTestClass().getName() + "."
+                        + test.getRequiredTestMethod().getName());
         if (line == null) {
             throw failure;
         }
--- a/src/test/java/birchusher/KnownRedTest.java
+++ b/src/test/java/birchusher/KnownRedTest.java
@@ -26,7 +26,8 @@
             assertThat(line).matches("[\\w.]+: .+: issue \\d+");
             String test = line.substring(0, line.indexOf(": "));
             int dot = test.lastIndexOf('.');
-            assertThat(Class.forName(test.substring(0, dot)).getDeclaredMethods()).anyMatch(m -> m.getName().equals(test.substring(dot + 1)));
+            assertThat(Class.forName(test.substring(0, dot)).getDeclaredMethods())
+                    .anyMatch(m -> m.getName().equals(test.substring(dot + 1)));
         }
     }
 }
--- a/src/test/java/birchusher/LeaseTraceTest.java
+++ b/src/test/java/birchusher/LeaseTraceTest.java
@@ -30,12 +30,15 @@
                 title = line.substring(3);
             } else if (w[0].equals("start")) {
                 long fetch = Long.parseLong(w[1]) * 1000;
-                long cap = w[2].equals("-") ? Long.MAX_VALUE : Math.max(terms.base(fetch), Long.parseLong(w[2]) * 4_000);
+                long cap =
+                        w[2].equals("-") ? Long.MAX_VALUE : Math.max(terms.base(fetch), Long.parseLong(w[2]) * 4_000);
                 lease = new TaskLease(terms, 0, fetch, cap);
             } else if (!line.isBlank() && !line.startsWith("#")) {
                 long t = Long.parseLong(w[0]) * 1000;
                 switch (w[1]) {
-                    case "listed" -> assertThat(lease.report(t, w[2].equals("running"))).as(where).hasToString(w[4]);
+                    case "listed" -> assertThat(lease.report(t, w[2].equals("running")))
+                            .as(where)
+                            .hasToString(w[4]);
                     case "lapsed" -> assertThat(lease.lapsed(t)).as(where).isTrue();
                     case "alive" -> assertThat(lease.lapsed(t)).as(where).isFalse();
                     case "at-cap" -> {
--- a/src/test/java/birchusher/LoopbackTest.java
+++ b/src/test/java/birchusher/LoopbackTest.java
@@ -31,8 +31,10 @@
     @BeforeEach
     void start() throws Exception {
         port = free();
-        String json = TestJobs.SETTINGS.replace("1.1.1.1:1", "127.0.0.1:" + port)
-                .replace("1.1.1.1:2", "127.0.0.1:" + free()).replace("1.1.1.1:3", "127.0.0.1:" + free())
+        String json = TestJobs.SETTINGS
+                .replace("1.1.1.1:1", "127.0.0.1:" + port)
+                .replace("1.1.1.1:2", "127.0.0.1:" + free())
+                .replace("1.1.1.1:3", "127.0.0.1:" + free())
                 .replace("1.1.1.1:4", "127.0.0.1:" + free());
         loop = new Loop(SettingsReader.read(json.getBytes(StandardCharsets.UTF_8)), new Tuning());
         thread = new Thread(() -> {
@@ -73,11 +75,13 @@
     void badAndUntimelyRequestsAreAnsweredAtOnce() throws IOException {
         assertThat(ask("GET /ready HTTP/1.1\r\n\r\n")).contains("503");
         assertThat(ask("nonsense\r\n\r\n")).contains("400");
-        assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n")).contains("413");
+        assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"))
+                .contains("413");
         assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 1\r\n\r\nx")).contains("400");
         assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"))
                 .contains("400");
-        assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + "x".repeat(70_000))).contains("413");
+        assertThat(ask("POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + "x".repeat(70_000)))
+                .contains("413");
         assertThat(ask("GET /nowhere HTTP/1.1\r\n\r\n")).contains("404");
         assertThat(ask("DELETE /v2/runs HTTP/1.1\r\n\r\n")).contains("405");
         assertThat(ask("GET /v2/runs/wk-1 HTTP/1.1\r\n\r\n")).contains("503");
--- a/src/test/java/birchusher/PackTest.java
+++ b/src/test/java/birchusher/PackTest.java
@@ -18,8 +18,10 @@
 
     @Test
     void aHeaderThatClaimsMoreThanTheBodyHoldsReservesNothing() {
-        assertThatThrownBy(() -> Pack.decode(new byte[] {(byte) 0xdd, 0x7f, 0x7f, 0x7f, 0x7f})).isInstanceOf(Bad.class);
-        assertThatThrownBy(() -> Pack.decode(new byte[] {(byte) 0xdf, 0x7f, 0x7f, 0x7f, 0x7f})).isInstanceOf(Bad.class);
+        assertThatThrownBy(() -> Pack.decode(new byte[] {(byte) 0xdd, 0x7f, 0x7f, 0x7f, 0x7f}))
+                .isInstanceOf(Bad.class);
+        assertThatThrownBy(() -> Pack.decode(new byte[] {(byte) 0xdf, 0x7f, 0x7f, 0x7f, 0x7f}))
+                .isInstanceOf(Bad.class);
     }
 
     @Test
--- a/src/test/java/birchusher/PeerCodecTest.java
+++ b/src/test/java/birchusher/PeerCodecTest.java
@@ -13,22 +13,47 @@
 
 class PeerCodecTest {
     private static final List<PeerRecord> ALL = List.of(
-            new PeerRecord.Heartbeat(7, true, List.of(1L, 0L), List.of(0L, 4L), List.of(new PeerRecord.Machine("n-1", "g8", "a", true, 3, 1,
-                    PeerRecord.Machine.USABLE, 10, 20, 0.9, 1, 2, 3, List.of("i"), List.of(500), List.of("j", "k"),
-                    List.of("wk-7/3"))),
-                    List.of("n-3"), List.of("n-2")),
+            new PeerRecord.Heartbeat(
+                    7,
+                    true,
+                    List.of(1L, 0L),
+                    List.of(0L, 4L),
+                    List.of(new PeerRecord.Machine(
+                            "n-1",
+                            "g8",
+                            "a",
+                            true,
+                            3,
+                            1,
+                            PeerRecord.Machine.USABLE,
+                            10,
+                            20,
+                            0.9,
+                            1,
+                            2,
+                            3,
+                            List.of("i"),
+                            List.of(500),
+                            List.of("j", "k"),
+                            List.of("wk-7/3"))),
+                    List.of("n-3"),
+                    List.of("n-2")),
             new PeerRecord.Offer(5, true, true, List.of(new PeerRecord.Item("wk-1", 4, "n-1", 2))),
             new PeerRecord.CalledOff(List.of(new PeerRecord.Item("wk-1", 4, "n-1", 2))),
             new PeerRecord.Verdict(5, List.of("", "no room"), List.of(9L, 0L)),
-            new PeerRecord.Stop("wk-1", -1, 3, 6.5, "notice"), new PeerRecord.Retire("n-1", true),
+            new PeerRecord.Stop("wk-1", -1, 3, 6.5, "notice"),
+            new PeerRecord.Retire("n-1", true),
             new PeerRecord.Outcomes(List.of(new PeerRecord.Ended("wk-1", 4, 2, "n-1", 1, 9, 0))),
-            new PeerRecord.Retired("n-1", false), new PeerRecord.Restoring(12), new PeerRecord.RevisionQuery(77, 41),
+            new PeerRecord.Retired("n-1", false),
+            new PeerRecord.Restoring(12),
+            new PeerRecord.RevisionQuery(77, 41),
             new PeerRecord.RevisionReply(77, 8, true, 44, 41, List.of(new PeerRecord.Cancelled("wk-9", 43))));
 
     @Test
     void recordsComeBackAsTheyWent() {
         for (PeerRecord r : ALL) {
-            assertThat(PeerCodec.decode(PeerCodec.encode("perch-1", 8, r))).isEqualTo(new PeerCodec.From("perch-1", 8, r));
+            assertThat(PeerCodec.decode(PeerCodec.encode("perch-1", 8, r)))
+                    .isEqualTo(new PeerCodec.From("perch-1", 8, r));
         }
     }
 
--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -6,9 +6,9 @@
 import birchusher.lease.LeaseTerms;
 import birchusher.lease.Speeds;
 import birchusher.model.Catalog;
-import birchusher.recovery.Losses;
 import birchusher.placement.Planner;
 import birchusher.placement.Slot;
+import birchusher.recovery.Losses;
 import birchusher.settings.SettingsReader;
 import birchusher.store.Chunk;
 import birchusher.store.Claim;
@@ -30,13 +30,16 @@
 class PlannerTest {
     private static final long NOW = 1_000_000;
     private final Catalog catalog = new Catalog(SettingsReader.read(TestJobs.SETTINGS
-            .replace("\"zones\":[\"z\"]", "\"zones\":[\"z\",\"y\"]").replace("\"gpus\":4,\"gpus_max\":8", "\"gpus\":2,\"gpus_max\":8")
+            .replace("\"zones\":[\"z\"]", "\"zones\":[\"z\",\"y\"]")
+            .replace("\"gpus\":4,\"gpus_max\":8", "\"gpus\":2,\"gpus_max\":8")
             .getBytes(StandardCharsets.UTF_8)));
     private final View view = new View(catalog, new JobCodec(catalog));
     private final Hazards hazards = new Hazards();
     private final Losses losses = new Losses(10_000, 1);
-    private final Planner planner = new Planner(catalog, view, new Speeds(), hazards, losses, new LeaseTerms(90_000, 30_000, 4, 5_000), List.of(), 150);
-    private final Catalog.Type type = new Catalog.Type(catalog.typeNames.add("g4"), "g4", 8, 4, 64, 50, 1, 4, 1, 40, new int[] {0, 1});
+    private final Planner planner = new Planner(
+            catalog, view, new Speeds(), hazards, losses, new LeaseTerms(90_000, 30_000, 4, 5_000), List.of(), 150);
+    private final Catalog.Type type =
+            new Catalog.Type(catalog.typeNames.add("g4"), "g4", 8, 4, 64, 50, 1, 4, 1, 40, new int[] {0, 1});
     private long revision;
 
     PlannerTest() {
@@ -87,7 +90,8 @@
             hazards.observe(Hazards.kind(type.index(), true), 200, true, 0);
             hazards.observe(Hazards.kind(type.index(), false), 200, false, 0);
         }
-        Slot taken = new Slot("spot", type, 0, true, 1, 0, 1, new int[0], new int[] {catalog.images.add("img-1")}, 0, true, 8, 4, 64);
+        Slot taken = new Slot(
+                "spot", type, 0, true, 1, 0, 1, new int[0], new int[] {catalog.images.add("img-1")}, 0, true, 8, 4, 64);
         Map<String, Object> how = Map.of("loaners", true, "bundle", "img-1", "size_gb", 2.0);
         Map<String, Object> shorter = new HashMap<>(how);
         shorter.put("expect_s", 10.0);
@@ -102,7 +106,9 @@
 
     private List<String> plan(long wall, List<Planner.Choice> underway, Slot... slots) {
         Planner.Plan p = planner.plan(new ArrayList<>(List.of(slots)), marks(t -> false), underway, 0, wall);
-        return p.choices().stream().map(c -> c.job().spec.id() + "/" + c.task() + " on " + c.slot().machine()).toList();
+        return p.choices().stream()
+                .map(c -> c.job().spec.id() + "/" + c.task() + " on " + c.slot().machine())
+                .toList();
     }
 
     @Test
@@ -179,9 +185,15 @@
     void tasksOnTheirWayCountInTheirZones() {
         Job web = job("wk-web", Map.of("shape", "standing", "pieces", 2L, "scatter", true, "expect_s", 0.0));
         Planner.Choice first = new Planner.Choice(web, 0, slot("a", 0, 4, 1), 0);
-        Planner.Plan p = planner.plan(new ArrayList<>(List.of(slot("b", 0, 4, 1), slot("c", 1, 4, 1))), marks(t -> t == 0),
-                List.of(first), 0, NOW);
-        assertThat(p.choices()).singleElement().satisfies(c -> assertThat(c.slot().machine()).isEqualTo("c"));
+        Planner.Plan p = planner.plan(
+                new ArrayList<>(List.of(slot("b", 0, 4, 1), slot("c", 1, 4, 1))),
+                marks(t -> t == 0),
+                List.of(first),
+                0,
+                NOW);
+        assertThat(p.choices())
+                .singleElement()
+                .satisfies(c -> assertThat(c.slot().machine()).isEqualTo("c"));
     }
 
     @Test
@@ -198,16 +210,19 @@
     void aGangInOneZoneGetsAllOfItOrNothing() {
         job("wk-gang", Map.of("shape", "gang", "pieces", 3L, "one_zone", true));
         assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 1, 2, 1))).isEmpty();
-        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 1, 2, 1), slot("c", 1, 1, 1))).hasSize(3)
+        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 1, 2, 1), slot("c", 1, 1, 1)))
+                .hasSize(3)
                 .allMatch(s -> s.endsWith("b") || s.endsWith("c"));
     }
 
     @Test
     void theTeamsLimitBoundsThePlan() {
         job("wk-many", Map.of("pieces", 20L));
-        assertThat(plan(NOW, List.of(), slot("a", 0, 4, 1), slot("b", 0, 4, 1), slot("c", 1, 4, 1))).hasSize(8);
+        assertThat(plan(NOW, List.of(), slot("a", 0, 4, 1), slot("b", 0, 4, 1), slot("c", 1, 4, 1)))
+                .hasSize(8);
         Planner.Plan none = planner.plan(new ArrayList<>(), marks(t -> false), List.of(), 0, NOW);
-        assertThat(none.unplaced()).singleElement().satisfies(u -> assertThat(u.tasks()).isEqualTo(8));
+        assertThat(none.unplaced()).singleElement().satisfies(u -> assertThat(u.tasks())
+                .isEqualTo(8));
     }
 
     /** A job of one row whose tasks are recorded on these machines, in the order of the tasks. */
@@ -243,8 +258,11 @@
     void aDroppedTaskWaitsAMomentForItsMachineAndNoLonger() {
         dropped(placed("wk-lost", Map.of("pieces", 1L), "home"), 0);
         assertThat(plan(NOW, List.of(), slot("other", 0, 4, 1))).isEmpty();
-        Planner.Plan later = planner.plan(new ArrayList<>(List.of(slot("other", 0, 4, 1))), marks(t -> false), List.of(), 1_600, NOW);
-        assertThat(later.choices()).singleElement().satisfies(c -> assertThat(c.slot().machine()).isEqualTo("other"));
+        Planner.Plan later = planner.plan(
+                new ArrayList<>(List.of(slot("other", 0, 4, 1))), marks(t -> false), List.of(), 1_600, NOW);
+        assertThat(later.choices())
+                .singleElement()
+                .satisfies(c -> assertThat(c.slot().machine()).isEqualTo("other"));
     }
 
     @Test
@@ -253,14 +271,17 @@
         dropped(gang, 0);
         assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 0, 1, 1))).isEmpty();
         dropped(gang, 1);
-        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 0, 1, 1))).containsExactly("wk-gang/0 on a", "wk-gang/1 on b");
-        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 0, 0, 1))).containsExactly("wk-gang/0 on a", "wk-gang/1 on a");
+        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 0, 1, 1)))
+                .containsExactly("wk-gang/0 on a", "wk-gang/1 on b");
+        assertThat(plan(NOW, List.of(), slot("a", 0, 2, 1), slot("b", 0, 0, 1)))
+                .containsExactly("wk-gang/0 on a", "wk-gang/1 on a");
     }
 
     /** Proven gone, a task leaves its machine's room and its zone; its team's use only with its row. */
     @Test
     void aMarkFreesRoomAndZoneAtOnceAndLeavesWithItsClaim() {
-        Job web = placed("wk-web", Map.of("shape", "standing", "pieces", 2L, "scatter", true, "expect_s", 0.0), "a", "b");
+        Job web =
+                placed("wk-web", Map.of("shape", "standing", "pieces", 2L, "scatter", true, "expect_s", 0.0), "a", "b");
         view.gone(new Job.Gone(web.claim(0), 1, true, true));
         assertThat(view.useOf("a")).containsExactly(0, 0, 0);
         assertThat(view.gpusOf(web.spec.team())).isEqualTo(2);
--- a/src/test/java/birchusher/SettingsTest.java
+++ b/src/test/java/birchusher/SettingsTest.java
@@ -24,7 +24,8 @@
     @Test
     void theFieldAtFaultIsNamed() {
         String good = TestJobs.SETTINGS;
-        assertThatThrownBy(() -> read(good.replace("\"lease_s\":10", "\"lease_s\":0"))).isInstanceOf(Bad.class)
+        assertThatThrownBy(() -> read(good.replace("\"lease_s\":10", "\"lease_s\":0")))
+                .isInstanceOf(Bad.class)
                 .hasMessageContaining("lease_s");
         assertThatThrownBy(() -> read(good.replace("1.1.1.1:4", "nowhere"))).hasMessageContaining("state");
         assertThatThrownBy(() -> read(good.replace("\"member\":\"a\",", ""))).hasMessageContaining("member");
@@ -36,9 +37,11 @@
         Tuning t = new Tuning().with(new StringReader("lease.base-s=120\n"));
         assertThat(t.ms("lease.base-s")).isEqualTo(120_000);
         assertThat(t.ms("lease.renew-s")).isEqualTo(30_000);
-        assertThatThrownBy(() -> new Tuning().with(new StringReader("lease.bass-s=1\n"))).isInstanceOf(Bad.class)
+        assertThatThrownBy(() -> new Tuning().with(new StringReader("lease.bass-s=1\n")))
+                .isInstanceOf(Bad.class)
                 .hasMessageContaining("lease.bass-s");
-        assertThatThrownBy(() -> new Tuning().with(new StringReader("lease.base-s=soon\n"))).isInstanceOf(Bad.class)
+        assertThatThrownBy(() -> new Tuning().with(new StringReader("lease.base-s=soon\n")))
+                .isInstanceOf(Bad.class)
                 .hasMessageContaining("lease.base-s");
     }
 }
--- a/src/test/java/birchusher/TestJobs.java
+++ b/src/test/java/birchusher/TestJobs.java
@@ -5,7 +5,8 @@
 
 /** Well-formed settings and a well-formed submission, for tests to change. */
 public final class TestJobs {
-    public static final String SETTINGS = """
+    public static final String SETTINGS =
+            """
             {"member":"a","area":"z","listen":"1.1.1.1:1","mesh_addr":"1.1.1.1:2","seeds":[],
              "external":{"cloud":"1.1.1.1:3","state":"1.1.1.1:4"},
              "deployment":{"zones":["z"],"teams":[{"name":"red","gpus":4,"gpus_max":8}],
@@ -14,13 +15,45 @@
               "resources":{"cores":0.3,"ram_mb":260,"max_connections":500}}}
             """;
 
-    private TestJobs() { }
+    private TestJobs() {}
 
     public static Map<String, Object> job() {
-        Map<String, Object> m = new HashMap<>(Map.of("name_id", "wk-1", "lane", "l", "crew", "red", "shape", "sweep",
-                "rank", "standard", "pieces", 2L, "cores", 1.0, "cards", 1.0, "memory_gb", 1.0));
-        m.putAll(Map.of("bundle", "i", "size_gb", 1.0, "one_zone", false, "scatter", false, "loaners", false,
-                "expect_s", 5.0, "mark_every_s", 0.0, "mark_take_s", 0.0));
+        Map<String, Object> m = new HashMap<>(Map.of(
+                "name_id",
+                "wk-1",
+                "lane",
+                "l",
+                "crew",
+                "red",
+                "shape",
+                "sweep",
+                "rank",
+                "standard",
+                "pieces",
+                2L,
+                "cores",
+                1.0,
+                "cards",
+                1.0,
+                "memory_gb",
+                1.0));
+        m.putAll(Map.of(
+                "bundle",
+                "i",
+                "size_gb",
+                1.0,
+                "one_zone",
+                false,
+                "scatter",
+                false,
+                "loaners",
+                false,
+                "expect_s",
+                5.0,
+                "mark_every_s",
+                0.0,
+                "mark_take_s",
+                0.0));
         return m;
     }
 }
--- a/src/test/java/birchusher/agent/RunnerTest.java
+++ b/src/test/java/birchusher/agent/RunnerTest.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +23,7 @@
 
     @TempDir
     Path dir;
+
     private final String tag = "test-" + ProcessHandle.current().pid() + "-" + System.nanoTime();
     private final BlockingQueue<Integer> exits = new LinkedBlockingQueue<>();
     private Logs logs;
@@ -47,8 +47,22 @@
     }
 
     private void run(long attempt, String script) {
-        runner.run(new Action.Run(key(attempt), new Description("wk-1", 1, false, false, 1, 0, 1, true, 1_000,
-                List.of("sh", "-c", script), Map.of("MINE", "yes"), "USR1"), List.of()));
+        runner.run(new Action.Run(
+                key(attempt),
+                new Description(
+                        "wk-1",
+                        1,
+                        false,
+                        false,
+                        1,
+                        0,
+                        1,
+                        true,
+                        1_000,
+                        List.of("sh", "-c", script),
+                        Map.of("MINE", "yes"),
+                        "USR1"),
+                List.of()));
     }
 
     private int exit() throws InterruptedException {
@@ -61,19 +75,24 @@
     private void said(long attempt, String word) throws IOException, InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
         while (!text(attempt).contains(word)) {
-            assertThat(System.nanoTime()).as("waiting for " + word + ": " + text(attempt)).isLessThan(end);
+            assertThat(System.nanoTime())
+                    .as("waiting for " + word + ": " + text(attempt))
+                    .isLessThan(end);
             Thread.sleep(10);
         }
     }
 
     private String text(long attempt) throws IOException {
         return logs.list("wk-1", 0).stream().anyMatch(m -> m.get("try").equals(attempt))
-                ? (String) logs.read(key(attempt), 0).get("text") : "";
+                ? (String) logs.read(key(attempt), 0).get("text")
+                : "";
     }
 
     @Test
     void whatATaskLeavesBehindIsKilledBeforeItsExitIsTold() throws Exception {
-        run(1, "(setsid sh -c 'trap \"\" TERM; sleep 600' &) ; (sleep 600 &) ; echo $MINE $BIRCHUSHER_JOB $BIRCHUSHER_ATTEMPT");
+        run(
+                1,
+                "(setsid sh -c 'trap \"\" TERM; sleep 600' &) ; (sleep 600 &) ; echo $MINE $BIRCHUSHER_JOB $BIRCHUSHER_ATTEMPT");
         assertThat(exit()).isZero();
         assertThat(Tagged.find(tag)).isEmpty();
         assertThat(text(1)).isEqualTo("yes wk-1 1\n");
@@ -152,16 +171,25 @@
 
     @Test
     void aProgramThatIsNotThereIsAnErrorWithItsReason() throws Exception {
-        runner.run(new Action.Run(key(1), new Description("wk-1", 1, false, false, 1, 0, 1, false, 0, List.of("/no/such/program"),
-                Map.of(), "TERM"), List.of()));
+        runner.run(new Action.Run(
+                key(1),
+                new Description(
+                        "wk-1", 1, false, false, 1, 0, 1, false, 0, List.of("/no/such/program"), Map.of(), "TERM"),
+                List.of()));
         assertThat(exit()).isEqualTo(Runner.FAILED);
         assertThat(text(1)).contains("/no/such/program");
     }
 
     private Process warden() throws IOException {
-        return new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-cp",
-                System.getProperty("java.class.path"), Warden.class.getName(), tag).inheritIO()
-                .redirectInput(ProcessBuilder.Redirect.PIPE).start();
+        return new ProcessBuilder(
+                        ProcessHandle.current().info().command().orElse("java"),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Warden.class.getName(),
+                        tag)
+                .inheritIO()
+                .redirectInput(ProcessBuilder.Redirect.PIPE)
+                .start();
     }
 
     @Test
--- a/src/test/java/birchusher/agent/WorkerTest.java
+++ b/src/test/java/birchusher/agent/WorkerTest.java
@@ -50,8 +50,8 @@
         List<String> l = new ArrayList<>();
         for (Object o : (List<?>) body.get("pieces")) {
             Map<?, ?> m = (Map<?, ?>) o;
-            l.add(m.get("piece") + "#" + m.get("try") + " " + m.get("stage") + (m.containsKey("cause") ? " " + m.get("cause") : "")
-                    + (m.containsKey("kept") ? " kept" : ""));
+            l.add(m.get("piece") + "#" + m.get("try") + " " + m.get("stage")
+                    + (m.containsKey("cause") ? " " + m.get("cause") : "") + (m.containsKey("kept") ? " kept" : ""));
         }
         return body.get("host") + " " + body.get("tenure") + " " + l;
     }
@@ -63,13 +63,33 @@
     }
 
     private static Assignment assignment(String machine) {
-        return new Assignment(machine, "small", "z", 4, 0, 8, 2_000, 20_000, 5_000,
+        return new Assignment(
+                machine,
+                "small",
+                "z",
+                4,
+                0,
+                8,
+                2_000,
+                20_000,
+                5_000,
                 List.of(new Assignment.Controller("p", "c:1"), new Assignment.Controller("q", "c:2")));
     }
 
     private static Description job(String shape, int tasks, double cpus, boolean saves) {
-        return new Description("wk-1", tasks, shape.equals("gang"), shape.equals("standing"), cpus, 0, 1, saves, 3_000, List.of("x"),
-                Map.of(), "USR1");
+        return new Description(
+                "wk-1",
+                tasks,
+                shape.equals("gang"),
+                shape.equals("standing"),
+                cpus,
+                0,
+                1,
+                saves,
+                3_000,
+                List.of("x"),
+                Map.of(),
+                "USR1");
     }
 
     private static Map<String, Object> orders(long baton, Object... orders) {
@@ -125,7 +145,8 @@
         act(worker.assigned(1_000, 900, assignment("n-1")));
         act(worker.tick(1_000));
         did.clear();
-        act(worker.answered(1_050, report.id(), 200, orders(5, start("wk-1/0", 1), start("wk-1/1", 1), start("wk-2/0", 1))));
+        act(worker.answered(
+                1_050, report.id(), 200, orders(5, start("wk-1/0", 1), start("wk-1/1", 1), start("wk-2/0", 1))));
         assertThat(took()).isEqualTo("lease 18350, fetch wk-1, fetch wk-2");
         act(worker.tick(5_050));
         assertThat(took()).contains("fetch wk-1, fetch wk-2").doesNotContain("fetch wk-1, fetch wk-1");
@@ -141,10 +162,14 @@
         report(5_000);
         act(worker.answered(5_100, report.id(), 200, Map.of("orders", List.of(stop("wk-1/0", 0)))));
         act(worker.answered(5_100, report.id() - 1, 200, orders(9, stop("wk-1/0", 0))));
-        act(worker.direct(5_200, 1, "POST", "/do", Map.of("baton", 4L, "tenure", 1L, "orders", List.of(stop("wk-1/0", 0)))));
-        act(worker.direct(5_200, 2, "POST", "/do", Map.of("baton", 9L, "tenure", 2L, "orders", List.of(stop("wk-1/0", 0)))));
-        assertThatThrownBy(() -> worker.direct(5_200, 3, "POST", "/do", Map.of("baton", 9L))).isInstanceOf(Bad.class);
-        assertThat(took()).isEqualTo("report n-1 1 [wk-1/0#1 running], report n-1 1 [wk-1/0#1 running], answer 409, answer 409");
+        act(worker.direct(
+                5_200, 1, "POST", "/do", Map.of("baton", 4L, "tenure", 1L, "orders", List.of(stop("wk-1/0", 0)))));
+        act(worker.direct(
+                5_200, 2, "POST", "/do", Map.of("baton", 9L, "tenure", 2L, "orders", List.of(stop("wk-1/0", 0)))));
+        assertThatThrownBy(() -> worker.direct(5_200, 3, "POST", "/do", Map.of("baton", 9L)))
+                .isInstanceOf(Bad.class);
+        assertThat(took())
+                .isEqualTo("report n-1 1 [wk-1/0#1 running], report n-1 1 [wk-1/0#1 running], answer 409, answer 409");
         act(worker.assigned(6_000, 5_900, assignment("n-1")));
         // The lease counts from the sending of the report that was answered as it should be, at 1,000.
         act(worker.tick(19_499));
@@ -195,7 +220,8 @@
     @Test
     void aStopSavesIfThereIsTimeAndNeverCallsWorkDone() {
         running(job("sweep", 1, 1, true));
-        act(worker.direct(2_000, 1, "POST", "/do", Map.of("baton", 5L, "tenure", 1L, "orders", List.of(stop("wk-1/0", 4)))));
+        act(worker.direct(
+                2_000, 1, "POST", "/do", Map.of("baton", 5L, "tenure", 1L, "orders", List.of(stop("wk-1/0", 4)))));
         assertThat(took()).isEqualTo("USR1 wk-1/0, answer 200");
         act(worker.exited(3_000, KEY, Worker.SAVED));
         report(3_000);
@@ -205,7 +231,8 @@
     @Test
     void aProgramThatIgnoresItsStopIsKilledWhenItsTimeIsOver() {
         running(job("sweep", 1, 1, true));
-        act(worker.direct(2_000, 1, "POST", "/do", Map.of("baton", 5L, "tenure", 1L, "orders", List.of(stop("wk-1/0", 4)))));
+        act(worker.direct(
+                2_000, 1, "POST", "/do", Map.of("baton", 5L, "tenure", 1L, "orders", List.of(stop("wk-1/0", 4)))));
         did.clear();
         act(worker.tick(5_900));
         assertThat(took()).isEqualTo("report n-1 1 [wk-1/0#1 flushing]");
@@ -221,7 +248,8 @@
     @Test
     void askedToEndAnExitWithZeroIsNotDone() {
         running(job("sweep", 1, 1, false));
-        act(worker.direct(2_000, 1, "POST", "/do", Map.of("baton", 5L, "tenure", 1L, "orders", List.of(stop("wk-1/0", 4)))));
+        act(worker.direct(
+                2_000, 1, "POST", "/do", Map.of("baton", 5L, "tenure", 1L, "orders", List.of(stop("wk-1/0", 4)))));
         assertThat(took()).startsWith("TERM wk-1/0");
         act(worker.exited(2_100, KEY, 0));
         report(3_000);
@@ -232,18 +260,43 @@
     void startsThatCantBeSayWhy() {
         running(job("sweep", 2, 3, false));
         act(worker.answered(1_150, report.id(), 200, orders(5)));
-        act(worker.direct(2_000, 1, "POST", "/do", Map.of("baton", 5L, "tenure", 1L, "orders",
-                List.of(start("wk-1/0", 2), start("wk-1/1", 1), start("wk-2/0", 1), start("wk-1/7", 1), start("wk-3/0", 1)))));
+        act(worker.direct(
+                2_000,
+                1,
+                "POST",
+                "/do",
+                Map.of(
+                        "baton",
+                        5L,
+                        "tenure",
+                        1L,
+                        "orders",
+                        List.of(
+                                start("wk-1/0", 2),
+                                start("wk-1/1", 1),
+                                start("wk-2/0", 1),
+                                start("wk-1/7", 1),
+                                start("wk-3/0", 1)))));
         act(worker.described(2_100, "wk-1", job("sweep", 2, 3, false)));
         act(worker.described(2_100, "wk-2", null));
-        act(worker.described(2_100, "wk-3", new Description("wk-3", 1, false, false, 1, 0, 1, false, 0, List.of(), Map.of(), "TERM")));
+        act(worker.described(
+                2_100,
+                "wk-3",
+                new Description("wk-3", 1, false, false, 1, 0, 1, false, 0, List.of(), Map.of(), "TERM")));
         did.clear();
         report(3_500);
-        assertThat(took()).isEqualTo("report n-1 1 [wk-1/0#1 running, wk-1/0#2 exited in_use, wk-1/1#1 exited full, "
-                + "wk-2/0#1 exited no_such, wk-1/7#1 exited no_such, wk-3/0#1 exited error]");
+        assertThat(took())
+                .isEqualTo("report n-1 1 [wk-1/0#1 running, wk-1/0#2 exited in_use, wk-1/1#1 exited full, "
+                        + "wk-2/0#1 exited no_such, wk-1/7#1 exited no_such, wk-3/0#1 exited error]");
         for (String piece : List.of("../0", "wk-1", "wk-1/x", "wk/../../1", "/1")) {
-            assertThatThrownBy(() -> worker.direct(4_000, 9, "POST", "/do",
-                    Map.of("baton", 5L, "tenure", 1L, "orders", List.of(start(piece, 1))))).as(piece).isInstanceOf(Bad.class);
+            assertThatThrownBy(() -> worker.direct(
+                            4_000,
+                            9,
+                            "POST",
+                            "/do",
+                            Map.of("baton", 5L, "tenure", 1L, "orders", List.of(start(piece, 1)))))
+                    .as(piece)
+                    .isInstanceOf(Bad.class);
         }
     }
 
@@ -268,8 +321,11 @@
         act(worker.tick(6_200));
         assertThat(took()).contains("say leaving");
         act(worker.tick(6_800));
-        act(worker.answered(6_900, report.id(), 200, orders(5, Map.of("verb", "reap", "piece", "wk-1/0", "try", 1L),
-                start("wk-1/0", 1))));
+        act(worker.answered(
+                6_900,
+                report.id(),
+                200,
+                orders(5, Map.of("verb", "reap", "piece", "wk-1/0", "try", 1L), start("wk-1/0", 1))));
         act(worker.described(7_000, "wk-1", job("gang", 2, 1, false)));
         act(worker.gangSaid(7_100, KEY, "go", List.of()));
         did.clear();
--- a/src/test/java/birchusher/cli/ClientTest.java
+++ b/src/test/java/birchusher/cli/ClientTest.java
@@ -29,6 +29,7 @@
 class ClientTest {
     @TempDir
     Path dir;
+
     private String server;
     private final List<String> asked = new CopyOnWriteArrayList<>();
     private String printed;
@@ -50,12 +51,37 @@
                 http[0].answer(x, 503, Pack.encode(Map.of("error", "later")), 1);
             } else if (target.startsWith("/v2/runs?")) {
                 boolean second = target.contains("since=wk-b");
-                http[0].answer(x, 200, Pack.encode(Map.of("runs", List.of(Map.of("name_id", second ? "wk-c" : "wk-b", "stage", "queued",
-                        "done", 0, "running", 0, "crew", "t", "lane", "l")), "has_next", !second, "last", second ? "wk-c" : "wk-b")), 0);
+                http[0].answer(
+                        x,
+                        200,
+                        Pack.encode(Map.of(
+                                "runs",
+                                List.of(Map.of(
+                                        "name_id",
+                                        second ? "wk-c" : "wk-b",
+                                        "stage",
+                                        "queued",
+                                        "done",
+                                        0,
+                                        "running",
+                                        0,
+                                        "crew",
+                                        "t",
+                                        "lane",
+                                        "l")),
+                                "has_next",
+                                !second,
+                                "last",
+                                second ? "wk-c" : "wk-b")),
+                        0);
             } else if (target.contains("wk-no")) {
                 http[0].answer(x, 404, Pack.encode(Map.of("error", "no such job")), 0);
             } else {
-                http[0].answer(x, 200, Pack.encode(Map.of("name_id", "wk-a", "stage", "cancelled", "done", 0, "running", 0)), 0);
+                http[0].answer(
+                        x,
+                        200,
+                        Pack.encode(Map.of("name_id", "wk-a", "stage", "cancelled", "done", 0, "running", 0)),
+                        0);
             }
         });
         http[0].open();
@@ -90,7 +116,8 @@
     void aSubmissionThatIsNotKnownToBeAcceptedIsSentAgainUnderTheSameId() throws IOException {
         EventLoop loop = serve(1_000);
         String journal = dir.toString();
-        assertThat(run("submit", "--journal", journal, "--team", "t", "--", "true")).isEqualTo(3);
+        assertThat(run("submit", "--journal", journal, "--team", "t", "--", "true"))
+                .isEqualTo(3);
         loop.stop();
         List<String> kept = new Journal(dir).open();
         assertThat(kept).hasSize(1);
@@ -116,8 +143,11 @@
         assertThat(printed.lines()).hasSize(3).last().asString().startsWith("wk-c");
         assertThat(run("list", "--team", "a&b")).isEqualTo(2);
         asked.clear();
-        assertThat(run("submit", "--journal", dir.toString(), "--team", "", "--", "true")).as("no team").isEqualTo(2);
-        assertThat(run("submit", "--journal", dir.toString(), "--team", "t", "--env", "BIRCHUSHER_X=1", "--", "true")).isEqualTo(2);
+        assertThat(run("submit", "--journal", dir.toString(), "--team", "", "--", "true"))
+                .as("no team")
+                .isEqualTo(2);
+        assertThat(run("submit", "--journal", dir.toString(), "--team", "t", "--env", "BIRCHUSHER_X=1", "--", "true"))
+                .isEqualTo(2);
         assertThat(asked).isEmpty();
         assertThat(new Journal(dir).open()).as("what is wrong is not kept").isEmpty();
         loop.stop();
@@ -135,11 +165,32 @@
         DaemonSettings d = read(good);
         assertThat(d.hosts().hosts()).containsOnlyKeys("local");
         assertThat(d.tuning().num("fleet.linger-boots")).isEqualTo(20);
-        Map<String, String> bad = Map.of("nonsense=1", "nonsense", "workers.lease-s=2", "workers.lease-s", "type.small.cpus=x",
-                "type.small.cpus", "zones=", "zones", "host.local.type=big", "no type big", "host.local.zone=there", "host.local.zone",
-                "listen=nowhere", "listen", "hosts=a,a", "hosts", "peers=x/y", "peers", "workers.quarantine-s=-1", "workers.quarantine-s");
-        bad.forEach((line, named) -> assertThatThrownBy(() -> read(good + "\n" + line)).as(line).isInstanceOf(Bad.class)
+        Map<String, String> bad = Map.of(
+                "nonsense=1",
+                "nonsense",
+                "workers.lease-s=2",
+                "workers.lease-s",
+                "type.small.cpus=x",
+                "type.small.cpus",
+                "zones=",
+                "zones",
+                "host.local.type=big",
+                "no type big",
+                "host.local.zone=there",
+                "host.local.zone",
+                "listen=nowhere",
+                "listen",
+                "hosts=a,a",
+                "hosts",
+                "peers=x/y",
+                "peers",
+                "workers.quarantine-s=-1",
+                "workers.quarantine-s");
+        bad.forEach((line, named) -> assertThatThrownBy(() -> read(good + "\n" + line))
+                .as(line)
+                .isInstanceOf(Bad.class)
                 .hasMessageContaining(named));
-        assertThat(read(good + "\npeers=p/here/10.0.0.2:1/10.0.0.2:2").controllers()).containsOnlyKeys("daemon", "p");
+        assertThat(read(good + "\npeers=p/here/10.0.0.2:1/10.0.0.2:2").controllers())
+                .containsOnlyKeys("daemon", "p");
     }
 }
--- a/src/test/java/birchusher/cli/DaemonMeasure.java
+++ b/src/test/java/birchusher/cli/DaemonMeasure.java
@@ -24,7 +24,7 @@
  * {@code state}: the same number of clients straight at the state service, a row of 400 bytes each.
  */
 final class DaemonMeasure {
-    private DaemonMeasure() { }
+    private DaemonMeasure() {}
 
     public static void main(String[] args) throws Exception {
         if (args[0].equals("fill")) {
@@ -36,11 +36,14 @@
 
     private static void fill(Path dir, int jobs) throws IOException {
         byte[] ended = Pack.encode(View.endedRow(true, 1));
-        try (Keeper k = Keeper.open(new HostDisk(dir.resolve("state")), Log.Options.USUAL, 64 << 20,
-                new Limits(1e9, 1e9, 16, 8192), 0)) {
+        try (Keeper k = Keeper.open(
+                new HostDisk(dir.resolve("state")), Log.Options.USUAL, 64 << 20, new Limits(1e9, 1e9, 16, 8192), 0)) {
             for (int i = 1; i <= jobs; i++) {
-                k.handle(i, i, new Request.Txn(List.of(),
-                        List.of(new Write.Set(Keys.END + "wk-old-" + i, ended, 0)), 100, 100));
+                k.handle(
+                        i,
+                        i,
+                        new Request.Txn(
+                                List.of(), List.of(new Write.Set(Keys.END + "wk-old-" + i, ended, 0)), 100, 100));
                 if (i % 1000 == 0 || i == jobs) {
                     k.flush(i);
                 }
@@ -49,10 +52,40 @@
     }
 
     private static void submit(String server, int clients, double seconds, boolean state) throws InterruptedException {
-        Map<String, Object> job = new HashMap<>(Map.of("lane", "l", "crew", "main", "shape", "sweep",
-                "rank", "low", "pieces", 1L, "cores", 4.0, "cards", 0.0, "memory_gb", 0.1));
-        job.putAll(Map.of("bundle", "none", "size_gb", 0.0, "one_zone", false, "scatter", false, "loaners", false,
-                "expect_s", 600.0, "mark_every_s", 0.0, "mark_take_s", 0.0));
+        Map<String, Object> job = new HashMap<>(Map.of(
+                "lane",
+                "l",
+                "crew",
+                "main",
+                "shape",
+                "sweep",
+                "rank",
+                "low",
+                "pieces",
+                1L,
+                "cores",
+                4.0,
+                "cards",
+                0.0,
+                "memory_gb",
+                0.1));
+        job.putAll(Map.of(
+                "bundle",
+                "none",
+                "size_gb",
+                0.0,
+                "one_zone",
+                false,
+                "scatter",
+                false,
+                "loaners",
+                false,
+                "expect_s",
+                600.0,
+                "mark_every_s",
+                0.0,
+                "mark_take_s",
+                0.0));
         ConcurrentHistogram ms = new ConcurrentHistogram(60_000, 3);
         AtomicInteger accepted = new AtomicInteger();
         String run = Long.toString(System.currentTimeMillis(), 36);
@@ -67,8 +100,10 @@
                         Map<String, Object> mine = new HashMap<>(job);
                         mine.put(Wire.ID, "wk-" + run + "-" + n + "-" + j);
                         long from = System.nanoTime();
-                        Map<String, Object> row = Map.of("writes", List.of(Map.of("set", "m/" + mine.get(Wire.ID), "value", mine)));
-                        if (c.call("POST", state ? Wire.MULTI : Wire.RUNS, state ? row : mine).fine()) {
+                        Map<String, Object> row =
+                                Map.of("writes", List.of(Map.of("set", "m/" + mine.get(Wire.ID), "value", mine)));
+                        if (c.call("POST", state ? Wire.MULTI : Wire.RUNS, state ? row : mine)
+                                .fine()) {
                             accepted.incrementAndGet();
                             ms.recordValue(Math.min(60_000, (System.nanoTime() - from) / 1_000_000));
                         }
@@ -82,7 +117,12 @@
         for (Thread t : threads) {
             t.join();
         }
-        System.out.printf("%d clients: %.0f accepted a second, ms median %d, p95 %d, most %d%n", clients, accepted.get() / seconds,
-                ms.getValueAtPercentile(50), ms.getValueAtPercentile(95), ms.getMaxValue());
+        System.out.printf(
+                "%d clients: %.0f accepted a second, ms median %d, p95 %d, most %d%n",
+                clients,
+                accepted.get() / seconds,
+                ms.getValueAtPercentile(50),
+                ms.getValueAtPercentile(95),
+                ms.getMaxValue());
     }
 }
--- a/src/test/java/birchusher/cli/DaemonTest.java
+++ b/src/test/java/birchusher/cli/DaemonTest.java
@@ -24,10 +24,42 @@
     Path dir;
 
     private static Map<String, Object> job(String id, Object... more) {
-        Map<String, Object> m = new HashMap<>(Map.of("name_id", id, "lane", "l", "crew", "main", "shape", "sweep",
-                "rank", "standard", "pieces", 1L, "cores", 0.5, "cards", 0.0, "memory_gb", 0.1));
-        m.putAll(Map.of("bundle", "none", "size_gb", 0.0, "one_zone", false, "scatter", false, "loaners", false,
-                "expect_s", 2.0, "mark_every_s", 0.0, "mark_take_s", 0.0));
+        Map<String, Object> m = new HashMap<>(Map.of(
+                "name_id",
+                id,
+                "lane",
+                "l",
+                "crew",
+                "main",
+                "shape",
+                "sweep",
+                "rank",
+                "standard",
+                "pieces",
+                1L,
+                "cores",
+                0.5,
+                "cards",
+                0.0,
+                "memory_gb",
+                0.1));
+        m.putAll(Map.of(
+                "bundle",
+                "none",
+                "size_gb",
+                0.0,
+                "one_zone",
+                false,
+                "scatter",
+                false,
+                "loaners",
+                false,
+                "expect_s",
+                2.0,
+                "mark_every_s",
+                0.0,
+                "mark_take_s",
+                0.0));
         for (int i = 0; i < more.length; i += 2) {
             m.put((String) more[i], more[i + 1]);
         }
@@ -35,7 +67,9 @@
     }
 
     private static void submit(Caller c, Map<String, Object> job, String script) throws Exception {
-        assertThat(c.call("POST", "/v2/programs/" + job.get("name_id"), Map.of("command", List.of("sh", "-c", script))).fine()).isTrue();
+        assertThat(c.call("POST", "/v2/programs/" + job.get("name_id"), Map.of("command", List.of("sh", "-c", script)))
+                        .fine())
+                .isTrue();
         Caller.Got g = c.call("POST", Wire.RUNS, job);
         assertThat(g.fine()).as(g.error()).isTrue();
     }
@@ -117,7 +151,11 @@
 
     /** By hand, for long: so many kills. Argument: their number, and an empty directory. */
     public static void main(String[] args) throws Exception {
-        new DaemonTest().kills(Files.createDirectories(Path.of(args[1])), Integer.parseInt(args[0]), Integer.parseInt(args[0]) * 5);
+        new DaemonTest()
+                .kills(
+                        Files.createDirectories(Path.of(args[1])),
+                        Integer.parseInt(args[0]),
+                        Integer.parseInt(args[0]) * 5);
     }
 
     private void kills(Path at, int kills, int jobs) throws Exception {
@@ -159,7 +197,8 @@
             Map<String, String> all = new HashMap<>();
             told.forEach(t -> all.putAll(t.last));
             for (String id : all.keySet()) {
-                until(p, "the end of " + id, () -> List.of(Wire.DONE, Wire.CANCELLED, "404").contains(stage(c, id)));
+                until(p, "the end of " + id, () -> List.of(Wire.DONE, Wire.CANCELLED, "404")
+                        .contains(stage(c, id)));
                 for (Told t : told) {
                     if (t.last.containsKey(id)) {
                         t.hears(id, stage(c, id));
@@ -193,14 +232,17 @@
             p.agent("a");
             Caller c = p.caller();
             // The process beats as long as it lives; the first attempt only ends by force.
-            String beats = "f=" + ran + "/beats; mkdir $f.lock 2>/dev/null || echo twice >> $f; echo $BIRCHUSHER_ATTEMPT $$ >> $f; "
+            String beats = "f=" + ran
+                    + "/beats; mkdir $f.lock 2>/dev/null || echo twice >> $f; echo $BIRCHUSHER_ATTEMPT $$ >> $f; "
                     + "if [ $BIRCHUSHER_ATTEMPT = 3 ]; then exit 0; fi; trap '' TERM; while :; do sleep 0.1; done";
             submit(c, job("wk-beats", "expect_s", 30.0), beats);
             until(p, "attempt 1", () -> lines(ran.resolve("beats")).size() == 1);
             long first = Long.parseLong(lines(ran.resolve("beats")).get(0).split(" ")[1]);
 
             p.kill("a");
-            until(p, "the end of attempt 1", () -> ProcessHandle.of(first).filter(ProcessHandle::isAlive).isEmpty());
+            until(p, "the end of attempt 1", () -> ProcessHandle.of(first)
+                    .filter(ProcessHandle::isAlive)
+                    .isEmpty());
             Files.deleteIfExists(ran.resolve("beats.lock"));
             p.agent("a");
             until(p, "attempt 2", () -> lines(ran.resolve("beats")).size() == 2);
@@ -208,7 +250,9 @@
 
             // Away for longer than the lease: the agent ends the task by itself.
             p.kill("daemon");
-            until(p, "the end of attempt 2", () -> ProcessHandle.of(second).filter(ProcessHandle::isAlive).isEmpty());
+            until(p, "the end of attempt 2", () -> ProcessHandle.of(second)
+                    .filter(ProcessHandle::isAlive)
+                    .isEmpty());
             Files.deleteIfExists(ran.resolve("beats.lock"));
             p.daemon();
             until(p, "attempt 3", () -> stage(c, "wk-beats").equals(Wire.DONE));
@@ -216,24 +260,57 @@
 
             // A gang over two hosts starts together and is done together.
             p.agent("b");
-            submit(c, job("wk-gang", "shape", "gang", "pieces", 2L, "cores", 3.0),
+            submit(
+                    c,
+                    job("wk-gang", "shape", "gang", "pieces", 2L, "cores", 3.0),
                     "echo $BIRCHUSHER_INDEX $BIRCHUSHER_GANG_HOSTS >> " + ran + "/gang; while [ $(wc -l < " + ran
                             + "/gang) -lt 2 ]; do sleep 0.05; done");
             until(p, "the gang's end", () -> stage(c, "wk-gang").equals(Wire.DONE));
-            assertThat(lines(ran.resolve("gang"))).containsExactlyInAnyOrder("0 127.0.0.1,127.0.0.1", "1 127.0.0.1,127.0.0.1");
+            assertThat(lines(ran.resolve("gang")))
+                    .containsExactlyInAnyOrder("0 127.0.0.1,127.0.0.1", "1 127.0.0.1,127.0.0.1");
 
             // What people ask.
-            assertThat(c.call("GET", Wire.RUNS + "?stage=done", null).body().get("runs").toString()).contains("wk-beats", "wk-gang");
+            assertThat(c.call("GET", Wire.RUNS + "?stage=done", null)
+                            .body()
+                            .get("runs")
+                            .toString())
+                    .contains("wk-beats", "wk-gang");
             submit(c, job("wk-more", "pieces", 3L), "echo out; sleep 600");
-            until(p, "three tasks", () -> Fields.list(c.call("GET", Wire.RUNS + "/wk-more/describe", null).body(), "pieces").size() == 3);
-            assertThat(c.call("GET", Wire.RUNS + "/wk-more/describe", null).body().get("events").toString()).contains("placed");
-            assertThat(c.call("GET", Wire.RUNS + "?crew=main&stage=running", null).body().get("runs").toString()).contains("wk-more");
-            assertThat(c.call("GET", Wire.RUNS + "?crew=other", null).body().get("runs")).isEqualTo(List.of());
+            until(
+                    p,
+                    "three tasks",
+                    () -> Fields.list(
+                                            c.call("GET", Wire.RUNS + "/wk-more/describe", null)
+                                                    .body(),
+                                            "pieces")
+                                    .size()
+                            == 3);
+            assertThat(c.call("GET", Wire.RUNS + "/wk-more/describe", null)
+                            .body()
+                            .get("events")
+                            .toString())
+                    .contains("placed");
+            assertThat(c.call("GET", Wire.RUNS + "?crew=main&stage=running", null)
+                            .body()
+                            .get("runs")
+                            .toString())
+                    .contains("wk-more");
+            assertThat(c.call("GET", Wire.RUNS + "?crew=other", null).body().get("runs"))
+                    .isEqualTo(List.of());
             assertThat(c.call("GET", Wire.RUNS + "?stage=what", null).status()).isEqualTo(400);
-            until(p, "a log", () -> c.call("GET", "/v2/logs/wk-more/1", null).body().get("hosts").toString().contains("try"));
-            assertThat(c.call("POST", Wire.RUNS + "/wk-more" + Wire.WITHDRAW, null).body().get(Wire.STATE)).isEqualTo(Wire.CANCELLED);
-            until(p, "nothing left of it", () -> Fields.list(c.call("GET", Wire.RUNS + "?stage=cancelled", null).body(), "runs")
-                    .toString().contains("wk-more"));
+            until(p, "a log", () -> c.call("GET", "/v2/logs/wk-more/1", null)
+                    .body()
+                    .get("hosts")
+                    .toString()
+                    .contains("try"));
+            assertThat(c.call("POST", Wire.RUNS + "/wk-more" + Wire.WITHDRAW, null)
+                            .body()
+                            .get(Wire.STATE))
+                    .isEqualTo(Wire.CANCELLED);
+            until(p, "nothing left of it", () -> Fields.list(
+                            c.call("GET", Wire.RUNS + "?stage=cancelled", null).body(), "runs")
+                    .toString()
+                    .contains("wk-more"));
             assertThat(p.end("a")).isEqualTo(143);
             assertThat(p.end("daemon")).isEqualTo(143);
         }
--- a/src/test/java/birchusher/cli/Plant.java
+++ b/src/test/java/birchusher/cli/Plant.java
@@ -26,10 +26,19 @@
         this.dir = dir;
         int[] ports = free(5 + hosts.size());
         server = "127.0.0.1:" + ports[0];
-        List<String> l = new ArrayList<>(List.of("data.dir=" + dir.resolve("data"), "listen=" + server,
-                "controller.listen=127.0.0.1:" + ports[1], "controller.mesh=127.0.0.1:" + ports[2],
-                "state.listen=127.0.0.1:" + ports[3], "cloud.listen=127.0.0.1:" + ports[4], "zones=z", "teams=main,other",
-                "types=small", "type.small.cpus=4", "type.small.memory-gb=8", "hosts=" + String.join(",", hosts),
+        List<String> l = new ArrayList<>(List.of(
+                "data.dir=" + dir.resolve("data"),
+                "listen=" + server,
+                "controller.listen=127.0.0.1:" + ports[1],
+                "controller.mesh=127.0.0.1:" + ports[2],
+                "state.listen=127.0.0.1:" + ports[3],
+                "cloud.listen=127.0.0.1:" + ports[4],
+                "zones=z",
+                "teams=main,other",
+                "types=small",
+                "type.small.cpus=4",
+                "type.small.memory-gb=8",
+                "hosts=" + String.join(",", hosts),
                 "workers.report-s=1"));
         for (int i = 0; i < hosts.size(); i++) {
             l.add("host." + hosts.get(i) + ".type=small");
@@ -46,14 +55,14 @@
     private static int[] free(int n) {
         SplittableRandom random = new SplittableRandom(ProcessHandle.current().pid() * 31 + System.nanoTime());
         int[] ports = new int[n];
-        for (int i = 0; i < n;) {
+        for (int i = 0; i < n; ) {
             int port = 10_000 + random.nextInt(20_000);
             try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 boolean taken = false;
                 for (int j = 0; j < i; j++) {
                     taken |= ports[j] == port;
                 }
-                ports[i] = port;
+                ports[i] = s.getLocalPort();
                 i += taken ? 0 : 1;
             } catch (IOException e) {
                 // Another process has it.
@@ -64,11 +73,19 @@
     }
 
     private void start(String name, String... args) throws IOException {
-        List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"), "-Xmx128m",
-                "-XX:TieredStopAtLevel=1", "-Dorg.slf4j.simpleLogger.showDateTime=true", "-cp", System.getProperty("java.class.path"), Main.class.getName()));
+        List<String> command = new ArrayList<>(List.of(
+                ProcessHandle.current().info().command().orElse("java"),
+                "-Xmx128m",
+                "-XX:TieredStopAtLevel=1",
+                "-Dorg.slf4j.simpleLogger.showDateTime=true",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName()));
         command.addAll(List.of(args));
-        ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(dir.resolve(name + ".log").toFile()));
+        ProcessBuilder b = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        dir.resolve(name + ".log").toFile()));
         b.environment().put("LOG_LEVEL", "info");
         processes.put(name, b.start());
     }
@@ -78,15 +95,26 @@
     }
 
     void agent(String host) throws IOException {
-        start(host, "agent", "--server", server, "--host", host, "--listen", "127.0.0.1:" + agentPorts.get(host), "--dir",
-                dir.resolve("agent-" + host).toString(), "--checkpoints", dir.resolve("saves").toString());
+        start(
+                host,
+                "agent",
+                "--server",
+                server,
+                "--host",
+                host,
+                "--listen",
+                "127.0.0.1:" + agentPorts.get(host),
+                "--dir",
+                dir.resolve("agent-" + host).toString(),
+                "--checkpoints",
+                dir.resolve("saves").toString());
     }
 
     /** With force, as a power cut of that process would. */
-    void kill(String name) throws InterruptedException {
+    void kill(String name) {
         Process p = processes.remove(name);
         p.destroyForcibly();
-        p.waitFor();
+        p.onExit().join();
     }
 
     /** In order, as a service manager would. */
@@ -111,14 +139,17 @@
             Path p = dir.resolve(name + ".log");
             if (Files.exists(p)) {
                 List<String> l = Files.readAllLines(p);
-                sb.append(name).append(":\n").append(String.join("\n", l.subList(Math.max(0, l.size() - 60), l.size()))).append('\n');
+                sb.append(name)
+                        .append(":\n")
+                        .append(String.join("\n", l.subList(Math.max(0, l.size() - 60), l.size())))
+                        .append('\n');
             }
         }
         return sb.toString();
     }
 
     @Override
-    public void close() throws InterruptedException {
+    public void close() {
         for (String name : List.copyOf(processes.keySet())) {
             kill(name);
         }
--- a/src/test/java/birchusher/fleet/LateMachinesTest.java
+++ b/src/test/java/birchusher/fleet/LateMachinesTest.java
@@ -27,7 +27,10 @@
         for (int i = 0; i < 10; i++) {
             b.up(1, "n-" + i, 100, 40);
         }
-        assertThat(b.overdue(1)).as("all of this kind are late now").isGreaterThan(2.5).isLessThanOrEqualTo(3);
+        assertThat(b.overdue(1))
+                .as("all of this kind are late now")
+                .isGreaterThan(2.5)
+                .isLessThanOrEqualTo(3);
         assertThat(b.etaS(1, 10, 40)).isEqualTo(90);
         assertThat(b.etaS(2, 10, 40)).as("other kinds are not").isEqualTo(30);
         for (int i = 10; i < 40; i++) {
@@ -63,7 +66,8 @@
     /** Seen in the galleries' incident: 213 machines were rented at four times the price for arrays that were to use idle ones. */
     @Test
     void nothingDearIsRentedForLowWorkOfATeamWithoutAGuarantee() {
-        String guests = TestJobs.SETTINGS.replace("\"teams\":[", "\"teams\":[{\"name\":\"guests\",\"cpus\":0,\"cpus_max\":0,\"gpus\":0,\"gpus_max\":0},");
+        String guests = TestJobs.SETTINGS.replace(
+                "\"teams\":[", "\"teams\":[{\"name\":\"guests\",\"cpus\":0,\"cpus_max\":0,\"gpus\":0,\"gpus_max\":0},");
         Catalog catalog = new Catalog(SettingsReader.read(guests.getBytes(StandardCharsets.UTF_8)));
         View view = new View(catalog, new JobCodec(catalog));
         Appetite a = new Appetite(catalog, List.of(new Settings.Objective("finished", "spoken", 400, 0.8)), 150_000);
@@ -77,6 +81,7 @@
         assertThat(a.of(spoken, 9, 151_000)).isEqualTo(new Appetite.Of(9, false));
         String team = "red";
         assertThat(a.of(job(view, "wk-own", team, "low", "idle"), 9, 0)).isEqualTo(new Appetite.Of(9, false));
-        assertThat(a.of(job(view, "wk-mid", "guests", "standard", "idle"), 9, 0)).isEqualTo(new Appetite.Of(9, false));
+        assertThat(a.of(job(view, "wk-mid", "guests", "standard", "idle"), 9, 0))
+                .isEqualTo(new Appetite.Of(9, false));
     }
 }
--- a/src/test/java/birchusher/fleet/ReserveTest.java
+++ b/src/test/java/birchusher/fleet/ReserveTest.java
@@ -23,10 +23,11 @@
  */
 class ReserveTest {
     private final Catalog catalog = new Catalog(SettingsReader.read(TestJobs.SETTINGS
-            .replace("\"zones\":[\"z\"]", "\"zones\":[\"z\",\"y\"]").getBytes(StandardCharsets.UTF_8)));
+            .replace("\"zones\":[\"z\"]", "\"zones\":[\"z\",\"y\"]")
+            .getBytes(StandardCharsets.UTF_8)));
     private final View view = new View(catalog, new JobCodec(catalog));
-    private final Catalog.Type type = new Catalog.Type(catalog.typeNames.add("big"), "big", 32, 0, 128, 80, 1, 2.5, 0.8, 40,
-            new int[] {0, 1});
+    private final Catalog.Type type =
+            new Catalog.Type(catalog.typeNames.add("big"), "big", 32, 0, 128, 80, 1, 2.5, 0.8, 40, new int[] {0, 1});
     private final Map<String, Picture> fleet = new LinkedHashMap<>();
     private long revision;
 
@@ -34,19 +35,52 @@
         catalog.learn(List.of(type));
         for (int i = 0; i < 20; i++) {
             int zone = i < 12 ? 1 : 0;
-            fleet.put("m" + i, new Picture("m" + i, type.index(), zone, false, 1, zone, true, false, false, 0, 0, 1,
-                    new double[3], new int[0], new int[0], List.of()));
+            fleet.put(
+                    "m" + i,
+                    new Picture(
+                            "m" + i,
+                            type.index(),
+                            zone,
+                            false,
+                            1,
+                            zone,
+                            true,
+                            false,
+                            false,
+                            0,
+                            0,
+                            1,
+                            new double[3],
+                            new int[0],
+                            new int[0],
+                            List.of()));
         }
     }
 
     private Reserve reserve(double withinS) {
-        return new Reserve(catalog, view, withinS > 0 ? List.of(new Settings.Objective("wait", "l", withinS, 0.8)) : List.of());
+        return new Reserve(
+                catalog, view, withinS > 0 ? List.of(new Settings.Objective("wait", "l", withinS, 0.8)) : List.of());
     }
 
     private void gang(String id, long tasks) {
         Map<String, Object> m = TestJobs.job();
-        m.putAll(Map.of("name_id", id, "shape", "gang", "rank", "urgent", "pieces", tasks, "cores", 30.0, "cards", 0.0,
-                "memory_gb", 100.0, "one_zone", true));
+        m.putAll(Map.of(
+                "name_id",
+                id,
+                "shape",
+                "gang",
+                "rank",
+                "urgent",
+                "pieces",
+                tasks,
+                "cores",
+                30.0,
+                "cards",
+                0.0,
+                "memory_gb",
+                100.0,
+                "one_zone",
+                true));
         view.put(Keys.JOB + id, new HashMap<>(Map.of("s", "OPEN", "k", 100L, "t", 0L, "j", m)), ++revision);
     }
 
@@ -62,7 +96,8 @@
         gang("wk-b", 4);
         // Twelve tasks in five minutes are 1.6 in a boot time, and one more gang has six: the largest decides.
         assertThat(kept(r, 1_000)).isEqualTo(8);
-        assertThat(fleet.values().stream().filter(p -> r.keeps(p.machine())).allMatch(p -> p.zone() == 1)).isTrue();
+        assertThat(fleet.values().stream().filter(p -> r.keeps(p.machine())).allMatch(p -> p.zone() == 1))
+                .isTrue();
         view.remove(Keys.JOB + "wk-a", ++revision);
         view.remove(Keys.JOB + "wk-b", ++revision);
         assertThat(kept(r, 200_000)).isEqualTo(8);
