--- a/src/test/java/birchusher/kv/EngineTest.java
+++ b/src/test/java/birchusher/kv/EngineTest.java
@@ -46,7 +46,9 @@
         void take(List<Output> outputs) {
             for (Output o : outputs) {
                 if (o instanceof Answer a) {
-                    assertThat(answers.put(a.ticket(), a.reply())).as("one answer for each request").isNull();
+                    assertThat(answers.put(a.ticket(), a.reply()))
+                            .as("one answer for each request")
+                            .isNull();
                 } else {
                     appends.add((Append) o);
                 }
@@ -106,8 +108,10 @@
 
         Reply run(Request r) {
             if (r instanceof Request.Get g) {
-                return values.containsKey(g.key()) ? new Reply.Found(g.key(), new Row(bytes(values.get(g.key())),
-                        stamps.get(g.key()), leaseOf.get(g.key()))) : new Reply.Missing(revision);
+                return values.containsKey(g.key())
+                        ? new Reply.Found(
+                                g.key(), new Row(bytes(values.get(g.key())), stamps.get(g.key()), leaseOf.get(g.key())))
+                        : new Reply.Missing(revision);
             }
             if (r instanceof Request.Grant g) {
                 leases.put(nextLease, g.lifeMs());
@@ -117,7 +121,9 @@
                 if (leases.remove(e.lease()) == null) {
                     return new Reply.NoLease();
                 }
-                List<String> gone = leaseOf.entrySet().stream().filter(x -> x.getValue() == e.lease()).map(Map.Entry::getKey)
+                List<String> gone = leaseOf.entrySet().stream()
+                        .filter(x -> x.getValue() == e.lease())
+                        .map(Map.Entry::getKey)
                         .toList();
                 revision += gone.isEmpty() ? 0 : 1;
                 gone.forEach(this::remove);
@@ -129,8 +135,10 @@
                     return new Reply.NoLease();
                 }
             }
-            List<String> failed = t.conditions().stream().filter(c -> stamps.getOrDefault(c.key(), 0L) != c.stamp())
-                    .map(Request.Condition::key).toList();
+            List<String> failed = t.conditions().stream()
+                    .filter(c -> stamps.getOrDefault(c.key(), 0L) != c.stamp())
+                    .map(Request.Condition::key)
+                    .toList();
             if (!failed.isEmpty()) {
                 return new Reply.Failed(failed, revision);
             }
@@ -203,7 +211,10 @@
         for (int i = 0; i < r.nextInt(4); i++) {
             String k = "k" + (r.nextInt(3) + 3 * (i % 2));
             if (writes.stream().noneMatch(w -> w.key().equals(k))) {
-                writes.add(r.nextInt(4) == 0 ? new Write.Remove(k) : new Write.Set(k, bytes("v" + r.nextInt(1000)), lease));
+                writes.add(
+                        r.nextInt(4) == 0
+                                ? new Write.Remove(k)
+                                : new Write.Set(k, bytes("v" + r.nextInt(1000)), lease));
             }
         }
         return new Request.Txn(conditions, writes, 100, 10);
@@ -211,8 +222,10 @@
 
     private static boolean same(Reply a, Reply b) {
         if (a instanceof Reply.Found x && b instanceof Reply.Found y) {
-            return x.key().equals(y.key()) && new String(x.row().value(), StandardCharsets.UTF_8)
-                    .equals(new String(y.row().value(), StandardCharsets.UTF_8)) && x.row().stamp() == y.row().stamp()
+            return x.key().equals(y.key())
+                    && new String(x.row().value(), StandardCharsets.UTF_8)
+                            .equals(new String(y.row().value(), StandardCharsets.UTF_8))
+                    && x.row().stamp() == y.row().stamp()
                     && x.row().lease() == y.row().lease();
         }
         return a.equals(b);
@@ -257,7 +270,9 @@
                     if (idle && bed.appends.isEmpty()) {
                         assertThat(bed.answers).containsKey(t);
                     } else {
-                        assertThat(bed.answers).as("answered before it was durable").doesNotContainKey(t);
+                        assertThat(bed.answers)
+                                .as("answered before it was durable")
+                                .doesNotContainKey(t);
                         open.add(t);
                     }
                 }
@@ -267,7 +282,9 @@
             for (Map.Entry<Long, Reply> e : expected.entrySet()) {
                 Reply got = bed.answers.get(e.getKey());
                 if (!(got instanceof Reply.Unavailable) && !(got instanceof Reply.Unclear)) {
-                    assertThat(same(got, e.getValue())).as("seed %s: %s, not %s", seed, got, e.getValue()).isTrue();
+                    assertThat(same(got, e.getValue()))
+                            .as("seed %s: %s, not %s", seed, got, e.getValue())
+                            .isTrue();
                     compared++;
                 }
             }
@@ -294,7 +311,8 @@
         assertThat(bed.get(new Request.Get("b"))).isInstanceOf(Reply.Found.class);
         assertThat(bed.get(new Request.Extend(lease))).isEqualTo(new Reply.NoLease());
         assertThat(bed.get(txn(List.of(new Request.Condition("b", 7)), new Write.Set("c", bytes("3"), lease))))
-                .as("whatever its conditions").isEqualTo(new Reply.NoLease());
+                .as("whatever its conditions")
+                .isEqualTo(new Reply.NoLease());
     }
 
     @Test
@@ -321,7 +339,9 @@
         bed.durable();
         assertThat(bed.engine.stalled()).isFalse();
         bed.take(bed.engine.tick(bed.now + 5_000));
-        assertThat(bed.get(new Request.Get("a"))).as("its lease had its full time again").isInstanceOf(Reply.Found.class);
+        assertThat(bed.get(new Request.Get("a")))
+                .as("its lease had its full time again")
+                .isInstanceOf(Reply.Found.class);
     }
 
     @Test
@@ -332,7 +352,9 @@
         bed.ask(txn(List.of(), set("a/1", "x"), set("b/1", "y")));
         assertThat(bed.answers).doesNotContainKey(w);
         bed.durable();
-        assertThat(((Reply.Events) bed.answers.get(w)).events()).extracting(State.Event::key).containsExactly("a/1");
+        assertThat(((Reply.Events) bed.answers.get(w)).events())
+                .extracting(State.Event::key)
+                .containsExactly("a/1");
         bed.now += 3_000;
         bed.take(bed.engine.tick(bed.now));
         assertThat(bed.answers.get(other)).isEqualTo(new Reply.Events(List.of(), 1));
@@ -344,7 +366,9 @@
             bed.get(txn(List.of(), many));
         }
         assertThat(bed.get(new Request.Watch("a/", 1, 0))).isEqualTo(new Reply.TooOld());
-        assertThat(bed.get(new Request.Watch("a/", 1_000_000, 0))).as("a revision from nowhere").isEqualTo(new Reply.TooOld());
+        assertThat(bed.get(new Request.Watch("a/", 1_000_000, 0)))
+                .as("a revision from nowhere")
+                .isEqualTo(new Reply.TooOld());
         long revision = ((Reply.Missing) bed.get(new Request.Get("none"))).revision();
         // What is remembered is whole transactions.
         Reply.Events all = (Reply.Events) bed.get(new Request.Watch("m/", revision - 1_000, 0));
@@ -371,15 +395,19 @@
     @Test
     void limitsAreKeptAndNamed() {
         Bed bed = new Bed(new Limits(50, 10, 2, 100));
-        assertThat(bed.get(txn(List.of(), set("a", "1"), set("b", "1"), set("c", "1")))).isInstanceOf(Reply.Bad.class);
+        assertThat(bed.get(txn(List.of(), set("a", "1"), set("b", "1"), set("c", "1"))))
+                .isInstanceOf(Reply.Bad.class);
         assertThat(bed.get(txn(List.of(), set("a", "1"), set("a", "2")))).isEqualTo(new Reply.Bad("writes: a twice"));
         assertThat(bed.get(txn(List.of(), set("a b", "1")))).isInstanceOf(Reply.Bad.class);
-        assertThat(bed.get(new Request.Txn(List.of(), List.of(set("a", "1")), 70_000, 10))).isInstanceOf(Reply.Bad.class);
-        assertThat(bed.get(new Request.Txn(List.of(), List.of(set("a", "1")), 200, 101))).isInstanceOf(Reply.Bad.class);
+        assertThat(bed.get(new Request.Txn(List.of(), List.of(set("a", "1")), 70_000, 10)))
+                .isInstanceOf(Reply.Bad.class);
+        assertThat(bed.get(new Request.Txn(List.of(), List.of(set("a", "1")), 200, 101)))
+                .isInstanceOf(Reply.Bad.class);
         assertThat(bed.get(new Request.Grant(50))).isInstanceOf(Reply.Bad.class);
         for (int i = 0; i < 10; i++) {
             // Refused conditions count as changes too.
-            assertThat(bed.get(txn(List.of(new Request.Condition("a", 9)), set("a", "1")))).isInstanceOf(Reply.Failed.class);
+            assertThat(bed.get(txn(List.of(new Request.Condition("a", 9)), set("a", "1"))))
+                    .isInstanceOf(Reply.Failed.class);
         }
         assertThat(bed.get(txn(List.of(), set("a", "1")))).isEqualTo(new Reply.TooMany(1));
         bed.now += 100;
--- a/src/test/java/birchusher/kv/LinearizabilityTest.java
+++ b/src/test/java/birchusher/kv/LinearizabilityTest.java
@@ -38,6 +38,7 @@
         int until = NEVER;
         /** What was answered: a value and its stamp, or whether the condition held and at which revision. */
         String read;
+
         long stamp;
         Boolean held;
 
@@ -50,7 +51,7 @@
     }
 
     /** The key's value and stamp, with what is done of the history; revisions of other keys only have to grow. */
-    private record Point(Set<Integer> done, String value, long stamp) { }
+    private record Point(Set<Integer> done, String value, long stamp) {}
 
     static boolean explained(List<Op> ops) {
         return explained(ops, new HashSet<>(), null, 0, new HashSet<>());
@@ -100,7 +101,9 @@
             boolean right = java.util.Objects.equals(o.read, value) && (stamp == UNTOLD || o.stamp == stamp);
             return right ? List.of(new Point(Set.of(), value, o.stamp)) : List.of();
         }
-        return o.held ? may ? List.of(new Point(Set.of(), o.value, o.stamp)) : List.of() : mayNot ? List.of(same) : List.of();
+        return o.held
+                ? may ? List.of(new Point(Set.of(), o.value, o.stamp)) : List.of()
+                : mayNot ? List.of(same) : List.of();
     }
 
     private static final class History {
@@ -123,16 +126,26 @@
             Op o = new Op(write, condition, "v" + tickets, clock++);
             ops.computeIfAbsent(key, x -> new ArrayList<>()).add(o);
             open.put(++tickets, o);
-            told(k.handle(clock, tickets, write
-                    ? new Request.Txn(List.of(new Request.Condition(key, condition)),
-                            List.of(new Write.Set(key, o.value.getBytes(StandardCharsets.UTF_8), 0)), 100, 10)
-                    : new Request.Get(key)));
+            told(k.handle(
+                    clock,
+                    tickets,
+                    write
+                            ? new Request.Txn(
+                                    List.of(new Request.Condition(key, condition)),
+                                    List.of(new Write.Set(key, o.value.getBytes(StandardCharsets.UTF_8), 0)),
+                                    100,
+                                    10)
+                            : new Request.Get(key)));
         }
 
         void told(List<Engine.Answer> answers) {
             for (Engine.Answer a : answers) {
                 Op o = open.remove(a.ticket());
-                String key = ops.entrySet().stream().filter(e -> e.getValue().contains(o)).findFirst().orElseThrow().getKey();
+                String key = ops.entrySet().stream()
+                        .filter(e -> e.getValue().contains(o))
+                        .findFirst()
+                        .orElseThrow()
+                        .getKey();
                 if (a.reply() instanceof Reply.Unavailable) {
                     ops.get(key).remove(o);
                     continue;
@@ -206,7 +219,9 @@
                 disk = h.random.nextBoolean() ? disk.killed() : disk.powerCut(h.random);
             }
             for (Map.Entry<String, List<Op>> e : h.ops.entrySet()) {
-                assertThat(explained(e.getValue())).as("seed " + seed + ", " + e.getKey()).isTrue();
+                assertThat(explained(e.getValue()))
+                        .as("seed " + seed + ", " + e.getKey())
+                        .isTrue();
             }
             answered += h.answered;
         }
@@ -222,7 +237,9 @@
         write.stamp = 1;
         Op old = new Op(false, 0, null, 2);
         old.until = 3;
-        assertThat(explained(List.of(write, old))).as("a read that has not seen a write before it").isFalse();
+        assertThat(explained(List.of(write, old)))
+                .as("a read that has not seen a write before it")
+                .isFalse();
         Op beside = new Op(false, 0, null, 0);
         beside.until = 3;
         assertThat(explained(List.of(write, beside))).isTrue();
@@ -230,6 +247,8 @@
         twice.until = 3;
         twice.held = true;
         twice.stamp = 2;
-        assertThat(explained(List.of(write, twice))).as("two writes on the same condition").isFalse();
+        assertThat(explained(List.of(write, twice)))
+                .as("two writes on the same condition")
+                .isFalse();
     }
 }
--- a/src/test/java/birchusher/placement/GatesTest.java
+++ b/src/test/java/birchusher/placement/GatesTest.java
@@ -30,7 +30,8 @@
  */
 class GatesTest {
     private static final int LIMIT = 150;
-    private static final String SETTINGS = birchusher.TestJobs.SETTINGS.replace("\"gpus_max\":8", "\"gpus_max\":" + LIMIT);
+    private static final String SETTINGS =
+            birchusher.TestJobs.SETTINGS.replace("\"gpus_max\":8", "\"gpus_max\":" + LIMIT);
     private final TreeMap<String, Object[]> rows = new TreeMap<>();
     private final List<Object[]> log = new ArrayList<>();
     private long revision = 1;
@@ -79,7 +80,8 @@
                 }
             }
             Tx tx = new Tx(view);
-            Gates.Pass pass = free.isEmpty() ? Gates.Pass.NO : gates.pass(tx, j.spec.team(), free.size(), 0, free.size());
+            Gates.Pass pass =
+                    free.isEmpty() ? Gates.Pass.NO : gates.pass(tx, j.spec.team(), free.size(), 0, free.size());
             if (pass == Gates.Pass.NO) {
                 return false;
             }
--- a/src/test/java/birchusher/pool/GangsTest.java
+++ b/src/test/java/birchusher/pool/GangsTest.java
@@ -18,15 +18,30 @@
     }
 
     private Map<String, Object> full(long now, int index, String phase) {
-        return gangs.said(now, Map.of("job", "wk-1", "try", 1L, "index", (long) index, "pieces", 2L, "phase", phase,
-                "address", "10.0.0." + index + ":9"));
+        return gangs.said(
+                now,
+                Map.of(
+                        "job",
+                        "wk-1",
+                        "try",
+                        1L,
+                        "index",
+                        (long) index,
+                        "pieces",
+                        2L,
+                        "phase",
+                        phase,
+                        "address",
+                        "10.0.0." + index + ":9"));
     }
 
     @Test
     void allStartTogetherAndAreDoneTogether() {
         assertThat(say(0, 0, "waiting")).isEqualTo("wait");
         assertThat(say(1_000, 0, "waiting")).isEqualTo("wait");
-        assertThat(full(1_500, 1, "waiting")).containsEntry("say", "go").containsEntry("hosts", List.of("10.0.0.0", "10.0.0.1"));
+        assertThat(full(1_500, 1, "waiting"))
+                .containsEntry("say", "go")
+                .containsEntry("hosts", List.of("10.0.0.0", "10.0.0.1"));
         assertThat(say(2_000, 0, "waiting")).isEqualTo("go");
         assertThat(say(3_000, 0, "ended")).isEqualTo("go");
         assertThat(say(4_000, 1, "ended")).isEqualTo("all");
@@ -38,16 +53,21 @@
         say(0, 0, "waiting");
         say(0, 1, "waiting");
         assertThat(say(1_000, 0, "running")).isEqualTo("go");
-        assertThat(say(6_500, 0, "running")).as("task 1 was silent for longer than allowed").isEqualTo("broken");
+        assertThat(say(6_500, 0, "running"))
+                .as("task 1 was silent for longer than allowed")
+                .isEqualTo("broken");
         Gangs other = new Gangs(5_000);
-        Map<String, Object> zero = Map.of("job", "wk-1", "try", 1L, "index", 0L, "pieces", 2L, "phase", "waiting", "address", "x:1");
+        Map<String, Object> zero =
+                Map.of("job", "wk-1", "try", 1L, "index", 0L, "pieces", 2L, "phase", "waiting", "address", "x:1");
         other.said(0, zero);
         Map<String, Object> one = new HashMap<>(zero);
         one.put("index", 1L);
         one.put("phase", "leaving");
         assertThat(other.said(1_000, one).get("say")).isEqualTo("wait");
         one.put("phase", "waiting");
-        assertThat(other.said(2_000, one).get("say")).as("a replacement completes it").isEqualTo("go");
+        assertThat(other.said(2_000, one).get("say"))
+                .as("a replacement completes it")
+                .isEqualTo("go");
     }
 
     @Test
@@ -57,7 +77,8 @@
         assertThat(say(104_500, 1, "running")).isEqualTo("go");
         assertThat(say(106_000, 0, "running")).isEqualTo("go");
         Gangs fresh = new Gangs(5_000);
-        Map<String, Object> zero = Map.of("job", "wk-1", "try", 1L, "index", 0L, "pieces", 2L, "phase", "running", "address", "x:1");
+        Map<String, Object> zero =
+                Map.of("job", "wk-1", "try", 1L, "index", 0L, "pieces", 2L, "phase", "running", "address", "x:1");
         fresh.said(0, zero);
         assertThat(fresh.said(5_000, zero).get("say")).isEqualTo("broken");
     }
@@ -83,11 +104,18 @@
         programs.told(700_000, "wk-1", true, false);
         out.written(((Outbox.Write) out.drain().get(0)).id(), true);
         assertThat(programs.get("wk-1")).isNull();
-        for (Map<String, Object> bad : List.<Map<String, Object>>of(Map.of(), Map.of("command", List.of()),
-                Map.of("command", List.of(1L)), Map.of("command", List.of("a\0b")), Map.of("command", List.of("x"), "dir", "/"),
+        for (Map<String, Object> bad : List.<Map<String, Object>>of(
+                Map.of(),
+                Map.of("command", List.of()),
+                Map.of("command", List.of(1L)),
+                Map.of("command", List.of("a\0b")),
+                Map.of("command", List.of("x"), "dir", "/"),
                 Map.of("command", List.of("x"), "env", Map.of("BIRCHUSHER_TAG", "x")),
-                Map.of("command", List.of("x"), "save_signal", "KILL"), Map.of("command", List.of("x".repeat(50_000))))) {
-            assertThatThrownBy(() -> Programs.checked(bad)).as(String.valueOf(bad.keySet())).isInstanceOf(Bad.class);
+                Map.of("command", List.of("x"), "save_signal", "KILL"),
+                Map.of("command", List.of("x".repeat(50_000))))) {
+            assertThatThrownBy(() -> Programs.checked(bad))
+                    .as(String.valueOf(bad.keySet()))
+                    .isInstanceOf(Bad.class);
         }
     }
 }
--- a/src/test/java/birchusher/pool/PoolTest.java
+++ b/src/test/java/birchusher/pool/PoolTest.java
@@ -19,8 +19,10 @@
 /** A pool of fixed hosts: never rented twice, never called gone while something of it may run. */
 class PoolTest {
     private static final long LEASE_MS = 10_000;
-    private static final Hosts HOSTS = new Hosts(List.of(new Hosts.Type("small", 4, 0, 8, 1)),
-            new TreeMap<>(Map.of("a", new Hosts.Host("a", "small", "z"), "b", new Hosts.Host("b", "small", "z"))), LEASE_MS);
+    private static final Hosts HOSTS = new Hosts(
+            List.of(new Hosts.Type("small", 4, 0, 8, 1)),
+            new TreeMap<>(Map.of("a", new Hosts.Host("a", "small", "z"), "b", new Hosts.Host("b", "small", "z"))),
+            LEASE_MS);
 
     private final Map<String, Map<String, Object>> rows = new HashMap<>();
     private final Map<Long, Outbox.Answer> answers = new HashMap<>();
@@ -43,7 +45,9 @@
         for (List<Outbox.Output> l = outbox.drain(); !l.isEmpty(); l = outbox.drain()) {
             for (Outbox.Output o : l) {
                 if (o instanceof Outbox.Answer a) {
-                    assertThat(answers.put(a.exchange(), a)).as("answered twice").isNull();
+                    assertThat(answers.put(a.exchange(), a))
+                            .as("answered twice")
+                            .isNull();
                 } else {
                     Outbox.Write w = (Outbox.Write) o;
                     if (writes != 1) {
@@ -62,8 +66,11 @@
     }
 
     private Outbox.Answer rent(String ask, long count) {
-        pool.rent(now, 50_000 + now, ++exchange, Map.of("ask", ask, "build", "small", "grove", "z", "loaners", false,
-                "how_many", count));
+        pool.rent(
+                now,
+                50_000 + now,
+                ++exchange,
+                Map.of("ask", ask, "build", "small", "grove", "z", "loaners", false, "how_many", count));
         act();
         return answers.get(exchange);
     }
@@ -128,7 +135,9 @@
         long x = delete("n-000001", "n-000099");
         assertThat(status(x)).isZero();
         assertThat(rent("r2", 1).body().get("error")).as("it will be back soon").isEqualTo("trouble");
-        assertThat(poll("a", "boot-a", "n-000001").body().get("host")).as("told to end it").isNull();
+        assertThat(poll("a", "boot-a", "n-000001").body().get("host"))
+                .as("told to end it")
+                .isNull();
         assertThat(status(x)).isZero();
         poll("a", "boot-a", null);
         assertThat(status(x)).isEqualTo(200);
@@ -167,7 +176,8 @@
         assertThat(poll("a", "boot-2", null).status()).isEqualTo(409);
         assertThat(poll("a", "boot-1", "n-000001").body().get("host")).isEqualTo("n-000001");
         // One that found the other dead, in its own directory, may take over at once; what that ran has failed.
-        assertThat(poll("a", "boot-2", null, "boot-1", ++message).body().get("host")).isNull();
+        assertThat(poll("a", "boot-2", null, "boot-1", ++message).body().get("host"))
+                .isNull();
         assertThat(listed()).isEqualTo(Map.of("n-000001", "failed"));
         assertThat(poll("a", "boot-1", "n-000001").status()).isEqualTo(409);
         assertThat(rent("r2", 1).status()).isEqualTo(503);
@@ -230,7 +240,9 @@
                     Outbox.Answer got = rent("r" + i, 1);
                     if (got.status() == 200) {
                         for (Object h : hosts(got)) {
-                            assertThat(rented.add((String) h)).as("a name given twice, seed " + seed).isTrue();
+                            assertThat(rented.add((String) h))
+                                    .as("a name given twice, seed " + seed)
+                                    .isTrue();
                         }
                     }
                 }
@@ -249,10 +261,15 @@
                     }
                 });
                 for (Agent a : agents) {
-                    assertThat(a.runs == null || !gone.contains(a.runs)).as(a.runs + " runs and is gone, seed " + seed).isTrue();
-                    assertThat(a.runs == null || !"failed".equals(listed().get(a.runs))).as("failed and runs, " + seed).isTrue();
+                    assertThat(a.runs == null || !gone.contains(a.runs))
+                            .as(a.runs + " runs and is gone, seed " + seed)
+                            .isTrue();
+                    assertThat(a.runs == null || !"failed".equals(listed().get(a.runs)))
+                            .as("failed and runs, " + seed)
+                            .isTrue();
                 }
-                assertThat(agents.get(0).runs == null || !agents.get(0).runs.equals(agents.get(1).runs)).isTrue();
+                assertThat(agents.get(0).runs == null || !agents.get(0).runs.equals(agents.get(1).runs))
+                        .isTrue();
             }
             deleted += gone.size();
         }
@@ -271,7 +288,8 @@
         if (now < a.asked || r.nextInt(5) == 0) {
             return;
         }
-        Outbox.Answer got = poll(a.host, "boot-" + a.boots, a.runs, a.boots > 0 ? "boot-" + (a.boots - 1) : null, ++a.message);
+        Outbox.Answer got =
+                poll(a.host, "boot-" + a.boots, a.runs, a.boots > 0 ? "boot-" + (a.boots - 1) : null, ++a.message);
         if (r.nextInt(4) == 0) {
             // The answer is lost; now and then for longer than a lease.
             a.asked = now + (r.nextInt(10) == 0 ? 2 * LEASE_MS : 1_000);
--- a/src/test/java/birchusher/recovery/ReturnTest.java
+++ b/src/test/java/birchusher/recovery/ReturnTest.java
@@ -13,7 +13,8 @@
 
 /** The census, the memory of what was dropped, and the account of orders, each by itself. */
 class ReturnTest {
-    private final Catalog catalog = new Catalog(birchusher.settings.SettingsReader.read(birchusher.TestJobs.SETTINGS.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+    private final Catalog catalog = new Catalog(birchusher.settings.SettingsReader.read(
+            birchusher.TestJobs.SETTINGS.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
     private final Census census = new Census(new View(catalog, new JobCodec(catalog)), 10_000);
     private final Set<String> heard = new HashSet<>();
     private final Set<String> reports = new HashSet<>();
@@ -21,7 +22,13 @@
     private final List<String> listed = new ArrayList<>(List.of("n-1", "n-2", "n-3"));
 
     private Census.Phase look(long now, boolean read) {
-        census.look(now, read, m -> heard.contains(m) ? Census.Told.FIT : reports.contains(m) ? Census.Told.REPORTS : Census.Told.NOTHING, gone::contains,
+        census.look(
+                now,
+                read,
+                m -> heard.contains(m)
+                        ? Census.Told.FIT
+                        : reports.contains(m) ? Census.Told.REPORTS : Census.Told.NOTHING,
+                gone::contains,
                 listed);
         return census.phase();
     }
--- a/src/test/java/birchusher/recovery/SquaringTest.java
+++ b/src/test/java/birchusher/recovery/SquaringTest.java
@@ -38,11 +38,16 @@
     }
 
     private static <E extends Enum<E>> List<E> values(Class<E> e, String cell) {
-        return words(cell).stream().map(w -> Enum.valueOf(e, w.toUpperCase(Locale.ROOT))).toList();
+        return words(cell).stream()
+                .map(w -> Enum.valueOf(e, w.toUpperCase(Locale.ROOT)))
+                .toList();
     }
 
     private static List<String> words(String cell) {
-        return Arrays.stream(cell.split(",")).map(String::strip).filter(w -> !w.isEmpty()).toList();
+        return Arrays.stream(cell.split(","))
+                .map(String::strip)
+                .filter(w -> !w.isEmpty())
+                .toList();
     }
 
     private static List<Line> table() throws IOException {
@@ -51,9 +56,17 @@
         for (String line : Files.readAllLines(Path.of("docs/recovery.md"))) {
             in = line.startsWith("| row | report |") || in && line.startsWith("|");
             String[] cells = line.split("\\|");
-            if (in && cells.length == 6 && !cells[1].isBlank() && !cells[1].contains("row") && !cells[1].contains("---")) {
-                l.add(new Line(values(Row.class, cells[1]), values(Shown.class, cells[2]), words(cells[3]),
-                        values(Write.class, cells[4]).get(0), values(Order.class, cells[5]).get(0)));
+            if (in
+                    && cells.length == 6
+                    && !cells[1].isBlank()
+                    && !cells[1].contains("row")
+                    && !cells[1].contains("---")) {
+                l.add(new Line(
+                        values(Row.class, cells[1]),
+                        values(Shown.class, cells[2]),
+                        words(cells[3]),
+                        values(Write.class, cells[4]).get(0),
+                        values(Order.class, cells[5]).get(0)));
             }
         }
         return l;
@@ -67,7 +80,8 @@
             for (Shown s : Shown.values()) {
                 for (int bits = 0; bits < 16; bits++) {
                     Known k = new Known((bits & 1) > 0, (bits & 2) > 0, (bits & 4) > 0, (bits & 8) > 0);
-                    List<Line> lines = table.stream().filter(x -> x.covers(r, s, k)).toList();
+                    List<Line> lines =
+                            table.stream().filter(x -> x.covers(r, s, k)).toList();
                     assertThat(lines).as("%s %s %s", r, s, k).hasSize(1);
                     assertThat(Squaring.write(r, s, k)).as("%s %s %s", r, s, k).isEqualTo(lines.get(0).write);
                     assertThat(Squaring.order(r, s, k)).as("%s %s %s", r, s, k).isEqualTo(lines.get(0).order);
@@ -84,7 +98,9 @@
                 for (int bits = 0; bits < 16; bits++) {
                     Known k = new Known((bits & 1) > 0, (bits & 2) > 0, (bits & 4) > 0, (bits & 8) > 0);
                     boolean here = r == Row.CLAIMED || r == Row.UNWANTED;
-                    if (here && (s == Shown.ABSENT && k.loose() || s.compareTo(Shown.ABSENT) > 0 && s.compareTo(Shown.DONE) < 0)) {
+                    if (here
+                            && (s == Shown.ABSENT && k.loose()
+                                    || s.compareTo(Shown.ABSENT) > 0 && s.compareTo(Shown.DONE) < 0)) {
                         assertThat(Squaring.write(r, s, k)).isEqualTo(Write.NOTHING);
                     }
                     if (here || k.told() || k.loose()) {
--- a/src/test/java/birchusher/seats/StalenessTest.java
+++ b/src/test/java/birchusher/seats/StalenessTest.java
@@ -29,7 +29,8 @@
 
     /** One controller's knowledge, its state service answered by hand. */
     private static final class Side {
-        final Settings settings = SettingsReader.read(TestJobs.SETTINGS.replace("\"seeds\":[]", PEERS).getBytes(StandardCharsets.UTF_8));
+        final Settings settings = SettingsReader.read(
+                TestJobs.SETTINGS.replace("\"seeds\":[]", PEERS).getBytes(StandardCharsets.UTF_8));
         final Catalog catalog = new Catalog(settings);
         final Effects fx = new Effects();
         final View view = new View(catalog, new JobCodec(catalog));
@@ -60,7 +61,7 @@
 
         /** Time in which the state service answers 503. */
         void out(long ms) {
-            for (long end = now + ms; now < end;) {
+            for (long end = now + ms; now < end; ) {
                 now += 100;
                 fx.time(now, now);
                 store.tick();
@@ -90,7 +91,7 @@
         List<Effect.Call> reads = us.calls("/watch");
         us.now += 900;
         us.fx.time(us.now, us.now);
-        us.store.lease("POST", "/leases/1/extend", Map.of(), (s, m) -> { });
+        us.store.lease("POST", "/leases/1/extend", Map.of(), (s, m) -> {});
         us.answer("/leases", 200, Map.of());
         assertThat(us.staleness.informedUpTo()).isEqualTo(100_000);
         reads.forEach(c -> us.fx.reply(c.id(), 200, Map.of("events", List.of(), "epoch", 41L)));
@@ -123,7 +124,8 @@
             us.staleness.replied(1, r, LIFE);
             assertThat(us.staleness.informedUpTo()).as("%s", r).isEqualTo(100_000);
         }
-        us.staleness.replied(1, new RevisionReply(us.now, LIFE, false, 44, 40, List.of(new Cancelled("wk-7", 43))), LIFE);
+        us.staleness.replied(
+                1, new RevisionReply(us.now, LIFE, false, 44, 40, List.of(new Cancelled("wk-7", 43))), LIFE);
         assertThat(us.staleness.informedUpTo()).isEqualTo(us.now);
         assertThat(us.view.cancelled("wk-7")).isTrue();
     }
@@ -136,7 +138,9 @@
         other.out(4_000);
         assertThat(other.staleness.reply(new RevisionQuery(7, 41), LIFE))
                 .isEqualTo(new RevisionReply(7, LIFE, false, 45, 41, List.of(new Cancelled("wk-3", 45))));
-        assertThat(other.staleness.reply(new RevisionQuery(7, 40), LIFE).cancelled()).extracting(Cancelled::job).containsExactly("wk-2", "wk-3");
+        assertThat(other.staleness.reply(new RevisionQuery(7, 40), LIFE).cancelled())
+                .extracting(Cancelled::job)
+                .containsExactly("wk-2", "wk-3");
     }
 
     /** Final states are read last, and an earlier life may have told users of one: what it read as a whole it can't list. */
@@ -147,7 +151,8 @@
         RevisionReply r = back.staleness.reply(new RevisionQuery(us.now, 40), LIFE);
         assertThat(r.known()).isEqualTo(50);
         assertThat(r.since()).isEqualTo(-1);
-        assertThat(back.staleness.reply(new RevisionQuery(us.now, 50), LIFE).since()).isEqualTo(50);
+        assertThat(back.staleness.reply(new RevisionQuery(us.now, 50), LIFE).since())
+                .isEqualTo(50);
     }
 
     @Test
@@ -160,7 +165,8 @@
         blank.store.tick();
         blank.answer("/watch", 410, Map.of());
         assertThat(blank.store.loaded()).isFalse();
-        assertThat(blank.staleness.reply(new RevisionQuery(us.now, 60), LIFE).known()).isEqualTo(-1);
+        assertThat(blank.staleness.reply(new RevisionQuery(us.now, 60), LIFE).known())
+                .isEqualTo(-1);
     }
 
     @Test
--- a/src/test/java/birchusher/sim/CancelledMeansGoneTest.java
+++ b/src/test/java/birchusher/sim/CancelledMeansGoneTest.java
@@ -38,8 +38,10 @@
 
     /** The controller that owns machines on which the jobs of a round run. */
     private static int owner(World w, String round) {
-        FakeWorker m = w.workers.values().stream().filter(x -> x.tasks.values().stream().anyMatch(t -> t.key.startsWith(round) && !t.exited()))
-                .findFirst().orElseThrow();
+        FakeWorker m = w.workers.values().stream()
+                .filter(x -> x.tasks.values().stream().anyMatch(t -> t.key.startsWith(round) && !t.exited()))
+                .findFirst()
+                .orElseThrow();
         return w.owner(m);
     }
 
@@ -66,8 +68,22 @@
 
     /** As on the users' day, twice 80 s apart: the refusal ends in the outage, a hair before it (negative), as it begins, or after it. */
     @ParameterizedTest
-    @CsvSource({"1, 3, 14000", "2, 3, 14000", "3, 3, 60000", "4, 3, 0", "5, 7, 14000", "6, 7, 14000", "7, 7, 60000", "8, 7, 0",
-        "9, 3, 14000", "10, 7, 14000", "11, 3, -40", "12, 7, -40", "13, 3, -4", "14, 7, -4"})
+    @CsvSource({
+        "1, 3, 14000",
+        "2, 3, 14000",
+        "3, 3, 60000",
+        "4, 3, 0",
+        "5, 7, 14000",
+        "6, 7, 14000",
+        "7, 7, 60000",
+        "8, 7, 0",
+        "9, 3, 14000",
+        "10, 7, 14000",
+        "11, 3, -40",
+        "12, 7, -40",
+        "13, 3, -4",
+        "14, 7, -4"
+    })
     void whatOthersConfirmedWhileTheOwnerAloneWasRefusedIsGoneInTheOutage(long seed, int controllers, long refusedFor) {
         World w = world(seed, controllers);
         for (String round : new String[] {"wk-one", "wk-two"}) {
@@ -110,7 +126,16 @@
 
     /** The one that confirmed is back within a second, in the outage, and knows nothing; or all but the old owner are. */
     @ParameterizedTest
-    @CsvSource({"31, 3, false", "32, 3, false", "33, 7, false", "34, 7, false", "35, 3, true", "36, 3, true", "37, 7, true", "38, 7, true"})
+    @CsvSource({
+        "31, 3, false",
+        "32, 3, false",
+        "33, 7, false",
+        "34, 7, false",
+        "35, 3, true",
+        "36, 3, true",
+        "37, 7, true",
+        "38, 7, true"
+    })
     void aControllerThatConfirmedAndCrashedGivesNoWord(long seed, int controllers, boolean allOthers) {
         World w = world(seed, controllers);
         int owner = owner(w, "wk-one");
@@ -175,8 +200,9 @@
     void aNewOwnerWhoseViewIsOlderThanItsTakeoverStopsWhatIsCancelled(long seed, int controllers) {
         World w = world(seed, controllers);
         int owner = owner(w, "wk-one");
-        List<FakeWorker> orphans = w.workers.values().stream().filter(m -> m.node == owner
-                && m.tasks.values().stream().anyMatch(t -> t.key.startsWith("wk-one"))).toList();
+        List<FakeWorker> orphans = w.workers.values().stream()
+                .filter(m -> m.node == owner && m.tasks.values().stream().anyMatch(t -> t.key.startsWith("wk-one")))
+                .toList();
         String term = w.term();
         w.crash(owner, 60_000);
         w.run(50);
@@ -263,7 +289,9 @@
         }
         w.store.outage(true, w.now);
         w.run(36_000);
-        assertThat(w.workers.values()).isNotEmpty().allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
+        assertThat(w.workers.values())
+                .isNotEmpty()
+                .allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
         assertThat(w.broken).isEmpty();
         w.store.outage(false, w.now);
         endsWell(w);
--- a/src/test/java/birchusher/sim/CheckersTest.java
+++ b/src/test/java/birchusher/sim/CheckersTest.java
@@ -27,8 +27,14 @@
         @Override
         void ask(int node, String method, String path, byte[] body, BiConsumer<Integer, Map<String, Object>> reply) {
             boolean poll = method.equals("GET") && path.startsWith("/v2/runs/");
-            super.ask(node, method, path, body, (got, answer) -> reply.accept(poll && status != 0 ? status : got,
-                    poll && stage != null ? Map.of("stage", stage) : answer));
+            super.ask(
+                    node,
+                    method,
+                    path,
+                    body,
+                    (got, answer) -> reply.accept(
+                            poll && status != 0 ? status : got,
+                            poll && stage != null ? Map.of("stage", stage) : answer));
         }
     }
 
@@ -52,12 +58,18 @@
     }
 
     private static FakeWorker without(World world, String task, String zone) {
-        return world.workers.values().stream().filter(w -> w.upAt < world.now && (zone == null || w.zone.equals(zone))
-                && w.tasks.values().stream().noneMatch(t -> t.key.equals(task))).findFirst().orElseThrow();
+        return world.workers.values().stream()
+                .filter(w -> w.upAt < world.now
+                        && (zone == null || w.zone.equals(zone))
+                        && w.tasks.values().stream().noneMatch(t -> t.key.equals(task)))
+                .findFirst()
+                .orElseThrow();
     }
 
     private static FakeWorker holder(World world, String task) {
-        return world.workers.values().stream().filter(w -> w.tasks.values().stream().anyMatch(t -> t.key.equals(task) && !t.exited())).findFirst()
+        return world.workers.values().stream()
+                .filter(w -> w.tasks.values().stream().anyMatch(t -> t.key.equals(task) && !t.exited()))
+                .findFirst()
                 .orElseThrow();
     }
 
@@ -133,8 +145,12 @@
     @Test
     void writesWithoutTheirConditions() {
         World world = world();
-        world.store.handle(world.now, "POST", "/multi", Map.of("if", List.of(), "writes", List.of(Map.of("set", "b/live/job/wk-x", "value", Map.of()))),
-                (status, body) -> { });
+        world.store.handle(
+                world.now,
+                "POST",
+                "/multi",
+                Map.of("if", List.of(), "writes", List.of(Map.of("set", "b/live/job/wk-x", "value", Map.of()))),
+                (status, body) -> {});
         world.run(200);
         assertThat(world.broken).anyMatch(b -> b.startsWith("unconditional write"));
     }
--- a/src/test/java/birchusher/sim/CoreTraceTest.java
+++ b/src/test/java/birchusher/sim/CoreTraceTest.java
@@ -40,38 +40,41 @@
             }
             String[] halves = line.split(" -> ");
             String[] c = halves[0].split(" ");
-            String got = switch (c[0]) {
-                case "run" -> {
-                    w.run(Long.parseLong(c[1]));
-                    yield "";
-                }
-                case "outage" -> {
-                    w.store.outage(c[1].equals("on"), w.now);
-                    yield "";
-                }
-                case "crash" -> {
-                    w.crash(Integer.parseInt(c[1]), Long.parseLong(c[2]));
-                    yield "";
-                }
-                case "refuse" -> {
-                    w.refused[ownerOf(w, c[1])] = true;
-                    yield "";
-                }
-                case "lonely" -> {
-                    w.lonely(ownerOf(w, c[1]), true);
-                    yield "";
-                }
-                case "tasks" -> String.valueOf(w.tasksOf(c[1]));
-                case "post" -> {
-                    Map<String, Object> body = World.body(c[2], c[3], Integer.parseInt(c[4]), c[5]);
-                    w.foreign(body);
-                    yield w.tell(Integer.parseInt(c[1]), "POST", "/v2/runs", body).split(" ")[0];
-                }
-                case "get" -> w.tell(Integer.parseInt(c[1]), "GET", "/v2/runs/" + c[2], null);
-                case "withdraw" -> w.tell(Integer.parseInt(c[1]), "POST", "/v2/runs/" + c[2] + "/withdraw", null);
-                case "hello" -> hello(w, c);
-                default -> throw new IllegalArgumentException(line);
-            };
+            String got =
+                    switch (c[0]) {
+                        case "run" -> {
+                            w.run(Long.parseLong(c[1]));
+                            yield "";
+                        }
+                        case "outage" -> {
+                            w.store.outage(c[1].equals("on"), w.now);
+                            yield "";
+                        }
+                        case "crash" -> {
+                            w.crash(Integer.parseInt(c[1]), Long.parseLong(c[2]));
+                            yield "";
+                        }
+                        case "refuse" -> {
+                            w.refused[ownerOf(w, c[1])] = true;
+                            yield "";
+                        }
+                        case "lonely" -> {
+                            w.lonely(ownerOf(w, c[1]), true);
+                            yield "";
+                        }
+                        case "tasks" -> String.valueOf(w.tasksOf(c[1]));
+                        case "post" -> {
+                            Map<String, Object> body = World.body(c[2], c[3], Integer.parseInt(c[4]), c[5]);
+                            w.foreign(body);
+                            yield w.tell(Integer.parseInt(c[1]), "POST", "/v2/runs", body)
+                                    .split(" ")[0];
+                        }
+                        case "get" -> w.tell(Integer.parseInt(c[1]), "GET", "/v2/runs/" + c[2], null);
+                        case "withdraw" -> w.tell(
+                                Integer.parseInt(c[1]), "POST", "/v2/runs/" + c[2] + "/withdraw", null);
+                        case "hello" -> hello(w, c);
+                        default -> throw new IllegalArgumentException(line);
+                    };
             if (halves.length > 1) {
                 if (c[0].equals("hello")) {
                     assertThat(got).as(line).isEqualTo(halves[1]);
@@ -85,8 +88,10 @@
 
     /** The controller that owns the machine on which a job runs. */
     private static int ownerOf(World w, String job) {
-        return w.owner(w.workers.values().stream().filter(m -> m.tasks.values().stream().anyMatch(t -> t.key.startsWith(job + "/")))
-                .findFirst().orElseThrow());
+        return w.owner(w.workers.values().stream()
+                .filter(m -> m.tasks.values().stream().anyMatch(t -> t.key.startsWith(job + "/")))
+                .findFirst()
+                .orElseThrow());
     }
 
     /** Reports to each controller until one does not send the worker on. */
--- a/src/test/java/birchusher/sim/FakeStore.java
+++ b/src/test/java/birchusher/sim/FakeStore.java
@@ -10,11 +10,11 @@
 
 /** A stand-in for the state service, by its published protocol. Answers go to a callback; watches may wait. */
 final class FakeStore {
-    private record Row(Object value, long stamp, long lease) { }
+    private record Row(Object value, long stamp, long lease) {}
 
-    private record Event(String key, Object value, long stamp) { }
+    private record Event(String key, Object value, long stamp) {}
 
-    private record Watch(String prefix, long since, long until, BiConsumer<Integer, Map<String, Object>> reply) { }
+    private record Watch(String prefix, long since, long until, BiConsumer<Integer, Map<String, Object>> reply) {}
 
     private final TreeMap<String, Row> rows = new TreeMap<>();
     private final List<Event> history = new ArrayList<>();
@@ -97,8 +97,10 @@
         List<Object> l = new ArrayList<>();
         for (Event e : history) {
             if (e.stamp > since && e.key.startsWith(prefix)) {
-                l.add(e.value == null ? Map.of("remove", e.key, "stamp", e.stamp)
-                        : Map.of("set", e.key, "value", e.value, "stamp", e.stamp));
+                l.add(
+                        e.value == null
+                                ? Map.of("remove", e.key, "stamp", e.stamp)
+                                : Map.of("set", e.key, "value", e.value, "stamp", e.stamp));
             }
         }
         return l;
@@ -127,6 +129,7 @@
     int refusedPages;
     /** Listings answered, and rows of each at most. */
     int pages;
+
     int pageRows = 1_000;
 
     /** A row as some other version of us, or a mistake, might leave it. */
@@ -165,14 +168,19 @@
             if (claims && zoned.contains(job) && !on.contains("b/live/place/" + job + "/0")) {
                 unsafe.add("claim of a job whose zones are bound beside rows that it does not condition on: " + key);
             }
-            if (claims && !(on.contains("b/live/job/" + job) && on.stream().anyMatch(k -> k.startsWith("b/live/gate/")))) {
+            if (claims
+                    && !(on.contains("b/live/job/" + job) && on.stream().anyMatch(k -> k.startsWith("b/live/gate/")))) {
                 unsafe.add("claim without its job or its team's gate: " + key);
             }
         }
     }
 
     @SuppressWarnings("unchecked")
-    void handle(long now, String method, String target, Map<String, Object> body,
+    void handle(
+            long now,
+            String method,
+            String target,
+            Map<String, Object> body,
             BiConsumer<Integer, Map<String, Object>> reply) {
         Map<String, String> q = query(target);
         if (target.startsWith("/watch")) {
@@ -180,8 +188,11 @@
                 reply.accept(410, Map.of());
                 return;
             }
-            watches.add(new Watch(q.get("under"), Long.parseLong(q.get("since")),
-                    now + Long.parseLong(q.getOrDefault("wait_ms", "0")), reply));
+            watches.add(new Watch(
+                    q.get("under"),
+                    Long.parseLong(q.get("since")),
+                    now + Long.parseLong(q.getOrDefault("wait_ms", "0")),
+                    reply));
             if (!out()) {
                 tick(now);
             }
@@ -210,10 +221,14 @@
         } else if (target.startsWith("/store/")) {
             gets++;
             Row r = rows.get(target.substring(7));
-            reply.accept(r == null ? 404 : 200, r == null ? Map.of("epoch", epoch)
-                    : Map.of("path", target.substring(7), "value", r.value, "stamp", r.stamp));
-        } else if (target.equals("/multi") && (((List<Object>) body.get("writes")).size() > TXN_OPS
-                || ((List<Object>) body.get("if")).size() > 4 * TXN_OPS)) {
+            reply.accept(
+                    r == null ? 404 : 200,
+                    r == null
+                            ? Map.of("epoch", epoch)
+                            : Map.of("path", target.substring(7), "value", r.value, "stamp", r.stamp));
+        } else if (target.equals("/multi")
+                && (((List<Object>) body.get("writes")).size() > TXN_OPS
+                        || ((List<Object>) body.get("if")).size() > 4 * TXN_OPS)) {
             unsafe.add("more than a transaction may hold: " + ((List<Object>) body.get("writes")).size() + " writes, "
                     + ((List<Object>) body.get("if")).size() + " conditions");
             reply.accept(400, Map.of("error", "too many operations"));
@@ -241,8 +256,11 @@
                 }
             }
             String lost = answerLostOf;
-            if (lost != null && ((List<Object>) body.get("writes")).stream().anyMatch(o -> ((Map<String, Object>) o).get("set") instanceof String k
-                    && k.startsWith(lost))) {
+            if (lost != null
+                    && ((List<Object>) body.get("writes"))
+                            .stream()
+                                    .anyMatch(o -> ((Map<String, Object>) o).get("set") instanceof String k
+                                            && k.startsWith(lost))) {
                 answerLostOf = null;
             } else {
                 reply.accept(200, Map.of("epoch", epoch));
--- a/src/test/java/birchusher/sim/FakeWorker.java
+++ b/src/test/java/birchusher/sim/FakeWorker.java
@@ -33,6 +33,7 @@
     final long upAt;
     /** Where direct commands reach it. */
     String address;
+
     final Map<String, Task> tasks = new LinkedHashMap<>();
     long session = 1;
     long tick;
@@ -46,6 +47,7 @@
     boolean mute;
     /** The cloud's notice, in seconds; -1: none. */
     double recallS = -1;
+
     long hungUntil;
     /** By how much its reports are held up on their way; the answers, and direct commands, are not. */
     long reportsHeldMs;
@@ -53,6 +55,7 @@
     long commandsHeldMs;
     /** Which controllers' connections fail as soon as a report has reached them: it is carried out, the answer is lost at once. */
     final java.util.Set<Integer> resetBy = new java.util.HashSet<>();
+
     boolean reporting;
     private final java.util.Set<String> reaped = new java.util.HashSet<>();
     long nextReport;
@@ -176,7 +179,8 @@
                         if (reaped.contains(session + ":" + id)) {
                             world.broken.add("started again after its reap: " + id + " on " + name);
                         }
-                        t = new Task(key, attempt, now + (world.imagesCached ? 100 : 1_000 + world.random.nextInt(2_000)));
+                        t = new Task(
+                                key, attempt, now + (world.imagesCached ? 100 : 1_000 + world.random.nextInt(2_000)));
                         double cards = world.cards(key);
                         for (Task other : tasks.values()) {
                             if (other.key.equals(key) && !other.exited()) {
--- a/src/test/java/birchusher/sim/FurtherMeetingsTest.java
+++ b/src/test/java/birchusher/sim/FurtherMeetingsTest.java
@@ -35,7 +35,10 @@
         assertThat(w.tasksOf("wk-web") + w.tasksOf("wk-old")).as("at its limit").isEqualTo(12);
         w.submit("wk-new", "standing", 9, "standard", false, false);
         w.run(4_000);
-        FakeWorker m = w.workers.values().stream().filter(x -> x.tasks.values().stream().anyMatch(t -> t.key.startsWith("wk-old"))).findFirst().orElseThrow();
+        FakeWorker m = w.workers.values().stream()
+                .filter(x -> x.tasks.values().stream().anyMatch(t -> t.key.startsWith("wk-old")))
+                .findFirst()
+                .orElseThrow();
         int owner = w.owner(m);
         w.workers.values().forEach(x -> {
             x.hungUntil = trouble.equals("hang") ? w.now + 9_500 : 0;
@@ -86,7 +89,9 @@
             w.run(r.nextInt(4_500));
             w.submit("wk-g" + i, "gang", 2, "urgent", false, i % 2 == 0);
             w.run(r.nextInt(4_000));
-            w.workers.values().stream().filter(x -> r.nextInt(4) == 0).forEach(x -> x.hungUntil = w.now + r.nextInt(9_500));
+            w.workers.values().stream()
+                    .filter(x -> r.nextInt(4) == 0)
+                    .forEach(x -> x.hungUntil = w.now + r.nextInt(9_500));
             w.cancel("wk-c" + i);
             w.cancel("wk-g" + i);
             w.run(400);
@@ -118,7 +123,12 @@
         for (int i = 0; i < 10; i++) {
             w.submit("wk-a" + i, "sweep", 5, "standard", false, false);
             w.run(1_200);
-            int buyer = Integer.parseInt(w.store.dump().lines().filter(l -> l.startsWith("b/live/buyer")).findFirst().orElse("m=perch-0")
+            int buyer = Integer.parseInt(w.store
+                    .dump()
+                    .lines()
+                    .filter(l -> l.startsWith("b/live/buyer"))
+                    .findFirst()
+                    .orElse("m=perch-0")
                     .replaceAll(".*m=perch-(\\d+).*", "$1"));
             if (i % 3 == 1) {
                 w.crash(buyer, 1_500 + w.random.nextInt(3_000));
@@ -149,7 +159,10 @@
         w.keepsAll = true;
         w.submit("wk-web", "standing", 6, "production", true, false);
         w.run(30_000);
-        List<FakeWorker> mute = w.workers.values().stream().filter(m -> !m.tasks.isEmpty()).limit(2).toList();
+        List<FakeWorker> mute = w.workers.values().stream()
+                .filter(m -> !m.tasks.isEmpty())
+                .limit(2)
+                .toList();
         mute.forEach(m -> m.mute = true);
         // While reports are not missed yet it may get some, by commands that it answers.
         for (int i = 0; i < 7; i++) {
@@ -162,7 +175,9 @@
             w.submit("wk-a" + i, "sweep", 2, "standard", false, false);
             w.run(1_000);
             for (FakeWorker m : mute) {
-                m.tasks.values().forEach(t -> assertThat(had).as("new on " + m.name).containsEntry(m.name + " " + t.key, t.attempt));
+                m.tasks.values().forEach(t -> assertThat(had)
+                        .as("new on " + m.name)
+                        .containsEntry(m.name + " " + t.key, t.attempt));
             }
         }
         assertThat(w.tasksOf("wk-web")).as("its tasks run elsewhere").isEqualTo(6);
@@ -184,13 +199,16 @@
         w.run(30_000);
         Random r = new Random(seed);
         for (int i = 0; i < 6; i++) {
-            List<FakeWorker> busy = w.workers.values().stream().filter(m -> m.tasks.values().stream().anyMatch(t -> t.key.startsWith("wk-tied") || t.key.startsWith("wk-row"))).toList();
+            List<FakeWorker> busy = w.workers.values().stream()
+                    .filter(m -> m.tasks.values().stream()
+                            .anyMatch(t -> t.key.startsWith("wk-tied") || t.key.startsWith("wk-row")))
+                    .toList();
             for (FakeWorker m : busy) {
                 switch (r.nextInt(4)) {
                     case 0 -> m.hungUntil = w.now + 14_000;
                     case 1 -> m.mute = true;
                     case 2 -> m.recallS = 12;
-                    default -> { }
+                    default -> {}
                 }
             }
             w.submit("wk-g" + i, "gang", 3, "urgent", false, true);
@@ -341,7 +359,9 @@
         x.finds();
         w.copy(x.owner, old);
         w.run(300);
-        assertThat(x.holds("wk-x")).as("a copy of before the start proves nothing").isTrue();
+        assertThat(x.holds("wk-x"))
+                .as("a copy of before the start proves nothing")
+                .isTrue();
         assertThat(x.report(runs)).startsWith("200");
         w.run(600);
         assertThat(x.report(runs)).as("it has our term now").startsWith("200");
--- a/src/test/java/birchusher/sim/Hand.java
+++ b/src/test/java/birchusher/sim/Hand.java
@@ -22,8 +22,13 @@
     /** Asks for its owner and that one's term, as its next answers would tell them. */
     void finds() {
         owner = w.owner(new FakeWorker(w, name, "east", false, w.now));
-        token = Long.parseLong(w.store.dump().lines().filter(l -> l.startsWith("b/live/shard/east/") && l.contains("m=perch-" + owner + ","))
-                .findFirst().orElseThrow().replaceAll(".*, t=(\\d+),.*", "$1"));
+        token = Long.parseLong(w.store
+                .dump()
+                .lines()
+                .filter(l -> l.startsWith("b/live/shard/east/") && l.contains("m=perch-" + owner + ","))
+                .findFirst()
+                .orElseThrow()
+                .replaceAll(".*, t=(\\d+),.*", "$1"));
     }
 
     String report() {
@@ -66,6 +71,9 @@
     }
 
     boolean holds(String job) {
-        return w.store.dump().lines().anyMatch(l -> l.startsWith("b/live/place/" + job + "/0") && l.contains(":" + name + ":"));
+        return w.store
+                .dump()
+                .lines()
+                .anyMatch(l -> l.startsWith("b/live/place/" + job + "/0") && l.contains(":" + name + ":"));
     }
 }
--- a/src/test/java/birchusher/sim/HoldingProxy.java
+++ b/src/test/java/birchusher/sim/HoldingProxy.java
@@ -56,7 +56,9 @@
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-                for (long left = heldUntilNanos - System.nanoTime(); left > 0; left = heldUntilNanos - System.nanoTime()) {
+                for (long left = heldUntilNanos - System.nanoTime();
+                        left > 0;
+                        left = heldUntilNanos - System.nanoTime()) {
                     Thread.sleep(Math.min(100, left / 1_000_000 + 1));
                 }
                 out.write(buffer, 0, n);
--- a/src/test/java/birchusher/sim/MeetingsTest.java
+++ b/src/test/java/birchusher/sim/MeetingsTest.java
@@ -141,7 +141,9 @@
         }
         w.run(40_000);
         for (int i = 0; i < 4; i++) {
-            w.workers.values().stream().filter(m -> w.random.nextInt(3) == 0).forEach(m -> m.hungUntil = w.now + 14_000);
+            w.workers.values().stream()
+                    .filter(m -> w.random.nextInt(3) == 0)
+                    .forEach(m -> m.hungUntil = w.now + 14_000);
             w.lateWrites = 0.1;
             w.run(25_000);
         }
@@ -187,7 +189,9 @@
         x.takes("wk-x", "standing");
         w.run(300);
         String told = x.report();
-        assertThat(told).as("a direct command is still unanswered, so the start goes with the answer").contains("start wk-x/0");
+        assertThat(told)
+                .as("a direct command is still unanswered, so the start goes with the answer")
+                .contains("start wk-x/0");
         assertThat(w.tell(x.owner, "POST", "/v2/runs/wk-x/withdraw", null)).startsWith("200 cancelled");
         w.run(200);
         x.report();
@@ -210,10 +214,16 @@
         Hand x = new Hand(w, "x-1");
         x.takes("wk-y", "sweep");
         w.run(300);
-        assertThat(x.report(Map.of("pieces", List.of(Map.of("piece", "wk-y/0", "try", 1L, "stage", "running")), "recall_s", 100.0)))
-                .as("it ends before that").isEqualTo("200");
+        assertThat(x.report(Map.of(
+                        "pieces",
+                        List.of(Map.of("piece", "wk-y/0", "try", 1L, "stage", "running")),
+                        "recall_s",
+                        100.0)))
+                .as("it ends before that")
+                .isEqualTo("200");
         w.run(500);
-        assertThat(x.report(Map.of("pieces", List.of(Map.of("piece", "wk-y/0", "try", 1L, "stage", "running")), "recall_s", 2.0)))
+        assertThat(x.report(Map.of(
+                        "pieces", List.of(Map.of("piece", "wk-y/0", "try", 1L, "stage", "running")), "recall_s", 2.0)))
                 .isEqualTo("200 stop wk-y/0");
     }
 
@@ -291,11 +301,14 @@
             w.run(2_300 + 1_100 * i);
         }
         for (int k = 0; k < 4; k++) {
-            assertThat(w.state("wk-far" + k)).as("the last one has still to run").isNotEqualTo("done");
+            assertThat(w.state("wk-far" + k))
+                    .as("the last one has still to run")
+                    .isNotEqualTo("done");
         }
         w.run(80_000);
         if (downMs < 1_000) {
-            // Nobody's lease ended: every end was reported, and none is asked for again. Else an end may be lost with its session, and
+            // Nobody's lease ended: every end was reported, and none is asked for again. Else an end may be lost with
+            // its session, and
             // its task started once more; it then exits at once.
             assertThat(w.reruns).as("what was done does not run again").isZero();
         }
@@ -312,7 +325,10 @@
         w.runs.put("wk-long/2", 60_000L);
         w.submit("wk-long", "sweep", 3, "urgent", false, false);
         w.run(30_000);
-        FakeWorker m = w.workers.values().stream().filter(x -> x.tasks.values().stream().anyMatch(t -> t.key.startsWith("wk-long"))).findFirst().orElseThrow();
+        FakeWorker m = w.workers.values().stream()
+                .filter(x -> x.tasks.values().stream().anyMatch(t -> t.key.startsWith("wk-long")))
+                .findFirst()
+                .orElseThrow();
         int owner = w.owner(m);
         w.workers.values().stream().filter(x -> x.node == owner).forEach(x -> {
             x.deaf = deaf;
--- a/src/test/java/birchusher/sim/NothingOlderTest.java
+++ b/src/test/java/birchusher/sim/NothingOlderTest.java
@@ -72,7 +72,9 @@
             Map<String, Object> body = World.body("wk-n" + i, "standing", 1, "red");
             w.foreign(body);
             String path = "/v2/runs/wk-n" + i;
-            assertThat(w.tell(i, "POST", path + "/withdraw", null)).as("nobody submitted it yet").startsWith("404");
+            assertThat(w.tell(i, "POST", path + "/withdraw", null))
+                    .as("nobody submitted it yet")
+                    .startsWith("404");
             w.lagging[(i + 1) % controllers] = true;
             assertThat(w.tell(i, "POST", "/v2/runs", body)).startsWith("201");
             // That other one's watch is answered a little later than the cancellation comes.
@@ -167,8 +169,12 @@
         Told overlapping = new Told();
         Told.Question before = overlapping.ask(Kind.POLL);
         overlapping.answered(overlapping.ask(Kind.POLL), 200, "done");
-        assertThat(overlapping.answered(before, 200, "running")).as("asked before it was told").isNull();
-        assertThat(overlapping.answered(before, 200, "cancelled")).as("only one of both, whenever asked").isNotNull();
+        assertThat(overlapping.answered(before, 200, "running"))
+                .as("asked before it was told")
+                .isNull();
+        assertThat(overlapping.answered(before, 200, "cancelled"))
+                .as("only one of both, whenever asked")
+                .isNotNull();
     }
 
     private static String after(int status, String stage, Kind kind, int nextStatus, String nextStage) {
--- a/src/test/java/birchusher/sim/OddRequestsTest.java
+++ b/src/test/java/birchusher/sim/OddRequestsTest.java
@@ -11,8 +11,24 @@
 
 /** Submissions that no controller may accept, in any state of its view, and whose refusal names the field. */
 class OddRequestsTest {
-    private static final List<String> REQUIRED = List.of("name_id", "lane", "crew", "shape", "rank", "pieces", "cores", "cards", "memory_gb",
-            "bundle", "size_gb", "one_zone", "scatter", "loaners", "expect_s", "mark_every_s", "mark_take_s");
+    private static final List<String> REQUIRED = List.of(
+            "name_id",
+            "lane",
+            "crew",
+            "shape",
+            "rank",
+            "pieces",
+            "cores",
+            "cards",
+            "memory_gb",
+            "bundle",
+            "size_gb",
+            "one_zone",
+            "scatter",
+            "loaners",
+            "expect_s",
+            "mark_every_s",
+            "mark_take_s");
 
     @BeforeAll
     static void quiet() {
@@ -29,7 +45,8 @@
         int n = 0;
         for (String field : REQUIRED) {
             List<Map<String, Object>> bad = new ArrayList<>();
-            for (Object wrong : new Object[] {null, List.of(), Map.of("x", 1L), field.equals("name_id") ? "job 1" : -3.5}) {
+            for (Object wrong :
+                    new Object[] {null, List.of(), Map.of("x", 1L), field.equals("name_id") ? "job 1" : -3.5}) {
                 Map<String, Object> b = body("wk-m" + n++);
                 b.put(field, wrong);
                 bad.add(b);
@@ -52,9 +69,13 @@
         World w = new World(1, 3, 16);
         w.run(10_000);
         int[] node = {0};
-        malformed().forEach((field, bodies) -> bodies.forEach(b -> {
-            assertThat(w.tell(node[0]++ % 3, "POST", "/v2/runs", b)).as(field + " of " + b).startsWith("400 ").contains(field);
-        }));
+        malformed()
+                .forEach((field, bodies) -> bodies.forEach(b -> {
+                    assertThat(w.tell(node[0]++ % 3, "POST", "/v2/runs", b))
+                            .as(field + " of " + b)
+                            .startsWith("400 ")
+                            .contains(field);
+                }));
         assertThat(w.tell(0, "POST", "/v2/runs", body("wk-fine"))).startsWith("201");
         w.run(2_000);
         assertThat(w.store.dump()).contains("job/wk-fine").doesNotContain("job/wk-m");
@@ -65,9 +86,19 @@
     void whatCanNeverRunIsRefusedWithTheReason() {
         World w = new World(2, 3, 16);
         w.run(10_000);
-        Map<String, Map<String, Object>> never = Map.of("team", with("crew", "nobody"), "zone", with("grove", "nowhere"),
-                "type", with("cores", 400.0), "machine", with("builds", List.of("none")), "fits", with("builds", List.of()),
-                "limit", gang(17L));
+        Map<String, Map<String, Object>> never = Map.of(
+                "team",
+                with("crew", "nobody"),
+                "zone",
+                with("grove", "nowhere"),
+                "type",
+                with("cores", 400.0),
+                "machine",
+                with("builds", List.of("none")),
+                "fits",
+                with("builds", List.of()),
+                "limit",
+                gang(17L));
         never.forEach((word, b) -> {
             for (int i = 0; i < 3; i++) {
                 assertThat(w.tell(i, "POST", "/v2/runs", b)).startsWith("422 ").contains(word);
@@ -111,7 +142,9 @@
             w.run(50);
             for (Map<String, Object> b : odd) {
                 String got = w.tell(0, "POST", "/v2/runs", b);
-                assertThat(got == null || got.startsWith("503") || got.startsWith("400 ") || got.startsWith("422 ")).as(got).isTrue();
+                assertThat(got == null || got.startsWith("503") || got.startsWith("400 ") || got.startsWith("422 "))
+                        .as(got)
+                        .isTrue();
             }
         }
         assertThat(w.store.dump()).doesNotContain("job/wk-never");
--- a/src/test/java/birchusher/sim/OperatorsTest.java
+++ b/src/test/java/birchusher/sim/OperatorsTest.java
@@ -12,7 +12,11 @@
  */
 class OperatorsTest {
     /** What comes on top of the trouble itself. */
-    enum With { NOTHING, CRASH, OUTAGE }
+    enum With {
+        NOTHING,
+        CRASH,
+        OUTAGE
+    }
 
     @BeforeAll
     static void quiet() {
@@ -31,7 +35,7 @@
                 w.run(12_000);
                 w.store.outage(false, w.now);
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -81,7 +85,13 @@
         assertThat(w.state("wk-web")).isEqualTo("running");
         assertThat(w.errors).as("errors of 62 tasks in 90 s").isBetween(8, 140);
         // A machine that is given up takes its replicas with it.
-        assertThat(w.store.dump().lines().filter(l -> l.startsWith("b/live/place/wk-web/0")).findFirst().orElseThrow()).contains("r=0");
+        assertThat(w.store
+                        .dump()
+                        .lines()
+                        .filter(l -> l.startsWith("b/live/place/wk-web/0"))
+                        .findFirst()
+                        .orElseThrow())
+                .contains("r=0");
         for (int i = 0; i < 4; i++) {
             w.cancel("wk-bad" + i);
         }
--- a/src/test/java/birchusher/sim/ProcessWorld.java
+++ b/src/test/java/birchusher/sim/ProcessWorld.java
@@ -66,9 +66,20 @@
         }
         for (int i = 0; i < controllers; i++) {
             int node = i;
-            serve(cloud[i], (method, path, body, back) -> inbound(node, Effect.Target.CLOUD, "cloud:1", method, path, body, back));
-            serve(state[i], (method, path, body, back) -> inbound(node, path.startsWith("/watch") ? Effect.Target.WATCH : Effect.Target.STORE,
-                    "state:1", method, path, body, back));
+            serve(
+                    cloud[i],
+                    (method, path, body, back) ->
+                            inbound(node, Effect.Target.CLOUD, "cloud:1", method, path, body, back));
+            serve(
+                    state[i],
+                    (method, path, body, back) -> inbound(
+                            node,
+                            path.startsWith("/watch") ? Effect.Target.WATCH : Effect.Target.STORE,
+                            "state:1",
+                            method,
+                            path,
+                            body,
+                            back));
             for (int k = 0; k < controllers; k++) {
                 if (k != i) {
                     proxies.add(new HoldingProxy(proxyPorts[i][k], mesh[k]));
@@ -82,13 +93,14 @@
     }
 
     private interface Service {
-        void handle(String method, String path, Map<String, Object> body, BiConsumer<Integer, Map<String, Object>> back);
+        void handle(
+                String method, String path, Map<String, Object> body, BiConsumer<Integer, Map<String, Object>> back);
     }
 
     private static synchronized int[] ports(int n) {
         Random random = new Random();
         int[] ports = new int[n];
-        for (int i = 0; i < n;) {
+        for (int i = 0; i < n; ) {
             int port = FIRST_PORT + random.nextInt(PORTS);
             try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 if (TAKEN.add(port)) {
@@ -107,13 +119,23 @@
         server[0] = new HttpServer(events, "127.0.0.1", port, 200, MAX_BODY, (exchange, method, target, body) -> {
             advance();
             Map<String, Object> map = body.length == 0 ? Map.of() : Fields.map(Pack.decode(body), "body");
-            service.handle(method, target, map, (status, answer) -> server[0].answer(exchange, status, Pack.encode(answer), 0));
+            service.handle(
+                    method,
+                    target,
+                    map,
+                    (status, answer) -> server[0].answer(exchange, status, Pack.encode(answer), 0));
         });
         server[0].open();
         servers.add(server[0]);
     }
 
-    private void inbound(int node, Effect.Target target, String address, String method, String path, Map<String, Object> body,
+    private void inbound(
+            int node,
+            Effect.Target target,
+            String address,
+            String method,
+            String path,
+            Map<String, Object> body,
             BiConsumer<Integer, Map<String, Object>> back) {
         Effect.Call call = new Effect.Call(0, target, address, method, path, null, 0);
         long sentAt = now;
@@ -128,14 +150,25 @@
     // ---- the controllers
 
     @Override
-    void startControllers() { }
+    void startControllers() {}
 
     private void spawn(int i) {
-        List<String> command = List.of(ProcessHandle.current().info().command().orElse("java"), "-Xmx110m", "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Dorg.slf4j.simpleLogger.showDateTime=true", "-cp", System.getProperty("java.class.path"),
-                "birchusher.cli.Main", "serve", "--config", dir.resolve("perch-" + i + ".json").toString());
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(dir.resolve("perch-" + i + ".log").toFile()));
+        List<String> command = List.of(
+                ProcessHandle.current().info().command().orElse("java"),
+                "-Xmx110m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Dorg.slf4j.simpleLogger.showDateTime=true",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "birchusher.cli.Main",
+                "serve",
+                "--config",
+                dir.resolve("perch-" + i + ".json").toString());
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        dir.resolve("perch-" + i + ".log").toFile()));
         builder.environment().put("LOG_LEVEL", "info");
         try {
             processes[i] = builder.start();
@@ -217,7 +250,10 @@
         int port = ports(1)[0];
         worker.address = "127.0.0.1:" + port;
         try {
-            serve(port, (method, path, body, back) -> inbound(-1, Effect.Target.WORKER, worker.name + ":1", method, path, body, back));
+            serve(
+                    port,
+                    (method, path, body, back) ->
+                            inbound(-1, Effect.Target.WORKER, worker.name + ":1", method, path, body, back));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -284,10 +320,10 @@
     }
 
     @Override
-    public void close() throws IOException, InterruptedException {
+    public void close() throws IOException {
         for (Process process : processes) {
             process.destroyForcibly();
-            process.waitFor(10, TimeUnit.SECONDS);
+            process.onExit().completeOnTimeout(process, 10, TimeUnit.SECONDS).join();
         }
         for (HoldingProxy proxy : proxies) {
             proxy.close();
--- a/src/test/java/birchusher/sim/RecoveryTest.java
+++ b/src/test/java/birchusher/sim/RecoveryTest.java
@@ -62,11 +62,17 @@
 
     /** Losses written, as the placement rows count them. */
     private static long restarts(World w) {
-        return Pattern.compile("b/live/place/.*\\br=(\\d+)").matcher(w.store.dump()).results().mapToLong(r -> Long.parseLong(r.group(1))).sum();
+        return Pattern.compile("b/live/place/.*\\br=(\\d+)")
+                .matcher(w.store.dump())
+                .results()
+                .mapToLong(r -> Long.parseLong(r.group(1)))
+                .sum();
     }
 
     private static long same(Map<String, String> before, Map<String, String> after) {
-        return before.entrySet().stream().filter(e -> e.getValue().equals(after.get(e.getKey()))).count();
+        return before.entrySet().stream()
+                .filter(e -> e.getValue().equals(after.get(e.getKey())))
+                .count();
     }
 
     /** Every machine has dropped its tasks by the end of the outage; twenty seconds more. */
@@ -105,7 +111,8 @@
         assertThat(w.workers.size()).isEqualTo(rented);
         int shards = 2 * Math.max(2, (controllers + 1) / 2);
         assertThat(term(w) - term).isEqualTo(shards);
-        // Each loss is written once: a loss that rides with the claim that replaces it must not take that one out as well.
+        // Each loss is written once: a loss that rides with the claim that replaces it must not take that one out as
+        // well.
         assertThat(restarts(w) - restarts).isEqualTo(120);
     }
 
@@ -194,7 +201,8 @@
         w.toldImages = first::putIfAbsent;
         w.run(8_000);
         assertThat(first.keySet()).containsAll(before.values());
-        assertThat(before.values()).allSatisfy(m -> assertThat(first.get(m)).as(m).contains("img"));
+        assertThat(before.values())
+                .allSatisfy(m -> assertThat(first.get(m)).as(m).contains("img"));
     }
 
     /** Machines that have not been heard yet have room: nothing is rented for it, and nothing of it returned. */
--- a/src/test/java/birchusher/sim/Search.java
+++ b/src/test/java/birchusher/sim/Search.java
@@ -4,7 +4,7 @@
 
 /** Searches over many seeds by hand, as {@code -Dmeet.from=1000 -Dmeet.seeds=500}; one seed unless asked for more. */
 final class Search {
-    private Search() { }
+    private Search() {}
 
     static void over(String name, LongConsumer drawn) {
         long from = Long.getLong(name + ".from", 1_000);
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -69,7 +69,13 @@
     private static String buyer(World w) {
         Matcher m = Pattern.compile("b/live/buyer = \\{(.*)}").matcher(w.store.dump());
         assertThat(m.find()).isTrue();
-        return Pattern.compile("[mi]=[^,]*").matcher(m.group(1)).results().map(r -> r.group()).sorted().toList().toString();
+        return Pattern.compile("[mi]=[^,]*")
+                .matcher(m.group(1))
+                .results()
+                .map(r -> r.group())
+                .sorted()
+                .toList()
+                .toString();
     }
 
     /** Seen on both larger fleets: the others waited for the buyer that was back, and it for a member of lower name. */
@@ -122,7 +128,9 @@
         w.run(25_000);
         w.store.outage(false, w.now);
         java.util.Arrays.fill(w.refused, false);
-        assertThat(w.workers.values()).isNotEmpty().allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
+        assertThat(w.workers.values())
+                .isNotEmpty()
+                .allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
         w.run(30_000);
         assertThat(w.broken).isEmpty();
         assertThat(w.state("wk-web")).isEqualTo("running");
@@ -174,7 +182,9 @@
         }
         w.run(40_000);
         assertThat(w.term()).isEqualTo(before);
-        assertThat(w.workers.values()).isNotEmpty().allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
+        assertThat(w.workers.values())
+                .isNotEmpty()
+                .allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
         assertThat(w.broken).isEmpty();
     }
 
@@ -295,7 +305,9 @@
             w.run(2_000 + 1_000 * (flick % 3));
         }
         assertThat(w.term()).isEqualTo(before);
-        assertThat(w.workers.values()).isNotEmpty().allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
+        assertThat(w.workers.values())
+                .isNotEmpty()
+                .allSatisfy(m -> assertThat(m.session).as(m.name).isEqualTo(1));
         assertThat(w.starts - startedBefore).as("small tasks go on").isGreaterThan(150);
         w.run(40_000);
         assertThat(w.state("wk-gang")).isEqualTo("done");
@@ -320,12 +332,14 @@
     void aSilentWorkersLeaseIsNotCountedBeforeTheDeadOwnersSeatHasEnded() {
         World w = world(6);
         w.run(40_000);
-        Matcher claim = Pattern.compile("b/live/place/wk-web/0 = .*c=0:(\\d+):(n-\\d+):\\d+:(\\d+)").matcher(w.store.dump());
+        Matcher claim = Pattern.compile("b/live/place/wk-web/0 = .*c=0:(\\d+):(n-\\d+):\\d+:(\\d+)")
+                .matcher(w.store.dump());
         assertThat(claim.find()).as(w.store.dump()).isTrue();
         String held = "0:" + claim.group(1) + ":" + claim.group(2) + ":";
         int shard = Integer.parseInt(claim.group(3));
         String zone = shard < 2 ? "east" : "west";
-        Matcher owner = Pattern.compile("b/live/shard/" + zone + "/" + shard % 2 + " = .*m=perch-(\\d)").matcher(w.store.dump());
+        Matcher owner = Pattern.compile("b/live/shard/" + zone + "/" + shard % 2 + " = .*m=perch-(\\d)")
+                .matcher(w.store.dump());
         assertThat(owner.find()).isTrue();
         int dead = Integer.parseInt(owner.group(1));
         w.workers.get(claim.group(2)).hungUntil = w.now + 500_000;
@@ -361,7 +375,10 @@
                 w.run(r.nextInt(15_000));
                 w.store.outage(false, w.now);
             } else if (what <= 3 && !w.workers.isEmpty()) {
-                FakeWorker m = w.workers.values().stream().skip(r.nextInt(w.workers.size())).findFirst().orElseThrow();
+                FakeWorker m = w.workers.values().stream()
+                        .skip(r.nextInt(w.workers.size()))
+                        .findFirst()
+                        .orElseThrow();
                 m.hungUntil = w.now + r.nextInt(25_000);
             } else if (what == 4) {
                 int a = r.nextInt(3);
--- a/src/test/java/birchusher/sim/Soak.java
+++ b/src/test/java/birchusher/sim/Soak.java
@@ -12,6 +12,7 @@
     private static final long FIRST_TROUBLE_MS = 14_000;
     /** For so long before the end no trouble begins, and all have ended. */
     static final long QUIET_MS = 15_000;
+
     private static final int CARDS = 4;
 
     private final long seed;
@@ -24,8 +25,8 @@
     /** What came of one seed. */
     record Result(long seed, List<String> broken, List<String> schedule, int starts, int machines, int boots) {
         String line() {
-            return "seed " + seed + ": " + (broken.isEmpty() ? "no rule broken" : "BROKEN " + broken) + ", " + starts + " starts, " + machines
-                    + " machines, " + boots + " controller starts";
+            return "seed " + seed + ": " + (broken.isEmpty() ? "no rule broken" : "BROKEN " + broken) + ", " + starts
+                    + " starts, " + machines + " machines, " + boots + " controller starts";
         }
     }
 
@@ -56,7 +57,13 @@
         world.submit("wk-gang", "gang", 3, "standard", false, true);
         int places = workers * CARDS * 2 / 3;
         for (int i = 0; places > 0; i++, places -= 12) {
-            world.submit("wk-arr" + i, i % 3 == 0 ? "standing" : "sweep", Math.min(12, places), i % 3 == 0 ? "production" : "standard", false, false);
+            world.submit(
+                    "wk-arr" + i,
+                    i % 3 == 0 ? "standing" : "sweep",
+                    Math.min(12, places),
+                    i % 3 == 0 ? "production" : "standard",
+                    false,
+                    false);
         }
         long at = FIRST_TROUBLE_MS;
         while (at < endMs - QUIET_MS) {
@@ -106,26 +113,37 @@
         int first = random.nextInt(1_000);
         int count = 1 + random.nextInt(4);
         List<FakeWorker> hit = new ArrayList<>();
-        between(at, ms, count + " machines " + what, () -> {
-            for (int i = 0; i < count; i++) {
-                machine(first + i, worker -> {
-                    hit.add(worker);
-                    turn.accept(worker, true);
-                });
-            }
-        }, () -> hit.forEach(worker -> turn.accept(worker, false)));
+        between(
+                at,
+                ms,
+                count + " machines " + what,
+                () -> {
+                    for (int i = 0; i < count; i++) {
+                        machine(first + i, worker -> {
+                            hit.add(worker);
+                            turn.accept(worker, true);
+                        });
+                    }
+                },
+                () -> hit.forEach(worker -> turn.accept(worker, false)));
     }
 
     private void trouble(long at, long most) {
         int node = random.nextInt(world.controllers);
         long ms = 500 + random.nextInt((int) Math.max(1_000, most - 500));
         switch (random.nextInt(14)) {
-            case 0 -> step(at, "perch-" + node + " killed, back after " + Math.min(ms, 4_000), () -> world.crash(node, Math.min(ms, 4_000)));
+            case 0 -> step(
+                    at,
+                    "perch-" + node + " killed, back after " + Math.min(ms, 4_000),
+                    () -> world.crash(node, Math.min(ms, 4_000)));
             case 1 -> {
                 for (int i = 0; i < world.controllers; i++) {
                     int each = i;
                     long back = 100 + random.nextInt(3_000);
-                    step(at + random.nextInt(300), "perch-" + each + " killed with all, back after " + back, () -> world.crash(each, back));
+                    step(
+                            at + random.nextInt(300),
+                            "perch-" + each + " killed with all, back after " + back,
+                            () -> world.crash(each, back));
                 }
             }
             case 2 -> {
@@ -135,9 +153,20 @@
                 }
             }
             case 3 -> step(at, "perch-" + node + " paused for " + ms + " ms", () -> world.still(node, ms));
-            case 4 -> between(at, ms, "state service out", () -> world.store.outage(true, world.now), () -> world.store.outage(false, world.now));
-            case 5 -> between(at, ms, "state service refuses perch-" + node, () -> world.refused[node] = true, () -> world.refused[node] = false);
-            case 6 -> step(at, "peers' connections held for " + ms + " ms", () -> world.holdPeers(random.nextBoolean(), ms));
+            case 4 -> between(
+                    at,
+                    ms,
+                    "state service out",
+                    () -> world.store.outage(true, world.now),
+                    () -> world.store.outage(false, world.now));
+            case 5 -> between(
+                    at,
+                    ms,
+                    "state service refuses perch-" + node,
+                    () -> world.refused[node] = true,
+                    () -> world.refused[node] = false);
+            case 6 -> step(
+                    at, "peers' connections held for " + ms + " ms", () -> world.holdPeers(random.nextBoolean(), ms));
             case 7 -> step(at, "peers' connections reset", world::resetPeers);
             case 8 -> machines(at, ms, "cut off", FakeWorker::cutOff);
             case 9 -> machines(at, ms, "deaf", (worker, on) -> worker.deaf = on);
@@ -151,12 +180,17 @@
                     worker.commandsHeldMs = on ? commands : 0;
                 });
             }
-            default -> between(at, ms, "messages lost, doubled and late, writes late, answers lost", () -> {
-                world.loss = 0.02;
-                world.copies = 0.2;
-                world.lateWrites = 0.05;
-                world.lostAnswers = 0.05;
-            }, this::messagesFine);
+            default -> between(
+                    at,
+                    ms,
+                    "messages lost, doubled and late, writes late, answers lost",
+                    () -> {
+                        world.loss = 0.02;
+                        world.copies = 0.2;
+                        world.lateWrites = 0.05;
+                        world.lostAnswers = 0.05;
+                    },
+                    this::messagesFine);
         }
     }
 
--- a/src/test/java/birchusher/sim/SoakTest.java
+++ b/src/test/java/birchusher/sim/SoakTest.java
@@ -24,7 +24,9 @@
     @ValueSource(longs = {1})
     void noRuleIsBroken(long seed) throws Exception {
         Soak.Result result = Soak.play(seed, 10, SHORT_S, dir);
-        assertThat(result.broken()).as(result.line() + "\n" + String.join("\n", result.schedule())).isEmpty();
+        assertThat(result.broken())
+                .as(result.line() + "\n" + String.join("\n", result.schedule()))
+                .isEmpty();
     }
 
     /**
@@ -41,7 +43,8 @@
             long each = seed;
             int workers = seed % 5 == 0 ? Integer.getInteger("soak.workers", 300) : 10;
             all.add(pool.submit(() -> {
-                Soak.Result result = Soak.play(each, workers, Integer.getInteger("soak.seconds", 75), dir.resolve("seed-" + each));
+                Soak.Result result =
+                        Soak.play(each, workers, Integer.getInteger("soak.seconds", 75), dir.resolve("seed-" + each));
                 System.out.println("SOAK " + result.line());
                 if (!result.broken().isEmpty()) {
                     System.out.println("SOAK schedule " + each + ": " + result.schedule());
--- a/src/test/java/birchusher/sim/Told.java
+++ b/src/test/java/birchusher/sim/Told.java
@@ -5,10 +5,14 @@
  * Questions may overlap: each is held against what was known when it was sent. Of done and cancelled only one may ever be told.
  */
 final class Told {
-    enum Kind { SUBMIT, POLL, CANCEL }
+    enum Kind {
+        SUBMIT,
+        POLL,
+        CANCEL
+    }
 
     /** What had been told when it was sent. */
-    record Question(Kind kind, boolean accepted, boolean ended) { }
+    record Question(Kind kind, boolean accepted, boolean ended) {}
 
     private boolean accepted;
     private String end;
--- a/src/test/java/birchusher/sim/TroublesTest.java
+++ b/src/test/java/birchusher/sim/TroublesTest.java
@@ -39,11 +39,14 @@
     }
 
     private static boolean claimedOn(World w, String machine, long session) {
-        return Pattern.compile(":" + machine + ":" + session + ":").matcher(w.store.dump()).find();
+        return Pattern.compile(":" + machine + ":" + session + ":")
+                .matcher(w.store.dump())
+                .find();
     }
 
     private static FakeWorker busy(World w) {
-        Matcher m = Pattern.compile("b/live/place/wk-web/0 = .*c=0:\\d+:(n-\\d+):").matcher(w.store.dump());
+        Matcher m =
+                Pattern.compile("b/live/place/wk-web/0 = .*c=0:\\d+:(n-\\d+):").matcher(w.store.dump());
         assertThat(m.find()).as(w.store.dump()).isTrue();
         return w.workers.get(m.group(1));
     }
@@ -61,7 +64,9 @@
         w.submit("wk-more", "sweep", 30, "standard", false, false);
         for (int i = 0; i < 20; i++) {
             w.run(3_000);
-            assertThat(claimedOn(w, deaf.name, 2) || claimedOn(w, deaf.name, 3)).as("new work on " + deaf.name).isFalse();
+            assertThat(claimedOn(w, deaf.name, 2) || claimedOn(w, deaf.name, 3))
+                    .as("new work on " + deaf.name)
+                    .isFalse();
         }
         assertThat(w.term()).isEqualTo(term);
         assertThat(deaf.deleted).as("returned").isTrue();
@@ -85,7 +90,9 @@
             }
             w.run(2_000);
             for (int session = 2; session < 9; session++) {
-                assertThat(claimedOn(w, deaf.name, session)).as("claimed in session " + session).isFalse();
+                assertThat(claimedOn(w, deaf.name, session))
+                        .as("claimed in session " + session)
+                        .isFalse();
             }
         }
         assertThat(deaf.session).isGreaterThan(3);
@@ -172,13 +179,17 @@
         World w = world(seed, 3);
         w.run(40_000);
         long before = term(w);
-        assertThat(List.copyOf(w.workers.values())).as("some are its own, or nothing is to be taken over").anyMatch(m -> w.owner(m) == node);
+        assertThat(List.copyOf(w.workers.values()))
+                .as("some are its own, or nothing is to be taken over")
+                .anyMatch(m -> w.owner(m) == node);
         w.fromWorkers[node] = true;
         w.run(25_000);
         int starts = w.starts;
         w.submit("wk-more", "sweep", 12, "standard", false, false);
         w.run(35_000);
-        assertThat(term(w) - before).as("each of its two shards is taken once, and none goes round").isBetween(1L, 2L);
+        assertThat(term(w) - before)
+                .as("each of its two shards is taken once, and none goes round")
+                .isBetween(1L, 2L);
         assertThat(w.starts).isGreaterThanOrEqualTo(starts + 12);
         assertThat(w.state("wk-arr")).isEqualTo("done");
         assertThat(w.state("wk-web")).isEqualTo("running");
@@ -210,7 +221,15 @@
 
     /** Back before anybody missed it, with its old seat, its old shards and transactions under way, its clock set back or not. */
     @ParameterizedTest
-    @CsvSource({"131, 50, 0", "132, 120, 0", "133, 300, 0", "134, 500, 0", "135, 50, -2000", "136, 300, -2000", "137, 120, -900000"})
+    @CsvSource({
+        "131, 50, 0",
+        "132, 120, 0",
+        "133, 300, 0",
+        "134, 500, 0",
+        "135, 50, -2000",
+        "136, 300, -2000",
+        "137, 120, -900000"
+    })
     void aControllerThatIsBackWithinABlinkServesOn(long seed, long ms, long clockOff) {
         World w = world(seed, 3);
         w.run(25_000 + seed * 13);
@@ -227,8 +246,14 @@
         for (int i = 0; i < 3; i++) {
             assertThat(w.tell(i, "GET", "/ready", null)).as("controller " + i).startsWith("200");
         }
-        assertThat(w.store.dump().lines().filter(l -> l.startsWith("b/live/shard/")).map(l -> l.replaceAll(".*m=(perch-\\d).*", "$1"))
-                .distinct()).as("all own something again").hasSize(3);
+        assertThat(w.store
+                        .dump()
+                        .lines()
+                        .filter(l -> l.startsWith("b/live/shard/"))
+                        .map(l -> l.replaceAll(".*m=(perch-\\d).*", "$1"))
+                        .distinct())
+                .as("all own something again")
+                .hasSize(3);
         endsWell(w);
     }
 
@@ -278,7 +303,9 @@
     void aRowThatCantBeReadIsNamedAndItsJobStaysKnown() {
         World w = world(141, 3);
         w.run(20_000);
-        w.store.plant("b/live/job/wk-torn", Map.of("s", "OPEN", "k", 100L, "t", 1L, "j", Map.of("name_id", "wk-torn", "crew", "nobody")));
+        w.store.plant(
+                "b/live/job/wk-torn",
+                Map.of("s", "OPEN", "k", 100L, "t", 1L, "j", Map.of("name_id", "wk-torn", "crew", "nobody")));
         w.store.plant("b/live/job/wk-odd", "not a map");
         w.store.plant("b/live/place/wk-arr/x", Map.of("a", 1L));
         w.run(2_000);
--- a/src/test/java/birchusher/sim/WorkerLeaseTest.java
+++ b/src/test/java/birchusher/sim/WorkerLeaseTest.java
@@ -44,7 +44,11 @@
 
     /** A job other than the service that has its task on this machine. */
     private static String neighbour(FakeWorker worker) {
-        return worker.tasks.values().stream().filter(t -> !t.exited() && t.key.startsWith("wk-long")).findFirst().orElseThrow().key
+        return worker.tasks.values().stream()
+                .filter(t -> !t.exited() && t.key.startsWith("wk-long"))
+                .findFirst()
+                .orElseThrow()
+                .key
                 .replace("/0", "");
     }
 
@@ -78,8 +82,11 @@
         worker.reportsHeldMs = 2_500;
         untilRegularReport(world, worker);
         world.withdraw(world.owner(worker), neighbour);
-        assertThat(worker.reporting).as("the direct command was answered while the report was under way").isTrue();
-        assertThat(worker.tasks.keySet()).noneMatch(k -> k.startsWith(neighbour) && !worker.tasks.get(k).exited());
+        assertThat(worker.reporting)
+                .as("the direct command was answered while the report was under way")
+                .isTrue();
+        assertThat(worker.tasks.keySet())
+                .noneMatch(k -> k.startsWith(neighbour) && !worker.tasks.get(k).exited());
         untilRenewed(world, worker);
         worker.cutOff(true);
         world.run(40_000);
@@ -88,7 +95,8 @@
     }
 
     private static boolean ownsByItself(World world, int node, FakeWorker worker) {
-        return world.tell(node, "POST", "/hello", FakeWorker.report(worker.name, worker.zone, 0)).startsWith("200");
+        return world.tell(node, "POST", "/hello", FakeWorker.report(worker.name, worker.zone, 0))
+                .startsWith("200");
     }
 
     /** Sends a worker's reports to one other controller after the other until one of them has taken its shard. */
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -1,8 +1,8 @@
 package birchusher.sim;
 
+import birchusher.controller.Core;
 import birchusher.core.Effect;
 import birchusher.core.Fields;
-import birchusher.controller.Core;
 import birchusher.mesh.PeerCodec;
 import birchusher.mesh.PeerRecord;
 import birchusher.settings.Settings;
@@ -29,14 +29,16 @@
     final long cancelMs;
     /** The default of seats.lease-s. */
     private static final long SEAT_MS = 45_000;
+
     private static final String[] ZONES = {"east", "west"};
 
-    private record Timed(long at, long seq, Runnable run) { }
+    private record Timed(long at, long seq, Runnable run) {}
 
     private static final class Node {
         Core core;
         /** What its time of day is off by; may change with a restart. */
         long wallOff;
+
         long stillUntil;
         int life;
         long downUntil;
@@ -60,8 +62,8 @@
     private final Map<String, UserJob> jobs = new LinkedHashMap<>();
     private final Map<String, Integer> finished = new HashMap<>();
     private final Map<String, List<Object>> rentals = new HashMap<>();
-    private final PriorityQueue<Timed> queue = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
-            : Long.compare(a.seq, b.seq));
+    private final PriorityQueue<Timed> queue =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.seq, b.seq));
     private final Node[] nodes;
     final int controllers;
     private final int teamLimit;
@@ -71,6 +73,7 @@
     private final long[] seatSince;
     /** A controller and the workers that report to it, cut off from everybody else; -1: none. */
     private int island = -1;
+
     private final java.util.Set<String> marooned = new java.util.HashSet<>();
     /** Controllers that the state service alone refuses; their open watches are not answered either. */
     final boolean[] refused;
@@ -86,6 +89,7 @@
     double cancelAtEnd;
     /** Controllers that no worker reaches, nor they any worker. */
     final boolean[] fromWorkers;
+
     double loss;
     double late;
     /** The share of reports of which a copy comes again, up to a minute later, at the controller it went to. */
@@ -104,6 +108,7 @@
     double lateAnswers;
     /** For how long commands sent straight to workers are held back; they are executed all the same. */
     long straightMs;
+
     long now = 1_000;
     private long seq;
     private long nextExchange = 1;
@@ -120,6 +125,7 @@
     int errors;
     /** The share of rented machines that never come up, and by how much longer the others take. */
     double never;
+
     double slowBoots = 1;
     /** The cloud answers no deletion: silent and idle machines stay. */
     boolean keepsAll;
@@ -138,6 +144,7 @@
     boolean imagesCached;
     /** Reports kept of every worker, so that copies of them can come to everybody at once. */
     boolean keepsReports;
+
     private final List<byte[]> kept = new ArrayList<>();
     /** What the cloud has at most; 0: as many as the team may use. */
     int machines;
@@ -255,7 +262,7 @@
 
     /** Sends a message of a worker's once more, as a copy that was long on its way; nobody waits for its answer. */
     void copy(int node, Map<String, Object> report) {
-        ask(node, "POST", "/hello", Pack.encode(report), (s, m) -> { });
+        ask(node, "POST", "/hello", Pack.encode(report), (s, m) -> {});
     }
 
     /** Copies of all kept reports come to every controller, the oldest first. */
@@ -263,7 +270,7 @@
         List<byte[]> all = List.copyOf(kept);
         for (int i = 0; i < nodes.length; i++) {
             for (byte[] r : all) {
-                ask(i, "POST", "/hello", r, (s, m) -> { });
+                ask(i, "POST", "/hello", r, (s, m) -> {});
             }
         }
     }
@@ -271,7 +278,9 @@
     /** The controller that a machine's shard names as its owner. */
     int owner(FakeWorker w) {
         for (int i = 0; i < nodes.length; i++) {
-            if (nodes[i].core != null && tell(i, "POST", "/hello", FakeWorker.report(w.name, w.zone, 0)).startsWith("200")) {
+            if (nodes[i].core != null
+                    && tell(i, "POST", "/hello", FakeWorker.report(w.name, w.zone, 0))
+                            .startsWith("200")) {
                 return i;
             }
         }
@@ -413,7 +422,11 @@
 
     /** The last term given to an owner of workers. */
     String term() {
-        return store.dump().lines().filter(l -> l.startsWith("b/live/term")).findFirst().orElseThrow();
+        return store.dump()
+                .lines()
+                .filter(l -> l.startsWith("b/live/term"))
+                .findFirst()
+                .orElseThrow();
     }
 
     void run(long ms) {
@@ -490,7 +503,9 @@
                     at(now + random.nextInt(20_000), () -> deliver(to, s.record()));
                 }
                 if (!cut[i][to] && !lost()) {
-                    at(Math.max(now, meshHeldUntil[i]) + 1 + random.nextInt(3), () -> whenAwake(to, () -> deliver(to, s.record())));
+                    at(
+                            Math.max(now, meshHeldUntil[i]) + 1 + random.nextInt(3),
+                            () -> whenAwake(to, () -> deliver(to, s.record())));
                 }
             } else if (e instanceof Effect.Call c) {
                 call(i, life, c);
@@ -542,14 +557,20 @@
      * Takes a controller's request to whom it is for and the answer back, or loses, holds and refuses them as the troubles say.
      * Whose request to a worker it is need not be known: -1.
      */
-    final void transport(int i, Effect.Call c, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> back) {
+    final void transport(
+            int i,
+            Effect.Call c,
+            Map<String, Object> body,
+            java.util.function.BiConsumer<Integer, Map<String, Object>> back) {
         if (lost()) {
             return;
         }
         if (c.target() == Effect.Target.WORKER && i >= 0 && fromWorkers[i]) {
             return;
         }
-        if (c.target() == Effect.Target.WORKER && i != island && marooned.contains(c.address().split(":")[0])) {
+        if (c.target() == Effect.Target.WORKER
+                && i != island
+                && marooned.contains(c.address().split(":")[0])) {
             return;
         }
         boolean store = c.target() == Effect.Target.STORE || c.target() == Effect.Target.WATCH;
@@ -558,23 +579,29 @@
             return;
         }
         if (lateWrites > 0 && c.path().equals("/multi") && random.nextDouble() < lateWrites) {
-            at(now + 2_000 + random.nextInt(10_000), () -> serve(c, body, (status, m) -> { }));
+            at(now + 2_000 + random.nextInt(10_000), () -> serve(c, body, (status, m) -> {}));
             return;
         }
         if (lostAnswers > 0 && c.path().equals("/multi") && random.nextDouble() < lostAnswers) {
-            at(now + 1, () -> serve(c, body, (status, m) -> { }));
+            at(now + 1, () -> serve(c, body, (status, m) -> {}));
             return;
         }
         long held = c.target() == Effect.Target.WORKER ? straightMs + commandsHeldMs(c.address()) : 0;
         held += store && storeSlowMs > 0 ? random.nextInt(storeSlowMs) : 0;
         int answerMs = c.target() == Effect.Target.CLOUD && cloudSlowMs > 0 ? random.nextInt(cloudSlowMs) : 0;
-        at(now + delay() + held, () -> serve(c, body, (status, m) -> {
-            if (!lost() && (c.target() == Effect.Target.WATCH || !(store && refused[i]))) {
-                Map<String, Object> copy = plain(m);
-                boolean watch = c.path().startsWith("/watch");
-                at(now + answerMs + 1 + random.nextInt(5), watch ? () -> served(i, () -> back.accept(status, copy)) : () -> back.accept(status, copy));
-            }
-        }));
+        at(
+                now + delay() + held,
+                () -> serve(c, body, (status, m) -> {
+                    if (!lost() && (c.target() == Effect.Target.WATCH || !(store && refused[i]))) {
+                        Map<String, Object> copy = plain(m);
+                        boolean watch = c.path().startsWith("/watch");
+                        at(
+                                now + answerMs + 1 + random.nextInt(5),
+                                watch
+                                        ? () -> served(i, () -> back.accept(status, copy))
+                                        : () -> back.accept(status, copy));
+                    }
+                }));
     }
 
     /** An open watch of a controller that is refused stays open, and then tells at once what it would have told by then. */
@@ -586,7 +613,10 @@
         }
     }
 
-    private void serve(Effect.Call c, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
+    private void serve(
+            Effect.Call c,
+            Map<String, Object> body,
+            java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
         switch (c.target()) {
             case STORE, WATCH -> store.handle(now, c.method(), c.path(), body, reply);
             case CLOUD -> cloud(c.path(), body, reply);
@@ -594,24 +624,61 @@
         }
     }
 
-    private void cloud(String path, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
+    private void cloud(
+            String path, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
         if (path.equals("/machine_types")) {
-            reply.accept(200, Map.of("builds", List.of(Map.of("name", "g4", "cores", 4.0, "cards", 4.0, "memory_gb", 16.0,
-                    "cache_gb", 50.0, "fetch_gb_per_s", 1.0, "hourly", 4.0, "market_price", 1.0, "ready_s", 10.0))
-                    .stream().map(m -> {
-                        Map<String, Object> x = new HashMap<>(m);
-                        x.put("groves", List.of(ZONES));
-                        return (Object) x;
-                    }).toList()));
+            reply.accept(
+                    200,
+                    Map.of(
+                            "builds",
+                            List.of(Map.of(
+                                            "name",
+                                            "g4",
+                                            "cores",
+                                            4.0,
+                                            "cards",
+                                            4.0,
+                                            "memory_gb",
+                                            16.0,
+                                            "cache_gb",
+                                            50.0,
+                                            "fetch_gb_per_s",
+                                            1.0,
+                                            "hourly",
+                                            4.0,
+                                            "market_price",
+                                            1.0,
+                                            "ready_s",
+                                            10.0))
+                                    .stream()
+                                    .map(m -> {
+                                        Map<String, Object> x = new HashMap<>(m);
+                                        x.put("groves", List.of(ZONES));
+                                        return (Object) x;
+                                    })
+                                    .toList()));
         } else if (path.equals("/rentals")) {
             List<Object> hosts = rentals.computeIfAbsent((String) body.get("ask"), k -> {
                 List<Object> l = new ArrayList<>();
-                for (long n = (Long) body.get("how_many"); n > 0 && workers.size() < (machines > 0 ? machines : Math.max(40, teamLimit)); n--) {
+                for (long n = (Long) body.get("how_many");
+                        n > 0 && workers.size() < (machines > 0 ? machines : Math.max(40, teamLimit));
+                        n--) {
                     String name = String.format("n-%06d", nextMachine++);
                     l.add(name);
-                    workers.put(name, new FakeWorker(this, name, (String) body.get("grove"),
-                            (Boolean) body.get("loaners"), never > 0 && random.nextDouble() < never ? Long.MAX_VALUE / 2
-                            : now + (upAtOnce ? 200 + random.nextInt(1_500) : Math.round(slowBoots * (4_000 + random.nextInt(9_000))))));
+                    workers.put(
+                            name,
+                            new FakeWorker(
+                                    this,
+                                    name,
+                                    (String) body.get("grove"),
+                                    (Boolean) body.get("loaners"),
+                                    never > 0 && random.nextDouble() < never
+                                            ? Long.MAX_VALUE / 2
+                                            : now
+                                                    + (upAtOnce
+                                                            ? 200 + random.nextInt(1_500)
+                                                            : Math.round(
+                                                                    slowBoots * (4_000 + random.nextInt(9_000))))));
                     rented++;
                     rented(workers.get(name));
                 }
@@ -625,7 +692,11 @@
                 FakeWorker w = workers.remove(h);
                 if (w != null) {
                     w.deleted = true;
-                    returnedWithWork += now >= w.hungUntil && w.alive(now) && w.tasks.values().stream().anyMatch(t -> !t.exited()) ? 1 : 0;
+                    returnedWithWork += now >= w.hungUntil
+                                    && w.alive(now)
+                                    && w.tasks.values().stream().anyMatch(t -> !t.exited())
+                            ? 1
+                            : 0;
                 }
             });
             reply.accept(200, Map.of());
@@ -640,10 +711,14 @@
     }
 
     /** A machine was rented. */
-    void rented(FakeWorker worker) { }
+    void rented(FakeWorker worker) {}
 
     /** A command sent straight to a worker; one that hangs carries it out when it goes on. */
-    private void straight(String address, String path, Map<String, Object> body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
+    private void straight(
+            String address,
+            String path,
+            Map<String, Object> body,
+            java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
         FakeWorker w = workers.get(address.substring(0, address.indexOf(':')));
         if (w == null || w.deaf) {
             return;
@@ -718,21 +793,34 @@
         };
         at(now + 4_000, () -> back.accept(0, Map.of()));
         if (copies > 0 && random.nextDouble() < copies) {
-            at(now + 1_000 + random.nextInt(60_000), () -> ask(to, "POST", "/hello", report, (s, m) -> { }));
+            at(now + 1_000 + random.nextInt(60_000), () -> ask(to, "POST", "/hello", report, (s, m) -> {}));
         }
         if (!lost() && !w.mute && !fromWorkers[to] && (to == island || !marooned.contains(w.name))) {
-            at(now + w.reportsHeldMs + delay(), () -> ask(to, "POST", "/hello", report, (s, m) -> {
-                answeredAt[0] = now;
-                if (w.resetBy.contains(to)) {
-                    back.accept(0, Map.of());
-                } else if (!lost() && !w.deaf) {
-                    at(now + 2 + (lateAnswers > 0 && random.nextDouble() < lateAnswers ? random.nextInt(3_900) : 0), () -> back.accept(s, m));
-                }
-            }));
+            at(
+                    now + w.reportsHeldMs + delay(),
+                    () -> ask(to, "POST", "/hello", report, (s, m) -> {
+                        answeredAt[0] = now;
+                        if (w.resetBy.contains(to)) {
+                            back.accept(0, Map.of());
+                        } else if (!lost() && !w.deaf) {
+                            at(
+                                    now
+                                            + 2
+                                            + (lateAnswers > 0 && random.nextDouble() < lateAnswers
+                                                    ? random.nextInt(3_900)
+                                                    : 0),
+                                    () -> back.accept(s, m));
+                        }
+                    }));
         }
     }
 
-    void ask(int node, String method, String path, byte[] body, java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
+    void ask(
+            int node,
+            String method,
+            String path,
+            byte[] body,
+            java.util.function.BiConsumer<Integer, Map<String, Object>> reply) {
         if (now < nodes[node].stillUntil) {
             at(nodes[node].stillUntil, () -> ask(node, method, path, body, reply));
         } else if (nodes[node].core != null) {
@@ -766,12 +854,13 @@
 
     /** One request of a user's about a job, its answer held against all that was told before it was sent. */
     private void question(int node, Told.Kind kind, UserJob j) {
-        question(node, kind, j, status -> { });
+        question(node, kind, j, status -> {});
     }
 
     private void question(int node, Told.Kind kind, UserJob j, java.util.function.IntConsumer then) {
         Told.Question q = j.told.ask(kind);
-        String path = "/v2/runs" + (kind == Told.Kind.SUBMIT ? "" : "/" + j.id + (kind == Told.Kind.CANCEL ? "/withdraw" : ""));
+        String path = "/v2/runs"
+                + (kind == Told.Kind.SUBMIT ? "" : "/" + j.id + (kind == Told.Kind.CANCEL ? "/withdraw" : ""));
         byte[] body = kind == Told.Kind.SUBMIT ? Pack.encode(j.body) : new byte[0];
         ask(node, kind == Told.Kind.POLL ? "GET" : "POST", path, body, (s, m) -> {
             String before = j.told.last();
@@ -849,8 +938,11 @@
 
     /** Tasks of a job on machines, whatever they do there. */
     long tasksOf(String id) {
-        return workers.values().stream().filter(w -> w.alive(now)).flatMap(w -> w.tasks.values().stream())
-                .filter(t -> t.key.startsWith(id + "/") && !t.exited()).count();
+        return workers.values().stream()
+                .filter(w -> w.alive(now))
+                .flatMap(w -> w.tasks.values().stream())
+                .filter(t -> t.key.startsWith(id + "/") && !t.exited())
+                .count();
     }
 
     double cards(String key) {
@@ -871,7 +963,9 @@
         Map<Long, List<FakeWorker.Task>> attempts = new HashMap<>();
         for (FakeWorker w : workers.values()) {
             for (FakeWorker.Task t : w.tasks.values()) {
-                if (w.alive(now) && now >= w.hungUntil && t.key.startsWith(j.id + "/")
+                if (w.alive(now)
+                        && now >= w.hungUntil
+                        && t.key.startsWith(j.id + "/")
                         && (t.stage.equals("waiting") || t.stage.equals("running"))) {
                     attempts.computeIfAbsent(t.attempt, k -> new ArrayList<>()).add(t);
                 }
@@ -881,7 +975,8 @@
             boolean running = l.stream().anyMatch(t -> t.stage.equals("running"));
             if (running && l.size() < j.tasks) {
                 end(l, "mates_gone");
-            } else if (running && now >= l.get(0).until || !running && l.size() == j.tasks && done.contains(l.get(0).key)) {
+            } else if (running && now >= l.get(0).until
+                    || !running && l.size() == j.tasks && done.contains(l.get(0).key)) {
                 l.forEach(t -> finished(t.key));
                 end(l, "done");
             } else if (!running && l.size() == j.tasks) {
@@ -922,7 +1017,9 @@
         if (runs.containsKey(key) && !done.contains(key)) {
             return runs.get(key);
         }
-        return "standing".equals(j.body.get("shape")) ? Long.MAX_VALUE / 4 : done.contains(key) ? 1 : 4_000 + random.nextInt(8_000);
+        return "standing".equals(j.body.get("shape"))
+                ? Long.MAX_VALUE / 4
+                : done.contains(key) ? 1 : 4_000 + random.nextInt(8_000);
     }
 
     void started(FakeWorker w, FakeWorker.Task t) {
@@ -1003,15 +1100,24 @@
         StringBuilder peers = new StringBuilder();
         for (int k = 0; k < nodes.length; k++) {
             if (k != i) {
-                peers.append(peers.isEmpty() ? "" : ",").append("{\"member\":\"perch-").append(k).append("\",\"area\":\"")
-                        .append(ZONES[k % 2]).append("\",\"peer_addr\":\"").append(peerAddress(i, k)).append("\"}");
+                peers.append(peers.isEmpty() ? "" : ",")
+                        .append("{\"member\":\"perch-")
+                        .append(k)
+                        .append("\",\"area\":\"")
+                        .append(ZONES[k % 2])
+                        .append("\",\"peer_addr\":\"")
+                        .append(peerAddress(i, k))
+                        .append("\"}");
             }
         }
         return "{\"member\":\"perch-" + i + "\",\"area\":\"" + ZONES[i % 2] + "\",\"listen\":\"" + listenAddress(i)
                 + "\",\"mesh_addr\":\"" + meshAddress(i) + "\",\"seeds\":[" + peers + "],"
-                + "\"external\":{\"cloud\":\"" + cloudAddress(i) + "\",\"state\":\"" + storeAddress(i) + "\"},\"deployment\":{\"zones\":[\"east\",\"west\"],"
-                + "\"teams\":[{\"name\":\"guests\"},{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0,\"gpus\":6,\"gpus_max\":" + teamLimit + "}],"
-                + "\"workers\":{\"report_s\":3,\"lease_s\":" + leaseMs / 1000.0 + ",\"gang_wait_s\":20,\"gang_peer_s\":4,\"cancel_s\":"
+                + "\"external\":{\"cloud\":\"" + cloudAddress(i) + "\",\"state\":\"" + storeAddress(i)
+                + "\"},\"deployment\":{\"zones\":[\"east\",\"west\"],"
+                + "\"teams\":[{\"name\":\"guests\"},{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0,\"gpus\":6,\"gpus_max\":"
+                + teamLimit + "}],"
+                + "\"workers\":{\"report_s\":3,\"lease_s\":" + leaseMs / 1000.0
+                + ",\"gang_wait_s\":20,\"gang_peer_s\":4,\"cancel_s\":"
                 + cancelMs / 1000.0 + "},\"state\":{\"rps\":200,\"write_rps\":60,\"value_kb\":8,\"txn_ops\":12},"
                 + "\"cloud\":{\"rps\":5,\"list_lag_s\":5},\"resources\":{\"cores\":1,\"ram_mb\":200,\"max_connections\":500}}}";
     }
--- a/src/test/java/birchusher/statehost/EdgeTest.java
+++ b/src/test/java/birchusher/statehost/EdgeTest.java
@@ -25,11 +25,13 @@
     private long ticket;
 
     EdgeTest() throws IOException {
-        keeper = Keeper.open(new FaultDisk(FaultDisk.Lie.NONE), Log.Options.USUAL, 1 << 20, new Limits(1_000, 1_000, 4, 64), 0);
+        keeper = Keeper.open(
+                new FaultDisk(FaultDisk.Lie.NONE), Log.Options.USUAL, 1 << 20, new Limits(1_000, 1_000, 4, 64), 0);
     }
 
     private String ask(String method, String target, String json) {
-        byte[] body = json.isEmpty() ? new byte[0] : Pack.encode(SettingsReader.tree(json.getBytes(StandardCharsets.UTF_8)));
+        byte[] body =
+                json.isEmpty() ? new byte[0] : Pack.encode(SettingsReader.tree(json.getBytes(StandardCharsets.UTF_8)));
         try {
             Request r = Edge.read(method, target, body);
             Edge.Out[] out = new Edge.Out[1];
@@ -49,22 +51,33 @@
     void theMessagesOfThePage() {
         assertThat(ask("GET", "/store/a/b", "")).isEqualTo("404 {\"epoch\":0}");
         assertThat(ask("POST", "/leases", "{\"life_ms\":5000}")).isEqualTo("200 {\"hold\":1}");
-        assertThat(ask("POST", "/multi", "{\"if\":[{\"path\":\"a/b\",\"stamp\":0}],\"writes\":[{\"set\":\"a/b\",\"value\":{\"x\":1.5},"
-                + "\"hold\":1},{\"remove\":\"c/d\"}]}")).isEqualTo("200 {\"epoch\":1}");
-        assertThat(ask("POST", "/multi", "{\"if\":[{\"path\":\"a/b\",\"stamp\":0}],\"writes\":[{\"set\":\"a/b\",\"value\":null}]}"))
+        assertThat(ask(
+                        "POST",
+                        "/multi",
+                        "{\"if\":[{\"path\":\"a/b\",\"stamp\":0}],\"writes\":[{\"set\":\"a/b\",\"value\":{\"x\":1.5},"
+                                + "\"hold\":1},{\"remove\":\"c/d\"}]}"))
+                .isEqualTo("200 {\"epoch\":1}");
+        assertThat(ask(
+                        "POST",
+                        "/multi",
+                        "{\"if\":[{\"path\":\"a/b\",\"stamp\":0}],\"writes\":[{\"set\":\"a/b\",\"value\":null}]}"))
                 .isEqualTo("409 {\"epoch\":1,\"failed\":[\"a/b\"]}");
-        assertThat(ask("GET", "/store/a/b", "")).isEqualTo("200 {\"hold\":1,\"path\":\"a/b\",\"stamp\":1,\"value\":{\"x\":1.5}}");
-        assertThat(ask("POST", "/multi", "{\"writes\":[{\"set\":\"a/c\",\"value\":[true,null,\"ü\"]}]}")).isEqualTo("200 {\"epoch\":2}");
-        assertThat(ask("GET", "/store?under=a/&since=a/b&page=200", "")).isEqualTo("200 {\"epoch\":2,\"has_next\":false,"
-                + "\"rows\":[{\"path\":\"a/c\",\"stamp\":2,\"value\":[true,null,\"ü\"]}]}");
+        assertThat(ask("GET", "/store/a/b", ""))
+                .isEqualTo("200 {\"hold\":1,\"path\":\"a/b\",\"stamp\":1,\"value\":{\"x\":1.5}}");
+        assertThat(ask("POST", "/multi", "{\"writes\":[{\"set\":\"a/c\",\"value\":[true,null,\"ü\"]}]}"))
+                .isEqualTo("200 {\"epoch\":2}");
+        assertThat(ask("GET", "/store?under=a/&since=a/b&page=200", ""))
+                .isEqualTo("200 {\"epoch\":2,\"has_next\":false,"
+                        + "\"rows\":[{\"path\":\"a/c\",\"stamp\":2,\"value\":[true,null,\"ü\"]}]}");
         assertThat(ask("GET", "/store?under=a/&page=1", "")).contains("\"has_next\":true");
-        assertThat(ask("GET", "/watch?under=a/&since=1&wait_ms=0", "")).isEqualTo(
-                "200 {\"epoch\":2,\"events\":[{\"set\":\"a/c\",\"stamp\":2,\"value\":[true,null,\"ü\"]}]}");
+        assertThat(ask("GET", "/watch?under=a/&since=1&wait_ms=0", ""))
+                .isEqualTo("200 {\"epoch\":2,\"events\":[{\"set\":\"a/c\",\"stamp\":2,\"value\":[true,null,\"ü\"]}]}");
         assertThat(ask("GET", "/watch?under=a/&since=2&wait_ms=10000", "")).isEqualTo("waits");
         assertThat(ask("GET", "/watch?under=a/&since=99", "")).startsWith("410 ");
         assertThat(ask("POST", "/leases/1/extend", "")).isEqualTo("200 {}");
         assertThat(ask("DELETE", "/leases/1", "")).isEqualTo("200 {}");
-        assertThat(ask("GET", "/watch?under=a/&since=2", "")).isEqualTo("200 {\"epoch\":3,\"events\":[{\"remove\":\"a/b\",\"stamp\":3}]}");
+        assertThat(ask("GET", "/watch?under=a/&since=2", ""))
+                .isEqualTo("200 {\"epoch\":3,\"events\":[{\"remove\":\"a/b\",\"stamp\":3}]}");
         assertThat(ask("POST", "/leases/1/extend", "")).startsWith("404 ");
         assertThat(ask("POST", "/multi", "{\"writes\":[{\"set\":\"a/b\",\"value\":1,\"hold\":1}]}"))
                 .isEqualTo("400 {\"error\":\"no such lease\"}");
@@ -72,14 +85,20 @@
 
     @Test
     void whatIsWrongIsNamed() {
-        Map<String, String> bad = Map.ofEntries(Map.entry("{\"writes\":[{\"set\":\"a b\",\"value\":1}]}", "spaces"),
-                Map.entry("{\"writes\":[{\"set\":\"a\"}]}", "value"), Map.entry("{\"writes\":[{}]}", "remove"),
+        Map<String, String> bad = Map.ofEntries(
+                Map.entry("{\"writes\":[{\"set\":\"a b\",\"value\":1}]}", "spaces"),
+                Map.entry("{\"writes\":[{\"set\":\"a\"}]}", "value"),
+                Map.entry("{\"writes\":[{}]}", "remove"),
                 Map.entry("{\"writes\":[{\"set\":\"" + "k".repeat(201) + "\",\"value\":1}]}", "200"),
-                Map.entry("{\"if\":[{\"path\":\"a\"}]}", "stamp"), Map.entry("{\"if\":[{\"stamp\":1}]}", "path"),
+                Map.entry("{\"if\":[{\"path\":\"a\"}]}", "stamp"),
+                Map.entry("{\"if\":[{\"stamp\":1}]}", "path"),
                 Map.entry("{\"writes\":[{\"set\":\"a\",\"value\":\"" + "v".repeat(63) + "\"}]}", "64"),
-                Map.entry("{\"writes\":[{\"remove\":\"a\"},{\"remove\":\"b\"},{\"remove\":\"c\"},{\"remove\":\"d\"},{\"remove\":\"e\"}]}", "4"),
+                Map.entry(
+                        "{\"writes\":[{\"remove\":\"a\"},{\"remove\":\"b\"},{\"remove\":\"c\"},{\"remove\":\"d\"},{\"remove\":\"e\"}]}",
+                        "4"),
                 Map.entry("{\"writes\":[{\"set\":\"a\",\"value\":1},{\"remove\":\"a\"}]}", "twice"));
-        bad.forEach((json, word) -> assertThat(ask("POST", "/multi", json)).startsWith("400 ").contains(word));
+        bad.forEach((json, word) ->
+                assertThat(ask("POST", "/multi", json)).startsWith("400 ").contains(word));
         assertThat(ask("GET", "/watch?under=a", "")).startsWith("400 since");
         assertThat(ask("GET", "/watch?since=1&wait_ms=60001", "")).startsWith("400 wait_ms");
         assertThat(ask("GET", "/store?page=1001", "")).startsWith("400 page");
--- a/src/test/java/birchusher/statehost/KeeperMeasure.java
+++ b/src/test/java/birchusher/statehost/KeeperMeasure.java
@@ -21,14 +21,15 @@
     private static final byte[] JOB = new byte[400];
     private static final byte[] ENDED = new byte[60];
 
-    private KeeperMeasure() { }
+    private KeeperMeasure() {}
 
     private static Keeper open(Path dir) throws IOException {
         return Keeper.open(new HostDisk(dir), Log.Options.USUAL, 64 << 20, LIMITS, 0);
     }
 
     private static void change(Keeper k, long ticket, String key, byte[] value) {
-        List<Answer> early = k.handle(ticket, ticket, new Request.Txn(List.of(), List.of(new Write.Set(key, value, 0)), 500, 500));
+        List<Answer> early =
+                k.handle(ticket, ticket, new Request.Txn(List.of(), List.of(new Write.Set(key, value, 0)), 500, 500));
         if (!early.isEmpty()) {
             throw new IllegalStateException("answered before it was durable: " + early);
         }
@@ -70,7 +71,8 @@
                 p.write();
                 k.pictured(0, p, true);
                 k.flush(0);
-                System.out.printf("%d ended jobs: snapshot written in %.2f s%n", jobs, (System.nanoTime() - from) / 1e9);
+                System.out.printf(
+                        "%d ended jobs: snapshot written in %.2f s%n", jobs, (System.nanoTime() - from) / 1e9);
             }
             report(dir, jobs, "snapshot");
         }
@@ -87,9 +89,11 @@
         try (Keeper k = open(dir)) {
             double s = (System.nanoTime() - start) / 1e9;
             System.gc();
-            long used = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-            System.out.printf("%d ended jobs, %s: start %.2f s, heap %d MB, %d bytes a job on disk%n", jobs, from, s,
-                    used >> 20, bytes / jobs);
+            long used =
+                    Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+            System.out.printf(
+                    "%d ended jobs, %s: start %.2f s, heap %d MB, %d bytes a job on disk%n",
+                    jobs, from, s, used >> 20, bytes / jobs);
             if (k.state().rows().size() != jobs) {
                 throw new IllegalStateException("rows lost");
             }
--- a/src/test/java/birchusher/statehost/KeeperTest.java
+++ b/src/test/java/birchusher/statehost/KeeperTest.java
@@ -65,7 +65,8 @@
                     assertThat(s.leases().get(r.lease()).keys()).contains(k);
                 }
             });
-            s.leases().values().forEach(l -> l.keys().forEach(k -> assertThat(s.rows()).containsKey(k)));
+            s.leases().values().forEach(l -> l.keys()
+                    .forEach(k -> assertThat(s.rows()).containsKey(k)));
             states.tailMap(s.revision(), false).clear();
             answered = s.revision();
         }
@@ -86,16 +87,30 @@
             TreeMap<String, Write> writes = new TreeMap<>();
             for (int w = r.nextInt(3); w >= 0; w--) {
                 String key = "k" + r.nextInt(8);
-                writes.put(key, r.nextInt(5) == 0 ? new Write.Remove(key) : new Write.Set(key, bytes("v" + r.nextInt(1_000)),
-                        k.state().leases().isEmpty() ? 0 : new TreeSet<>(k.state().leases().keySet()).last()));
+                writes.put(
+                        key,
+                        r.nextInt(5) == 0
+                                ? new Write.Remove(key)
+                                : new Write.Set(
+                                        key,
+                                        bytes("v" + r.nextInt(1_000)),
+                                        k.state().leases().isEmpty()
+                                                ? 0
+                                                : new TreeSet<>(k.state()
+                                                                .leases()
+                                                                .keySet())
+                                                        .last()));
             }
             // Nothing else is open here, so the engine's newest state is what the model has.
-            if (!k.stalled() && writes.values().stream().anyMatch(w -> w instanceof Write.Set || model.containsKey(w.key()))) {
+            if (!k.stalled()
+                    && writes.values().stream().anyMatch(w -> w instanceof Write.Set || model.containsKey(w.key()))) {
                 revision++;
                 for (Write w : writes.values()) {
                     model.remove(w.key());
                     if (w instanceof Write.Set s) {
-                        model.put(w.key(), new String(s.value(), StandardCharsets.UTF_8) + "@" + revision + "/" + s.lease());
+                        model.put(
+                                w.key(),
+                                new String(s.value(), StandardCharsets.UTF_8) + "@" + revision + "/" + s.lease());
                     }
                 }
                 seen.states.put(revision, new TreeMap<>(model));
@@ -130,7 +145,8 @@
     }
 
     /** The states after any of the leases' ends that may be under way, one after the other in the order of their numbers. */
-    private static Map<Long, TreeMap<String, String>> ended(TreeMap<String, String> model, long revision, State durable) {
+    private static Map<Long, TreeMap<String, String>> ended(
+            TreeMap<String, String> model, long revision, State durable) {
         Map<Long, TreeMap<String, String>> states = new TreeMap<>();
         TreeMap<String, String> m = new TreeMap<>(model);
         long at = revision;
--- a/src/test/java/birchusher/store/StoreLinkTest.java
+++ b/src/test/java/birchusher/store/StoreLinkTest.java
@@ -9,8 +9,8 @@
 import birchusher.settings.Settings;
 import birchusher.settings.SettingsReader;
 import birchusher.settings.Tuning;
-import birchusher.wire.Json;
 import birchusher.wire.JobCodec;
+import birchusher.wire.Json;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,7 +35,10 @@
     }
 
     private List<Effect.Call> calls(String path) {
-        return fx.drain().stream().filter(e -> e instanceof Effect.Call c && c.path().startsWith(path)).map(e -> (Effect.Call) e).toList();
+        return fx.drain().stream()
+                .filter(e -> e instanceof Effect.Call c && c.path().startsWith(path))
+                .map(e -> (Effect.Call) e)
+                .toList();
     }
 
     private void answer(String path, int status, Map<String, Object> body) {
@@ -62,10 +65,10 @@
             }
 
             @Override
-            public void committed(long revision) { }
+            public void committed(long revision) {}
 
             @Override
-            public void dropped() { }
+            public void dropped() {}
         });
     }
 
--- a/src/test/java/birchusher/wal/FaultDisk.java
+++ b/src/test/java/birchusher/wal/FaultDisk.java
@@ -27,9 +27,13 @@
         }
     }
 
-    public enum Lie { NONE, FILE_SYNCS, NAME_SYNCS }
+    public enum Lie {
+        NONE,
+        FILE_SYNCS,
+        NAME_SYNCS
+    }
 
-    private record Piece(long offset, byte[] bytes, boolean cut) { }
+    private record Piece(long offset, byte[] bytes, boolean cut) {}
 
     private static final class Node {
         byte[] durable = {};
@@ -45,7 +49,7 @@
         }
     }
 
-    private record Naming(String gone, String name, Node node) { }
+    private record Naming(String gone, String name, Node node) {}
 
     private final Map<String, Node> durableNames = new LinkedHashMap<>();
     private final Map<String, Node> names = new LinkedHashMap<>();
@@ -55,6 +59,7 @@
     int calls;
     /** The bytes of the write that the fault fell on, 0 if it was another call. */
     int hit;
+
     private int faultAt = -1;
     private int part;
     private boolean fails;
@@ -84,8 +89,8 @@
         Map<Node, Node> copies = new IdentityHashMap<>();
         names.forEach((name, n) -> d.names.put(name, copies.computeIfAbsent(n, Node::copy)));
         durableNames.forEach((name, n) -> d.durableNames.put(name, copies.computeIfAbsent(n, Node::copy)));
-        namings.forEach(n -> d.namings.add(new Naming(n.gone, n.name,
-                n.node == null ? null : copies.computeIfAbsent(n.node, Node::copy))));
+        namings.forEach(n -> d.namings.add(
+                new Naming(n.gone, n.name, n.node == null ? null : copies.computeIfAbsent(n.node, Node::copy))));
         return d;
     }
 
@@ -107,11 +112,12 @@
             Node n = new Node();
             n.now = node.durable;
             for (Piece p : node.pieces) {
-                int kept = switch (r.nextInt(3)) {
-                    case 0 -> 0;
-                    case 1 -> p.cut ? 1 : r.nextInt(p.bytes.length + 1);
-                    default -> p.cut ? 1 : p.bytes.length;
-                };
+                int kept =
+                        switch (r.nextInt(3)) {
+                            case 0 -> 0;
+                            case 1 -> p.cut ? 1 : r.nextInt(p.bytes.length + 1);
+                            default -> p.cut ? 1 : p.bytes.length;
+                        };
                 if (kept > 0) {
                     n.now = p.cut ? Arrays.copyOf(n.now, (int) p.offset) : put(n.now, p.offset, p.bytes, kept);
                 }
@@ -235,7 +241,7 @@
     }
 
     @Override
-    public void close() { }
+    public void close() {}
 
     private final class File implements Out {
         private final Node node;
@@ -285,6 +291,6 @@
         }
 
         @Override
-        public void close() { }
+        public void close() {}
     }
 }
--- a/src/test/java/birchusher/wal/HostDiskTest.java
+++ b/src/test/java/birchusher/wal/HostDiskTest.java
@@ -35,7 +35,8 @@
     @Test
     void recordsSnapshotsAndRepairsWorkOnFiles(@TempDir Path dir) throws IOException {
         List<String> written = new ArrayList<>();
-        try (HostDisk disk = new HostDisk(dir); Log log = Log.open(disk, new Log.Options(200, 2), new Texts())) {
+        try (HostDisk disk = new HostDisk(dir);
+                Log log = Log.open(disk, new Log.Options(200, 2), new Texts())) {
             for (int i = 0; i < 20; i++) {
                 written.add("record " + i);
                 log.append(written.get(i).getBytes(StandardCharsets.UTF_8));
@@ -57,9 +58,14 @@
             assertThat(found.all).isEqualTo(written);
             assertThat(Repair.plan(disk)).isNull();
             // One file of the log lost: refused, then repaired up to the gap.
-            String lost = disk.names().stream().filter(n -> n.startsWith("log-")).sorted().toList().get(2);
+            String lost = disk.names().stream()
+                    .filter(n -> n.startsWith("log-"))
+                    .sorted()
+                    .toList()
+                    .get(2);
             disk.delete(lost);
-            assertThatThrownBy(() -> Log.open(disk, Log.Options.USUAL, new Texts())).isInstanceOf(Damaged.class);
+            assertThatThrownBy(() -> Log.open(disk, Log.Options.USUAL, new Texts()))
+                    .isInstanceOf(Damaged.class);
             Repair.Plan plan = Repair.plan(disk);
             assertThat(plan.lines()).anyMatch(l -> l.startsWith("lost: "));
             Repair.apply(disk, plan);
--- a/src/test/java/birchusher/wal/LogFaultTest.java
+++ b/src/test/java/birchusher/wal/LogFaultTest.java
@@ -180,10 +180,10 @@
 
     @Test
     void withoutSyncsTheSameTestFails() {
-        assertThatThrownBy(() -> everywhere(FaultDisk.Lie.FILE_SYNCS, 5, false)).isInstanceOfAny(AssertionError.class,
-                Damaged.class);
-        assertThatThrownBy(() -> everywhere(FaultDisk.Lie.NAME_SYNCS, 5, false)).isInstanceOfAny(AssertionError.class,
-                Damaged.class);
+        assertThatThrownBy(() -> everywhere(FaultDisk.Lie.FILE_SYNCS, 5, false))
+                .isInstanceOfAny(AssertionError.class, Damaged.class);
+        assertThatThrownBy(() -> everywhere(FaultDisk.Lie.NAME_SYNCS, 5, false))
+                .isInstanceOfAny(AssertionError.class, Damaged.class);
     }
 
     @Test
@@ -225,13 +225,15 @@
         FaultDisk d = new FaultDisk(FaultDisk.Lie.NONE);
         Model m = new Model();
         play(d, m, 5, 12);
-        List<String> snapshots = d.names().stream().filter(n -> n.startsWith("snap-")).sorted().toList();
+        List<String> snapshots =
+                d.names().stream().filter(n -> n.startsWith("snap-")).sorted().toList();
         assertThat(snapshots).hasSize(2);
         // Both snapshots gone, as if an older directory had been restored beside newer files.
         for (String n : snapshots) {
             d.delete(n);
         }
-        assertThatThrownBy(() -> Log.open(d, SMALL, new Model())).isInstanceOf(Damaged.class)
+        assertThatThrownBy(() -> Log.open(d, SMALL, new Model()))
+                .isInstanceOf(Damaged.class)
                 .hasMessageContaining("begins with record");
     }
 }
--- a/src/test/java/birchusher/workers/FaultsTest.java
+++ b/src/test/java/birchusher/workers/FaultsTest.java
@@ -16,7 +16,8 @@
 
 /** Seen in the plants' incident: eleven jobs submitted with a mistake made 404 errors, and each left a machine idle for ten seconds. */
 class FaultsTest {
-    private final Catalog catalog = new Catalog(SettingsReader.read(TestJobs.SETTINGS.getBytes(StandardCharsets.UTF_8)));
+    private final Catalog catalog =
+            new Catalog(SettingsReader.read(TestJobs.SETTINGS.getBytes(StandardCharsets.UTF_8)));
     private final View view = new View(catalog, new JobCodec(catalog));
     private final Faults faults = new Faults();
     private final Machine a = new Machine("a", 0, 10);
@@ -51,11 +52,15 @@
         }
         assertThat(faults.condemns(a, view::job)).isFalse();
         faults.failed(job("wk-fine"), b);
-        assertThat(faults.condemns(b, view::job)).as("four jobs, and nothing ended well between them").isTrue();
+        assertThat(faults.condemns(b, view::job))
+                .as("four jobs, and nothing ended well between them")
+                .isTrue();
         Machine c = new Machine("c", 0, 10);
         faults.failed(view.job("wk-fine"), c);
         faults.failed(job("wk-good"), c);
-        assertThat(faults.condemns(c, view::job)).as("one of the two failed elsewhere as well").isFalse();
+        assertThat(faults.condemns(c, view::job))
+                .as("one of the two failed elsewhere as well")
+                .isFalse();
         faults.failed(job("wk-too"), c);
         assertThat(faults.condemns(c, view::job)).isTrue();
     }
--- a/src/test/java/birchusher/workers/GrantsTest.java
+++ b/src/test/java/birchusher/workers/GrantsTest.java
@@ -24,6 +24,7 @@
     private static final long TERM = 5;
     /** A lease of 10 s, the clocks' drift and the margin. */
     private static final long DURATION_MS = 11_010;
+
     private static final WorkerLease.Ownership OWNED = new WorkerLease.Ownership(1_000, 2_000);
 
     private final WorkerLease lease = new WorkerLease(10);
@@ -77,7 +78,9 @@
         answered(report(1, 10, TERM - 1, Map.of()), 10_000);
         assertThat(lease.endsBy(TERM, unfenced)).isEqualTo(WorkerLease.NEVER);
         lease.heard(report(11), TERM, 13_500);
-        assertThat(lease.endsBy(TERM, unfenced)).as("it may have heard an earlier owner up to then").isEqualTo(13_500 + DURATION_MS);
+        assertThat(lease.endsBy(TERM, unfenced))
+                .as("it may have heard an earlier owner up to then")
+                .isEqualTo(13_500 + DURATION_MS);
         lease.heard(report(12), TERM, 16_000);
         assertThat(end()).isEqualTo(13_500 + DURATION_MS);
         assertThat(lease.endsBy(TERM + 1, unfenced)).as("a new term").isEqualTo(WorkerLease.NEVER);
@@ -114,8 +117,11 @@
         body.put("name_id", "wk-1");
         view.put(Keys.JOB + "wk-1", new HashMap<>(Map.of("s", "OPEN", "k", 100L, "t", 0L, "j", body)), 1);
         Claim next = new Claim(view.job("wk-1"), 0, 2, "n-2", 1, 0);
-        assertThatThrownBy(() -> checks.start(next, second)).isInstanceOf(AssertionError.class).hasMessageContaining("started_while_elsewhere");
-        assertThatThrownBy(() -> checks.releaseOfSilent(next, first)).isInstanceOf(AssertionError.class)
+        assertThatThrownBy(() -> checks.start(next, second))
+                .isInstanceOf(AssertionError.class)
+                .hasMessageContaining("started_while_elsewhere");
+        assertThatThrownBy(() -> checks.releaseOfSilent(next, first))
+                .isInstanceOf(AssertionError.class)
                 .hasMessageContaining("release_before_lease_end");
         assertThat(counters.unsafe).isEqualTo(2);
         checks.start(next, first);
