--- a/src/main/java/birchusher/core/Effect.java
+++ b/src/main/java/birchusher/core/Effect.java
@@ -14,6 +14,7 @@
     /** Sends one record to another controller. It may be lost. */
     record Send(int peer, byte[] record) implements Effect {}
 
+    /** Whom a call is for. */
     enum Target {
         STORE,
         WATCH,
--- a/src/main/java/birchusher/kv/Engine.java
+++ b/src/main/java/birchusher/kv/Engine.java
@@ -38,6 +38,7 @@
     /** What the edge has to do. */
     public sealed interface Output {}
 
+    /** The reply to the request with this ticket. */
     public record Answer(long ticket, Reply reply) implements Output {}
 
     /** Make it durable as this record, in this order. */
--- a/src/main/java/birchusher/kv/Entry.java
+++ b/src/main/java/birchusher/kv/Entry.java
@@ -11,6 +11,7 @@
         }
     }
 
+    /** A lease was granted, for a life in milliseconds. */
     record Granted(long lease, long lifeMs) implements Entry {}
 
     /** A lease that ended, by its time or by request; its keys go with it, at one revision if there are any. */
--- a/src/main/java/birchusher/kv/Reply.java
+++ b/src/main/java/birchusher/kv/Reply.java
@@ -5,22 +5,28 @@
 
 /** An answer; its edge gives it the published form. */
 public sealed interface Reply {
+    /** One row. */
     record Found(String key, Row row) implements Reply {}
 
     /** There is no such key; the present revision. */
     record Missing(long revision) implements Reply {}
 
+    /** A page of rows in the order of their keys, and whether more follow. */
     record Rows(List<Map.Entry<String, Row>> rows, boolean more, long revision) implements Reply {}
 
+    /** A transaction was applied as this revision. */
     record Committed(long revision) implements Reply {}
 
     /** Conditions that do not hold; nothing was changed. */
     record Failed(List<String> keys, long revision) implements Reply {}
 
+    /** A lease was granted under this number. */
     record Leased(long lease) implements Reply {}
 
+    /** Carried out; there is nothing more to say. */
     record Done() implements Reply {}
 
+    /** The changes that a watch waited for, up to this revision. */
     record Events(List<State.Event> events, long revision) implements Reply {}
 
     /** The lease has ended or never was: 404, and 400 for a write that names it. */
@@ -29,6 +35,7 @@
     /** Older than what is remembered: the keys must be read again. */
     record TooOld() implements Reply {}
 
+    /** Refused as over the limit; to be tried again after so many seconds. */
     record TooMany(int retryAfterS) implements Reply {}
 
     /** Not executed, and can't be at present. */
--- a/src/main/java/birchusher/kv/Request.java
+++ b/src/main/java/birchusher/kv/Request.java
@@ -4,6 +4,7 @@
 
 /** What a client of the state service may ask, read and bounded by its edge. */
 public sealed interface Request {
+    /** Reads one row. */
     record Get(String key) implements Request {}
 
     /** Rows whose key begins with {@code prefix} and comes after {@code after}, at most {@code most}. */
@@ -20,10 +21,13 @@
         }
     }
 
+    /** Asks for a lease of so many milliseconds. */
     record Grant(long lifeMs) implements Request {}
 
+    /** Extends a lease by its whole life. */
     record Extend(long lease) implements Request {}
 
+    /** Ends a lease, with the rows attached to it. */
     record End(long lease) implements Request {}
 
     /** Waits until a key under the prefix has changed after {@code since}, or for that long. */
--- a/src/main/java/birchusher/kv/Write.java
+++ b/src/main/java/birchusher/kv/Write.java
@@ -4,7 +4,9 @@
 public sealed interface Write {
     String key();
 
+    /** Writes a row; {@code lease} 0: attached to none. */
     record Set(String key, byte[] value, long lease) implements Write {}
 
+    /** Removes a row. */
     record Remove(String key) implements Write {}
 }
--- a/src/main/java/birchusher/lease/TaskLease.java
+++ b/src/main/java/birchusher/lease/TaskLease.java
@@ -2,6 +2,7 @@
 
 /** The lease of one attempt. Time comes in from outside; nothing here reads a clock. */
 public final class TaskLease {
+    /** What a report did to a task's lease. */
     public enum Renewal {
         GRANTED,
         AT_CAP,
--- a/src/main/java/birchusher/mesh/PeerRecord.java
+++ b/src/main/java/birchusher/mesh/PeerRecord.java
@@ -62,6 +62,7 @@
             List<String> gone)
             implements PeerRecord {}
 
+    /** One task offered on one machine, in the worker's session that the offering controller saw. */
     record Item(String job, int task, String machine, long session) {}
 
     /**
@@ -82,11 +83,13 @@
     /** {@code withTasks}: even if replicas run there, which then move elsewhere. */
     record Retire(String machine, boolean withTasks) implements PeerRecord {}
 
+    /** The owner's answer to {@link Retire}. */
     record Retired(String machine, boolean agreed) implements PeerRecord {}
 
     /** The end of an attempt, proven under the sender's term; the kind as its ordinal. */
     record Ended(String job, int task, long attempt, String machine, int shard, long term, int kind) {}
 
+    /** Ends of attempts that the owner of their machines has proved, for the controller that writes them. */
     record Outcomes(List<Ended> items) implements PeerRecord {}
 
     /**
--- a/src/main/java/birchusher/pool/Hosts.java
+++ b/src/main/java/birchusher/pool/Hosts.java
@@ -21,6 +21,7 @@
         }
     }
 
+    /** A host as the operator lists it. */
     public record Host(String name, String type, String zone) {}
 
     public Hosts {
--- a/src/main/java/birchusher/recovery/Squaring.java
+++ b/src/main/java/birchusher/recovery/Squaring.java
@@ -41,6 +41,7 @@
      */
     public record Known(boolean before, boolean loose, boolean fenced, boolean told) {}
 
+    /** What is to be written of a claim. */
     public enum Write {
         NOTHING,
         DONE,
--- a/src/main/java/birchusher/settings/Settings.java
+++ b/src/main/java/birchusher/settings/Settings.java
@@ -28,6 +28,7 @@
         int maxConnections,
         double clockOffMs) {
 
+    /** A host's IP number and port. */
     public record Address(String host, int port) {
         @Override
         public String toString() {
@@ -35,10 +36,13 @@
         }
     }
 
+    /** Another controller. */
     public record Peer(String member, String zone, Address address) {}
 
+    /** A team's guarantee and limit in CPUs and GPUs; 0: none. */
     public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
 
+    /** An aim of the deployment: this share of a class within so many seconds. */
     public record Objective(String kind, String cls, double withinS, double share) {}
 
     /** By the protocol a worker waits so long for an answer, and asks the next controller after that much more. */
--- a/src/main/java/birchusher/store/Job.java
+++ b/src/main/java/birchusher/store/Job.java
@@ -9,6 +9,7 @@
 
 /** A job that has not been put away yet, with its placement. */
 public final class Job {
+    /** A job's state as its row has it; a job whose tasks are all done counts as done before its row says so. */
     public enum State {
         OPEN,
         DONE,
--- a/src/main/java/birchusher/workers/Entry.java
+++ b/src/main/java/birchusher/workers/Entry.java
@@ -7,6 +7,7 @@
 
 /** One task as a worker reports it. */
 public record Entry(String key, long attempt, Phase phase, Why why, boolean saved) {
+    /** Where a task stands on its machine. */
     public enum Phase {
         FETCHING,
         WAITING,
@@ -15,6 +16,7 @@
         EXITED
     }
 
+    /** Why a task exited; {@link #NONE} before it has. */
     public enum Why {
         NONE,
         DONE,
--- a/src/test/java/birchusher/wal/FaultDisk.java
+++ b/src/test/java/birchusher/wal/FaultDisk.java
@@ -27,6 +27,7 @@
         }
     }
 
+    /** What the disk does wrong. */
     public enum Lie {
         NONE,
         FILE_SYNCS,
