--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -5,24 +5,24 @@
 import birchusher.core.Effects;
 import birchusher.core.Fields;
 import birchusher.core.Fields.Bad;
-import birchusher.fleet.Buyer;
+import birchusher.fleet.Autoscaler;
 import birchusher.http.Target;
-import birchusher.jobs.Desk;
 import birchusher.jobs.Events;
+import birchusher.jobs.JobApi;
 import birchusher.jobs.Listing;
 import birchusher.lease.Hazards;
 import birchusher.lease.LeaseTerms;
 import birchusher.lease.Speeds;
+import birchusher.membership.Membership;
 import birchusher.mesh.PeerCodec;
 import birchusher.mesh.PeerRecord;
 import birchusher.model.Catalog;
 import birchusher.placement.Driver;
 import birchusher.placement.Planner;
 import birchusher.placement.Slot;
-import birchusher.recovery.Census;
+import birchusher.recovery.Inventory;
 import birchusher.recovery.Losses;
 import birchusher.recovery.Orders;
-import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
 import birchusher.store.Claim;
@@ -32,10 +32,10 @@
 import birchusher.wire.Pack;
 import birchusher.wire.Wire;
 import birchusher.workers.Counters;
+import birchusher.workers.MachineStatus;
+import birchusher.workers.MachineStatusExchange;
 import birchusher.workers.Outcomes;
-import birchusher.workers.Picture;
-import birchusher.workers.PictureBook;
-import birchusher.workers.Yard;
+import birchusher.workers.WorkerRegistry;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -49,26 +49,26 @@
     private static final Logger LOG = LoggerFactory.getLogger(Core.class);
     private static final long HEARTBEAT_MS = 500;
 
-    private final Effects fx = new Effects();
+    private final Effects effects = new Effects();
     private final Settings settings;
     private final Catalog catalog;
     private final View view;
     private final StoreLink store;
-    private final Seats seats;
+    private final Membership membership;
     private final Outcomes outcomes;
-    private final Yard yard;
-    private final Desk desk;
+    private final WorkerRegistry workerRegistry;
+    private final JobApi jobApi;
     private final Listing listing;
     private final Planner planner;
     private final Driver driver;
-    private final Buyer buyer;
+    private final Autoscaler autoscaler;
     private final Counters counters = new Counters();
-    private final PictureBook book;
+    private final MachineStatusExchange book;
     private final Orders orders = new Orders();
-    private final Census census;
+    private final Inventory inventory;
     private final Losses losses;
     /** Our machines as last drawn, a quarter of a second old at most when the news of them is told. */
-    private List<Picture> own = List.of();
+    private List<MachineStatus> own = List.of();
 
     private boolean toldRestoring;
     private long nextHeartbeat;
@@ -77,28 +77,28 @@
     private long badLogged = -1_000_000;
 
     public Core(Settings s, Tuning t, long now, long wall) {
-        fx.time(now, wall);
+        effects.time(now, wall);
         settings = s;
         catalog = new Catalog(s);
         JobCodec codec = new JobCodec(catalog);
         view = new View(catalog, codec);
-        view.clock(fx::now);
-        store = new StoreLink(fx, view, s, t);
-        seats = new Seats(fx, s, catalog, view, store, t);
+        view.clock(effects::now);
+        store = new StoreLink(effects, view, s, t);
+        membership = new Membership(effects, s, catalog, view, store, t);
         Speeds speeds = new Speeds();
         Driver[] later = new Driver[1];
-        book = new PictureBook(fx, catalog, seats);
+        book = new MachineStatusExchange(effects, catalog, membership);
         long patience =
-                Census.patience(Math.round(s.reportS() * 1000), 1 + s.peers().size());
+                Inventory.patience(Math.round(s.reportS() * 1000), 1 + s.peers().size());
         losses = new Losses(patience, 1 + s.peers().size());
-        outcomes = new Outcomes(fx, view, store, seats, counters, losses, this::send);
-        yard = new Yard(
-                fx,
+        outcomes = new Outcomes(effects, view, store, membership, counters, losses, this::send);
+        workerRegistry = new WorkerRegistry(
+                effects,
                 s,
                 catalog,
                 view,
                 store,
-                seats,
+                membership,
                 speeds,
                 t,
                 counters,
@@ -112,13 +112,13 @@
         view.follow(
                 book::kind,
                 c -> {
-                    events.placed(fx.now(), c);
+                    events.placed(effects.now(), c);
                     losses.back(c);
                 },
                 (c, lost) -> {
-                    events.left(fx.now(), c, lost);
+                    events.left(effects.now(), c, lost);
                     if (c.kind() >= 0) {
-                        hazards.observe(c.kind(), (fx.now() - c.seenAt()) / 1000.0, lost, fx.now());
+                        hazards.observe(c.kind(), (effects.now() - c.seenAt()) / 1000.0, lost, effects.now());
                     }
                 });
         planner = new Planner(
@@ -130,39 +130,39 @@
                 LeaseTerms.from(t),
                 s.objectives(),
                 t.num("placement.begin-by-s"));
-        census = new Census(view, patience);
+        inventory = new Inventory(view, patience);
         driver = new Driver(
-                fx,
+                effects,
                 s,
                 catalog,
                 view,
                 store,
-                seats,
-                yard,
+                membership,
+                workerRegistry,
                 planner,
                 counters,
                 t,
                 this::send,
-                census::returned,
-                () -> losses.returningOfAll(fx.now()));
+                inventory::returned,
+                () -> losses.returningOfAll(effects.now()));
         later[0] = driver;
-        desk = new Desk(fx, s, catalog, codec, view, store, seats);
-        listing = new Listing(fx, catalog, codec, view, store, desk, events);
-        buyer = new Buyer(
-                fx,
+        jobApi = new JobApi(effects, s, catalog, codec, view, store, membership);
+        listing = new Listing(effects, catalog, codec, view, store, jobApi, events);
+        autoscaler = new Autoscaler(
+                effects,
                 s,
                 catalog,
                 view,
                 store,
-                seats,
-                new CloudLink(fx, s),
+                membership,
+                new CloudLink(effects, s),
                 counters,
                 orders,
-                census::known,
-                () -> losses.returningOfAll(fx.now()),
+                inventory::known,
+                () -> losses.returningOfAll(effects.now()),
                 t,
                 this::retire,
-                yard::gone,
+                workerRegistry::gone,
                 driver::slots,
                 driver::runningFor);
     }
@@ -170,7 +170,7 @@
     // ---- inputs
 
     public List<Effect> request(long now, long wall, long exchange, String method, String target, byte[] body) {
-        fx.time(now, wall);
+        effects.time(now, wall);
         try {
             route(exchange, method, target, body);
         } catch (Bad | Target.Bad e) {
@@ -178,13 +178,13 @@
                 badLogged = now;
                 LOG.info("{} {} refused: {}", method, target, e.getMessage());
             }
-            fx.answer(exchange, 400, Map.of("error", e.getMessage()));
+            effects.answer(exchange, 400, Map.of("error", e.getMessage()));
         }
         return done();
     }
 
     public List<Effect> reply(long now, long wall, long id, int status, byte[] body) {
-        fx.time(now, wall);
+        effects.time(now, wall);
         Map<String, Object> m = Map.of();
         int got = status;
         if (body.length > 0) {
@@ -196,7 +196,7 @@
             }
         }
         try {
-            fx.reply(id, got, m);
+            effects.reply(id, got, m);
         } catch (Bad e) {
             LOG.error("answer not as agreed: {}", e.getMessage());
         }
@@ -204,11 +204,11 @@
     }
 
     public List<Effect> peer(long now, long wall, byte[] record) {
-        fx.time(now, wall);
+        effects.time(now, wall);
         try {
             PeerCodec.From from = PeerCodec.decode(record);
-            int i = seats.index(from.member());
-            if (i > 0 && seats.earlierLife(i, from.incarnation())) {
+            int i = membership.index(from.member());
+            if (i > 0 && membership.earlierLife(i, from.incarnation())) {
                 throw new Bad("from an earlier life of " + from.member());
             }
             if (i > 0) {
@@ -224,23 +224,23 @@
     }
 
     public List<Effect> tick(long now, long wall) {
-        fx.time(now, wall);
+        effects.time(now, wall);
         store.tick();
-        seats.tick();
-        yard.tick();
-        desk.tick();
+        membership.tick();
+        workerRegistry.tick();
+        jobApi.tick();
         losses.tick(now);
         boolean plan = driver.due();
         if (plan || now >= nextPictures) {
             nextPictures = now + 250;
-            own = yard.pictures();
+            own = workerRegistry.pictures();
             book.draw(own);
-            census.look(now, store.loaded(), this::told, buyer::leaves, buyer.strangers());
+            inventory.look(now, store.loaded(), this::told, autoscaler::leaves, autoscaler.strangers());
         }
         if (plan) {
             driver.tick(book.pictures(), this::coming);
         }
-        buyer.tick(book.pictures(), driver.last());
+        autoscaler.tick(book.pictures(), driver.last());
         if (now >= nextHeartbeat) {
             nextHeartbeat = now + HEARTBEAT_MS;
             heartbeat();
@@ -249,14 +249,14 @@
             nextLine = now + 30_000;
             LOG.info(
                     "counters takeovers={} jobs={} machines={} {} {} {} recovery={} open={} gone={} {}",
-                    seats.takeovers,
+                    membership.takeovers,
                     view.jobs().size(),
                     book.pictures().size(),
                     counters.line(),
                     store.line(),
                     driver.line(),
-                    census.phase(),
-                    census.open(),
+                    inventory.phase(),
+                    inventory.open(),
                     view.goneCount(),
                     orders.line());
         }
@@ -264,8 +264,8 @@
     }
 
     private List<Effect> done() {
-        yard.flush();
-        return fx.drain();
+        workerRegistry.flush();
+        return effects.drain();
     }
 
     // ---- users, workers, probers
@@ -275,21 +275,21 @@
         String path = q < 0 ? target : target.substring(0, q);
         if (path.equals(Wire.HELLO)) {
             if (only(exchange, method, "POST")) {
-                yard.hello(exchange, Fields.map(Pack.decode(body), "body"));
+                workerRegistry.hello(exchange, Fields.map(Pack.decode(body), "body"));
             }
         } else if (path.equals(Wire.READY)) {
             if (only(exchange, method, "GET")) {
                 if (ready()) {
-                    fx.answer(exchange, 200, Map.of());
+                    effects.answer(exchange, 200, Map.of());
                 } else {
-                    fx.later(exchange, 503, 1);
+                    effects.later(exchange, 503, 1);
                 }
             }
         } else if (path.equals(Wire.RUNS) && method.equals("GET")) {
             listing.list(exchange, Target.parse(target));
         } else if (path.equals(Wire.RUNS)) {
             if (only(exchange, method, "POST")) {
-                desk.submit(exchange, body);
+                jobApi.submit(exchange, body);
             }
         } else if (path.equals(Wire.TEAMS)) {
             if (only(exchange, method, "GET")) {
@@ -299,7 +299,7 @@
             String id = path.substring(Wire.RUNS.length() + 1);
             if (id.endsWith(Wire.WITHDRAW)) {
                 if (only(exchange, method, "POST")) {
-                    desk.cancel(exchange, id.substring(0, id.length() - Wire.WITHDRAW.length()));
+                    jobApi.cancel(exchange, id.substring(0, id.length() - Wire.WITHDRAW.length()));
                 }
             } else if (id.endsWith(Wire.DESCRIBE)) {
                 if (only(exchange, method, "GET")) {
@@ -307,10 +307,10 @@
                             exchange, id.substring(0, id.length() - Wire.DESCRIBE.length()), Target.parse(target));
                 }
             } else if (only(exchange, method, "GET")) {
-                desk.poll(exchange, id);
+                jobApi.poll(exchange, id);
             }
         } else {
-            fx.answer(exchange, 404, Map.of("error", "no such path"));
+            effects.answer(exchange, 404, Map.of("error", "no such path"));
         }
     }
 
@@ -318,7 +318,7 @@
         if (method.equals(allowed)) {
             return true;
         }
-        fx.answer(exchange, 405, Map.of("error", "only " + allowed));
+        effects.answer(exchange, 405, Map.of("error", "only " + allowed));
         return false;
     }
 
@@ -329,53 +329,53 @@
     private boolean ready() {
         return store.loaded()
                 && catalog.typesKnown()
-                && (store.healthy() || !seats.othersAreServed() && !seats.lonely());
+                && (store.healthy() || !membership.othersAreServed() && !membership.lonely());
     }
 
     // ---- other controllers
 
     private void send(int member, PeerRecord r) {
-        fx.send(member, encode(r));
+        effects.send(member, encode(r));
     }
 
     private byte[] encode(PeerRecord r) {
-        return PeerCodec.encode(settings.member(), seats.incarnation(), r);
+        return PeerCodec.encode(settings.member(), membership.incarnation(), r);
     }
 
     private void heartbeat() {
         List<PeerRecord.Machine> news = book.news(own);
         PeerRecord.Heartbeat h = new PeerRecord.Heartbeat(
-                seats.incarnation(),
+                membership.incarnation(),
                 store.healthy(),
-                seats.termsSeen(),
-                seats.termsOwned(),
+                membership.termsSeen(),
+                membership.termsOwned(),
                 news,
                 book.left(),
-                buyer.recentlyGone());
+                autoscaler.recentlyGone());
         byte[] record = encode(h);
         byte[] restoring =
                 losses.returning() > 0 || toldRestoring ? encode(new PeerRecord.Restoring(losses.returning())) : null;
         toldRestoring = losses.returning() > 0;
-        PeerRecord.RevisionQuery q = seats.staleness().ask();
+        PeerRecord.RevisionQuery q = membership.staleness().ask();
         byte[] query = q == null ? null : encode(q);
-        for (int i = 1; i < seats.memberCount(); i++) {
-            fx.send(i, record);
+        for (int i = 1; i < membership.memberCount(); i++) {
+            effects.send(i, record);
             if (restoring != null) {
-                fx.send(i, restoring);
+                effects.send(i, restoring);
             }
             if (query != null) {
-                fx.send(i, query);
+                effects.send(i, query);
             }
         }
     }
 
     private void heard(int from, long incarnation, PeerRecord r) {
         if (r instanceof PeerRecord.Heartbeat h) {
-            if (seats.heard(from, h.storeOk(), h.incarnation(), h.terms(), h.owned())) {
+            if (membership.heard(from, h.storeOk(), h.incarnation(), h.terms(), h.owned())) {
                 book.tellEverything();
             }
             book.heard(from, h);
-            h.gone().forEach(yard::gone);
+            h.gone().forEach(workerRegistry::gone);
         } else if (r instanceof PeerRecord.Offer o) {
             send(from, driver.judge(o));
         } else if (r instanceof PeerRecord.CalledOff o) {
@@ -385,45 +385,47 @@
         } else if (r instanceof PeerRecord.Stop s) {
             driver.stopAsked(s);
         } else if (r instanceof PeerRecord.Retire x) {
-            send(from, new PeerRecord.Retired(x.machine(), yard.retire(x.machine(), x.withTasks())));
+            send(from, new PeerRecord.Retired(x.machine(), workerRegistry.retire(x.machine(), x.withTasks())));
         } else if (r instanceof PeerRecord.Outcomes o) {
             outcomes.told(o);
         } else if (r instanceof PeerRecord.Retired x) {
-            buyer.retired(x.machine(), x.agreed());
+            autoscaler.retired(x.machine(), x.agreed());
         } else if (r instanceof PeerRecord.Restoring x) {
-            losses.told(from, x.tasks(), fx.now());
+            losses.told(from, x.tasks(), effects.now());
         } else if (r instanceof PeerRecord.RevisionQuery q) {
-            send(from, seats.staleness().reply(q, incarnation));
+            send(from, membership.staleness().reply(q, incarnation));
         } else if (r instanceof PeerRecord.RevisionReply a) {
-            seats.staleness().replied(from, a, seats.incarnation());
+            membership.staleness().replied(from, a, membership.incarnation());
         }
     }
 
-    private Census.Told told(String machine) {
-        Picture p = book.pictures().get(machine);
+    private Inventory.Told told(String machine) {
+        MachineStatus p = book.pictures().get(machine);
         if (p == null) {
-            return Census.Told.NOTHING;
+            return Inventory.Told.NOTHING;
         }
-        return p.usable() || p.condemned() || p.leaving() || p.silentMs() > 0 ? Census.Told.FIT : Census.Told.REPORTS;
+        return p.usable() || p.condemned() || p.leaving() || p.silentMs() > 0
+                ? Inventory.Told.FIT
+                : Inventory.Told.REPORTS;
     }
 
     private void retire(String machine, boolean withTasks) {
-        Picture p = book.pictures().get(machine);
+        MachineStatus p = book.pictures().get(machine);
         if (p == null) {
             return;
         }
-        if (seats.owns(p.shard())) {
-            buyer.retired(machine, yard.retire(machine, withTasks));
-        } else if (seats.liveOwner(p.shard()) > 0) {
-            send(seats.liveOwner(p.shard()), new PeerRecord.Retire(machine, withTasks));
+        if (membership.owns(p.shard())) {
+            autoscaler.retired(machine, workerRegistry.retire(machine, withTasks));
+        } else if (membership.liveOwner(p.shard()) > 0) {
+            send(membership.liveOwner(p.shard()), new PeerRecord.Retire(machine, withTasks));
         }
     }
 
     /** Room that will be there before a machine bought now could be up. */
     private List<Slot> coming() {
-        List<Slot> l = buyer.coming(book.pictures());
-        long now = fx.now();
-        for (Picture p : book.pictures().values()) {
+        List<Slot> l = autoscaler.coming(book.pictures());
+        long now = effects.now();
+        for (MachineStatus p : book.pictures().values()) {
             Catalog.Type t = catalog.type(p.type());
             if (!p.usable() || t == null) {
                 continue;
--- a/src/main/java/birchusher/fleet/Buyer.java
+++ b/src/main/java/birchusher/fleet/Autoscaler.java
@@ -3,12 +3,12 @@
 import birchusher.cloud.CloudLink;
 import birchusher.core.Effects;
 import birchusher.core.Fields;
+import birchusher.membership.Membership;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
 import birchusher.placement.Planner;
 import birchusher.placement.Slot;
 import birchusher.recovery.Orders;
-import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
 import birchusher.store.Change;
@@ -19,7 +19,7 @@
 import birchusher.store.View;
 import birchusher.wire.Wire;
 import birchusher.workers.Counters;
-import birchusher.workers.Picture;
+import birchusher.workers.MachineStatus;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -40,8 +40,8 @@
  * Rents and returns machines. One controller at a time does this; its row in the store also counts the request names,
  * so that a name is recorded before it is used and none is used twice.
  */
-public final class Buyer {
-    private static final Logger LOG = LoggerFactory.getLogger(Buyer.class);
+public final class Autoscaler {
+    private static final Logger LOG = LoggerFactory.getLogger(Autoscaler.class);
 
     /** A kind of machine counts as at most so many times as dear for what does not come up. */
     private static final double MIN_SHARE = 0.25;
@@ -53,11 +53,11 @@
 
     private record Kind(int type, int zone, boolean spot) {}
 
-    private final Effects fx;
+    private final Effects effects;
     private final Catalog catalog;
     private final View view;
     private final StoreLink store;
-    private final Seats seats;
+    private final Membership membership;
     private final CloudLink cloud;
     private final Counters counters;
     private final Orders orders;
@@ -77,14 +77,14 @@
     private final Set<String> deleting = new HashSet<>();
     private final Map<String, Long> retiring = new HashMap<>();
     private final MachineList list;
-    private Map<String, Picture> known = Map.of();
+    private Map<String, MachineStatus> known = Map.of();
     private final Map<String, Long> recentlyGone = new LinkedHashMap<>();
     private final List<String> toDelete = new ArrayList<>();
     /** Over the present jobs, once a tick: every machine's linger needs it. */
     private double meanImageGb;
 
     private final Boots boots;
-    private final Appetite appetite;
+    private final Demand demand;
     private final double lingerBoot;
     private final double lingerFetch;
     private final double giveUp;
@@ -98,13 +98,13 @@
     private long buyerSince;
     private long lostAt = -1_000_000;
 
-    public Buyer(
-            Effects fx,
+    public Autoscaler(
+            Effects effects,
             Settings s,
             Catalog catalog,
             View view,
             StoreLink store,
-            Seats seats,
+            Membership membership,
             CloudLink cloud,
             Counters counters,
             Orders orders,
@@ -113,14 +113,14 @@
             Tuning t,
             BiConsumer<String, Boolean> retire,
             Consumer<String> gone,
-            Function<Map<String, Picture>, List<Slot>> free,
+            Function<Map<String, MachineStatus>, List<Slot>> free,
             ToLongFunction<Claim> runningFor) {
-        this.fx = fx;
+        this.effects = effects;
         this.settings = s;
         this.catalog = catalog;
         this.view = view;
         this.store = store;
-        this.seats = seats;
+        this.membership = membership;
         this.cloud = cloud;
         this.counters = counters;
         this.orders = orders;
@@ -135,13 +135,13 @@
         lingerFetch = t.num("fleet.linger-fetches");
         giveUp = t.num("fleet.give-up-boots");
         boots = new Boots(giveUp);
-        appetite = new Appetite(catalog, s.objectives(), t.ms("placement.begin-by-s"));
+        demand = new Demand(catalog, s.objectives(), t.ms("placement.begin-by-s"));
         silentSpotS = t.num("fleet.silent-spot-reports");
         silentShare = t.num("fleet.silent-share");
-        list = new MachineList(fx, s, catalog, view, seats, cloud, giveUp, new MachineList.Known() {
+        list = new MachineList(effects, s, catalog, view, membership, cloud, giveUp, new MachineList.Known() {
             @Override
             public boolean leaves(String machine) {
-                return Buyer.this.leaves(machine);
+                return Autoscaler.this.leaves(machine);
             }
 
             @Override
@@ -156,7 +156,7 @@
 
             @Override
             public void delete(String machine) {
-                Buyer.this.delete(machine);
+                Autoscaler.this.delete(machine);
             }
         });
     }
@@ -173,20 +173,20 @@
 
     public boolean isBuyer() {
         Map<String, Object> row = view.row(Keys.BUYER);
-        return seats.holding()
+        return membership.holding()
                 && row != null
-                && seats.memberName(0).equals(row.get("m"))
-                && Fields.countOr(row, "i", 0) == seats.incarnation();
+                && membership.memberName(0).equals(row.get("m"))
+                && Fields.countOr(row, "i", 0) == membership.incarnation();
     }
 
     /** Machines whose deletion was confirmed lately, to be told to their owners. */
     public List<String> recentlyGone() {
-        recentlyGone.values().removeIf(at -> fx.now() - at > 30_000);
+        recentlyGone.values().removeIf(at -> effects.now() - at > 30_000);
         return List.copyOf(recentlyGone.keySet());
     }
 
-    public void tick(Map<String, Picture> pictures, Planner.Plan plan) {
-        long now = fx.now();
+    public void tick(Map<String, MachineStatus> pictures, Planner.Plan plan) {
+        long now = effects.now();
         if (!store.loaded() || now < nextTick) {
             return;
         }
@@ -195,7 +195,7 @@
         boolean mine = isBuyer();
         if (mine && !was) {
             buyerSince = now;
-            LOG.info("we are the buyer");
+            LOG.info("we are the autoscaler");
         }
         if (was && !mine) {
             // Somebody took it while cut off from us; taking it back at once would be a fight.
@@ -241,7 +241,7 @@
             if (status != 200) {
                 return;
             }
-            nextTypes = fx.now() + 60_000;
+            nextTypes = effects.now() + 60_000;
             List<?> list = Fields.list(m, Wire.TYPE_LIST);
             learn(list);
             if (view.row(Keys.TYPES) == null && !list.isEmpty()) {
@@ -262,23 +262,23 @@
         }
     }
 
-    // ---- becoming the buyer
+    // ---- becoming the autoscaler
 
     private void become() {
         Map<String, Object> row = view.row(Keys.BUYER);
-        if (claiming || !seats.holding() || !store.healthy() || fx.now() - lostAt < 20_000) {
+        if (claiming || !membership.holding() || !store.healthy() || effects.now() - lostAt < 20_000) {
             return;
         }
-        int holder = row == null ? -1 : seats.index(String.valueOf(row.get("m")));
-        if (holder > 0 && seats.seen(holder)) {
+        int holder = row == null ? -1 : membership.index(String.valueOf(row.get("m")));
+        if (holder > 0 && membership.seen(holder)) {
             return;
         }
         // An earlier life of ours held it: the others hear us and wait for us, so we must not wait for any of them.
         // Without this,
         // after all had crashed together nobody rented or returned a machine any more, unless the lowest name had been
-        // the buyer.
-        for (int i = 1; holder != 0 && i < seats.memberCount(); i++) {
-            if (seats.live(i) && seats.memberName(i).compareTo(seats.memberName(0)) < 0) {
+        // the autoscaler.
+        for (int i = 1; holder != 0 && i < membership.memberCount(); i++) {
+            if (membership.live(i) && membership.memberName(i).compareTo(membership.memberName(0)) < 0) {
                 return;
             }
         }
@@ -288,7 +288,7 @@
                 1,
                 tx -> {
                     Map<String, Object> now = view.row(Keys.BUYER);
-                    tx.require(Keys.SEAT + seats.memberName(0));
+                    tx.require(Keys.SEAT + membership.memberName(0));
                     tx.put(Keys.BUYER, buyerRow(now == null ? 1 : Fields.countOr(now, "n", 1)));
                     return true;
                 },
@@ -296,7 +296,7 @@
     }
 
     private Map<String, Object> buyerRow(long next) {
-        return Map.of("m", seats.memberName(0), "i", seats.incarnation(), "n", next);
+        return Map.of("m", membership.memberName(0), "i", membership.incarnation(), "n", next);
     }
 
     private void put(String key, Map<String, Object> value) {
@@ -357,12 +357,12 @@
     }
 
     /** Room on machines that are rented and not up yet. */
-    public List<Slot> coming(Map<String, Picture> pictures) {
+    public List<Slot> coming(Map<String, MachineStatus> pictures) {
         List<Slot> l = new ArrayList<>();
         for (Ask a : asks()) {
             Catalog.Type t = catalog.type(a.type());
             int n = a.hosts() == null ? a.count() : a.hosts().size();
-            double ageS = Math.max(0, (fx.wall() - a.at()) / 1000.0);
+            double ageS = Math.max(0, (effects.wall() - a.at()) / 1000.0);
             int kind = kind(a.type(), a.zone(), a.spot());
             boolean overdue = ageS > t.bootS() * boots.overdue(kind);
             long eta = Math.round(boots.etaS(kind, ageS, t.bootS()) * 1000);
@@ -392,7 +392,7 @@
         return l;
     }
 
-    private void settleAsks(Map<String, Picture> pictures, long now) {
+    private void settleAsks(Map<String, MachineStatus> pictures, long now) {
         for (Ask a : asks()) {
             if (a.hosts() == null) {
                 if (!busyAsks.contains(a.name()) && now >= retryAsk.getOrDefault(a.name(), 0L)) {
@@ -400,7 +400,7 @@
                 }
                 continue;
             }
-            double ageS = (fx.wall() - a.at()) / 1000.0;
+            double ageS = (effects.wall() - a.at()) / 1000.0;
             boolean allUp = true;
             List<String> late = new ArrayList<>();
             for (String h : a.hosts()) {
@@ -444,7 +444,7 @@
                         kind(a.type(), a.zone(), a.spot()),
                         hosts.size(),
                         Math.round(catalog.type(a.type()).bootS() * 1000),
-                        fx.now());
+                        effects.now());
                 LOG.info(
                         "rented {} of {} {} in {}{}: {}",
                         hosts.size(),
@@ -454,7 +454,7 @@
                         a.spot() ? " (spot)" : "",
                         hosts);
                 if (hosts.size() < a.count()) {
-                    refusedUntil.put(new Kind(a.type(), a.zone(), a.spot()), fx.now() + 15_000);
+                    refusedUntil.put(new Kind(a.type(), a.zone(), a.spot()), effects.now() + 15_000);
                 }
                 settle(a, hosts);
             } else if (status == 503 && "no capacity".equals(m.get("error"))) {
@@ -463,7 +463,7 @@
                         catalog.typeNames.name(a.type()),
                         catalog.zones.name(a.zone()),
                         a.spot() ? " (spot)" : "");
-                refusedUntil.put(new Kind(a.type(), a.zone(), a.spot()), fx.now() + 20_000);
+                refusedUntil.put(new Kind(a.type(), a.zone(), a.spot()), effects.now() + 20_000);
                 settle(a, List.of());
             } else if (status == 400) {
                 LOG.error("rental {} refused as malformed", a.name());
@@ -471,12 +471,12 @@
             } else {
                 // Unclear or later: the same name again, so that nothing is rented twice.
                 busyAsks.remove(a.name());
-                retryAsk.put(a.name(), fx.now() + 1_500);
+                retryAsk.put(a.name(), effects.now() + 1_500);
             }
         });
         if (!sent) {
             busyAsks.remove(a.name());
-            retryAsk.put(a.name(), fx.now() + 500);
+            retryAsk.put(a.name(), effects.now() + 500);
         }
     }
 
@@ -527,7 +527,7 @@
     }
 
     /** Buys for what found no room, neither now nor soon. */
-    private void buy(Planner.Plan plan, Map<String, Picture> pictures, long now) {
+    private void buy(Planner.Plan plan, Map<String, MachineStatus> pictures, long now) {
         refusedUntil.values().removeIf(until -> now > until);
         for (Ask a : asks()) {
             if (a.hosts() == null) {
@@ -545,10 +545,10 @@
         });
         int opened = 0;
         int expected = returning.getAsInt();
-        for (Planner.Unplaced u : plan.wanted(fx.wall())) {
+        for (Planner.Unplaced u : plan.wanted(effects.wall())) {
             JobSpec s = u.job().spec;
             int jobZone = -1;
-            Appetite.Of may = appetite.of(u.job(), u.tasks(), fx.wall());
+            Demand.Of may = demand.of(u.job(), u.tasks(), effects.wall());
             int spared = Math.min(may.tasks(), expected);
             expected -= spared;
             for (int n = spared; n < Math.min(may.tasks(), 400); n++) {
@@ -630,7 +630,7 @@
     /** Records the request names before any of them is used. */
     private void reserve(Map<Kind, Integer> wanted) {
         reserving = true;
-        long at = fx.wall();
+        long at = effects.wall();
         int max = Math.max(1, settings.txnOps() - 1);
         long[] first = {-1};
         store.offer(new Simple(
@@ -640,7 +640,7 @@
                     if (!isBuyer() || tx.writes(Keys.BUYER)) {
                         return false;
                     }
-                    tx.require(Keys.SEAT + seats.memberName(0));
+                    tx.require(Keys.SEAT + membership.memberName(0));
                     long next = Fields.countOr(view.row(Keys.BUYER), "n", 1);
                     first[0] = first[0] < 0 ? next : first[0];
                     if (next != first[0]) {
@@ -665,11 +665,11 @@
 
     // ---- returns
 
-    private void giveBack(Map<String, Picture> pictures, long now) {
+    private void giveBack(Map<String, MachineStatus> pictures, long now) {
         retiring.values().removeIf(until -> now > until);
         reserve.look(pictures, now);
         Set<Integer> unheard = unheard(pictures);
-        for (Picture p : pictures.values()) {
+        for (MachineStatus p : pictures.values()) {
             if (deleting.contains(p.machine())
                     || recentlyGone.containsKey(p.machine())
                     || retiring.containsKey(p.machine())) {
@@ -697,7 +697,7 @@
      * How long an idle machine is kept: what it would take to have one like it again, which is booting and fetching what
      * the present jobs need.
      */
-    private double linger(Picture p) {
+    private double linger(MachineStatus p) {
         Catalog.Type t = catalog.type(p.type());
         if (t == null) {
             return 60_000;
@@ -712,9 +712,9 @@
      * Shards most of whose machines fell silent: that is mostly their owner's link or their zone's, and they are well. Without this, a
      * buyer that its own workers could not reach deleted two dozen of them a second before somebody took them over.
      */
-    private static Set<Integer> unheard(Map<String, Picture> pictures) {
+    private static Set<Integer> unheard(Map<String, MachineStatus> pictures) {
         Map<Integer, int[]> counts = new HashMap<>();
-        for (Picture p : pictures.values()) {
+        for (MachineStatus p : pictures.values()) {
             int[] c = counts.computeIfAbsent(p.shard(), k -> new int[2]);
             c[0]++;
             c[1] += p.silentMs() > 0 ? 1 : 0;
@@ -729,7 +729,7 @@
     }
 
     /** A machine that says nothing is mostly lost; deleting it is the quickest proof that its tasks are gone. */
-    private boolean silent(Picture p) {
+    private boolean silent(MachineStatus p) {
         double s = p.silentMs() / 1000.0;
         double bound = p.spot() ? settings.reportS() * silentSpotS : settings.leaseS() * silentShare;
         return s > bound && !view.claims(p.machine()).isEmpty();
@@ -739,9 +739,9 @@
     public void retired(String machine, boolean agreed) {
         if (agreed && isBuyer()) {
             LOG.info("machine {} is returned", machine);
-            Picture p = known.get(machine);
+            MachineStatus p = known.get(machine);
             if (p != null) {
-                orders.giveBack(kind(p.type(), p.zone(), p.spot()), fx.now());
+                orders.giveBack(kind(p.type(), p.zone(), p.spot()), effects.now());
             }
             delete(machine);
         }
@@ -766,7 +766,7 @@
             if (status == 200) {
                 counters.returns += names.size();
                 for (String n : names) {
-                    recentlyGone.put(n, fx.now());
+                    recentlyGone.put(n, effects.now());
                     deleting.remove(n);
                     gone.accept(n);
                 }
--- a/src/main/java/birchusher/fleet/Consolidation.java
+++ b/src/main/java/birchusher/fleet/Consolidation.java
@@ -6,7 +6,7 @@
 import birchusher.placement.Slot;
 import birchusher.store.Claim;
 import birchusher.store.View;
-import birchusher.workers.Picture;
+import birchusher.workers.MachineStatus;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -28,9 +28,9 @@
     private final View view;
     private final long moveAfterMs;
     private final BiConsumer<String, Boolean> retire;
-    private final Function<Map<String, Picture>, List<Slot>> free;
+    private final Function<Map<String, MachineStatus>, List<Slot>> free;
     private final ToLongFunction<Claim> runningFor;
-    private final ToDoubleFunction<Picture> linger;
+    private final ToDoubleFunction<MachineStatus> linger;
     /** Machines whose replicas fit elsewhere, since when. */
     private final Map<String, Long> sparse = new HashMap<>();
 
@@ -41,9 +41,9 @@
             View view,
             long moveAfterMs,
             BiConsumer<String, Boolean> retire,
-            Function<Map<String, Picture>, List<Slot>> free,
+            Function<Map<String, MachineStatus>, List<Slot>> free,
             ToLongFunction<Claim> runningFor,
-            ToDoubleFunction<Picture> linger) {
+            ToDoubleFunction<MachineStatus> linger) {
         this.catalog = catalog;
         this.view = view;
         this.moveAfterMs = moveAfterMs;
@@ -57,7 +57,7 @@
      * Replicas spread thinly keep whole machines rented. One whose few replicas all find room and their images elsewhere,
      * and have for a while, is emptied; a move costs a replica about a second.
      */
-    void tick(Planner.Plan plan, Map<String, Picture> pictures, long now) {
+    void tick(Planner.Plan plan, Map<String, MachineStatus> pictures, long now) {
         if (now < nextMove) {
             return;
         }
@@ -70,9 +70,9 @@
         slots.removeIf(s -> view.claims(s.machine()).isEmpty());
         // The fullest first, so that what moves does not keep another thinly used machine.
         slots.sort(Comparator.comparingDouble(Slot::freeShare));
-        List<Picture> ripe = new ArrayList<>();
+        List<MachineStatus> ripe = new ArrayList<>();
         int leaving = 0;
-        for (Picture p : pictures.values()) {
+        for (MachineStatus p : pictures.values()) {
             leaving += p.leaving() ? 1 : 0;
             if (p.leaving()
                     || !p.usable()
@@ -87,7 +87,7 @@
         }
         sparse.keySet().retainAll(pictures.keySet());
         ripe.sort(Comparator.comparingDouble(this::worth).reversed());
-        for (Picture p : ripe) {
+        for (MachineStatus p : ripe) {
             // A few at once in a large fleet; each machine's replicas still move one after the other.
             if (leaving >= 1 + pictures.size() / 50) {
                 return;
@@ -105,14 +105,14 @@
     }
 
     /** What returning a machine saves, for each replica that has to move. */
-    private double worth(Picture p) {
+    private double worth(MachineStatus p) {
         Catalog.Type t = catalog.type(p.type());
         return (p.spot() ? t.spotPrice() : t.price())
                 / Math.max(1, view.claims(p.machine()).size());
     }
 
     /** Whether nothing but replicas runs there, each for long enough to be moved. */
-    private boolean restless(Picture p) {
+    private boolean restless(MachineStatus p) {
         for (Claim c : view.claims(p.machine()).values()) {
             if (!c.job().spec.service() || runningFor.applyAsLong(c) < moveAfterMs) {
                 return false;
@@ -122,7 +122,7 @@
     }
 
     /** Whether a machine's replicas find room and image elsewhere; if so, and asked to, that room is taken for them. */
-    private boolean fitsElsewhere(Picture p, List<Slot> slots, boolean take) {
+    private boolean fitsElsewhere(MachineStatus p, List<Slot> slots, boolean take) {
         Map<Slot, Slot.Mark> tried = new LinkedHashMap<>();
         boolean all = true;
         for (Claim c : view.claims(p.machine()).values()) {
--- a/src/main/java/birchusher/fleet/Appetite.java
+++ b/src/main/java/birchusher/fleet/Demand.java
@@ -13,7 +13,7 @@
  * waited, and where no objective speaks for its class nothing at all, except to let it begin. Without this, a third of the fleet was
  * rented at four times the price for work that its users only wanted on idle machines.
  */
-final class Appetite {
+final class Demand {
     /** How many tasks to rent for, and whether only spot machines will do. */
     record Of(int tasks, boolean spotOnly) {}
 
@@ -21,7 +21,7 @@
     private final IntOpenHashSet spokenFor = new IntOpenHashSet();
     private final long beginByMs;
 
-    Appetite(Catalog catalog, List<Settings.Objective> objectives, long beginByMs) {
+    Demand(Catalog catalog, List<Settings.Objective> objectives, long beginByMs) {
         this.catalog = catalog;
         this.beginByMs = beginByMs;
         for (Settings.Objective o : objectives) {
--- a/src/main/java/birchusher/fleet/MachineList.java
+++ b/src/main/java/birchusher/fleet/MachineList.java
@@ -3,8 +3,8 @@
 import birchusher.cloud.CloudLink;
 import birchusher.core.Effects;
 import birchusher.core.Fields;
+import birchusher.membership.Membership;
 import birchusher.model.Catalog;
-import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.store.View;
 import birchusher.wire.Wire;
@@ -19,7 +19,7 @@
 final class MachineList {
     private static final Logger LOG = LoggerFactory.getLogger(MachineList.class);
 
-    /** What the buyer knows of a machine. */
+    /** What the autoscaler knows of a machine. */
     interface Known {
         /** Deleted lately, or about to be. */
         boolean leaves(String machine);
@@ -33,14 +33,14 @@
         void delete(String machine);
     }
 
-    private final Effects fx;
+    private final Effects effects;
     private final Settings settings;
     private final Catalog catalog;
     private final View view;
-    private final Seats seats;
+    private final Membership membership;
     private final CloudLink cloud;
     private final double giveUpBoots;
-    private final Known buyer;
+    private final Known autoscaler;
     /** Listed machines that report to nobody, since when. */
     private final Map<String, Long> strangers = new HashMap<>();
 
@@ -49,22 +49,22 @@
     private long nextList;
 
     MachineList(
-            Effects fx,
+            Effects effects,
             Settings s,
             Catalog catalog,
             View view,
-            Seats seats,
+            Membership membership,
             CloudLink cloud,
             double giveUpBoots,
-            Known buyer) {
-        this.fx = fx;
+            Known autoscaler) {
+        this.effects = effects;
         settings = s;
         this.catalog = catalog;
         this.view = view;
-        this.seats = seats;
+        this.membership = membership;
         this.cloud = cloud;
         this.giveUpBoots = giveUpBoots;
-        this.buyer = buyer;
+        this.autoscaler = autoscaler;
     }
 
     /** The strangers that are listed as running. */
@@ -73,11 +73,11 @@
     }
 
     void tick() {
-        if (fx.now() < nextList || listing) {
+        if (effects.now() < nextList || listing) {
             return;
         }
         listing = true;
-        nextList = fx.now() + Math.max(4_000, Math.round(settings.listLagS() * 500));
+        nextList = effects.now() + Math.max(4_000, Math.round(settings.listLagS() * 500));
         page("", new HashSet<>());
     }
 
@@ -109,25 +109,25 @@
     }
 
     private void listed(String machine, String state, double ageS) {
-        long now = fx.now();
-        if (buyer.leaves(machine)) {
+        long now = effects.now();
+        if (autoscaler.leaves(machine)) {
             return;
         }
         if (state.equals("failed")) {
             // It stopped on its own: nothing runs there, and deleting it says so.
-            buyer.delete(machine);
+            autoscaler.delete(machine);
             return;
         }
-        if (buyer.known(machine)) {
+        if (autoscaler.known(machine)) {
             strangers.remove(machine);
             running.remove(machine);
             return;
         }
-        if (buyer.awaited(machine)) {
+        if (autoscaler.awaited(machine)) {
             return;
         }
-        for (int i = 1; i < seats.memberCount(); i++) {
-            if (!seats.live(i)) {
+        for (int i = 1; i < membership.memberCount(); i++) {
+            if (!membership.live(i)) {
                 // It may well report to a controller that we can't hear.
                 strangers.clear();
                 running.clear();
@@ -145,7 +145,7 @@
         long patience = Math.round(1000 * (state.equals("running") ? settings.leaseS() + 20 : bootS * giveUpBoots));
         if (now - since > patience && view.claims(machine).isEmpty()) {
             LOG.info("machine {} is listed as {} but reports to nobody, deleted", machine, state);
-            buyer.delete(machine);
+            autoscaler.delete(machine);
         }
     }
 }
--- a/src/main/java/birchusher/fleet/Reserve.java
+++ b/src/main/java/birchusher/fleet/Reserve.java
@@ -6,7 +6,7 @@
 import birchusher.store.Claim;
 import birchusher.store.Job;
 import birchusher.store.View;
-import birchusher.workers.Picture;
+import birchusher.workers.MachineStatus;
 import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -51,7 +51,7 @@
         return kept.contains(machine);
     }
 
-    void look(Map<String, Picture> pictures, long now) {
+    void look(Map<String, MachineStatus> pictures, long now) {
         if (now < nextLook) {
             return;
         }
@@ -70,17 +70,17 @@
         kept = keep;
     }
 
-    private void keepFor(List<JobSpec> gangs, Map<String, Picture> pictures, Set<String> keep) {
+    private void keepFor(List<JobSpec> gangs, Map<String, MachineStatus> pictures, Set<String> keep) {
         JobSpec largest = gangs.get(0);
         double tasks = 0;
         for (JobSpec s : gangs) {
             largest = s.tasks() > largest.tasks() ? s : largest;
             tasks += s.tasks();
         }
-        Map<Integer, List<Picture>> idle = new HashMap<>();
+        Map<Integer, List<MachineStatus>> idle = new HashMap<>();
         Map<Integer, Integer> places = new HashMap<>();
         double bootS = 0;
-        for (Picture p : pictures.values()) {
+        for (MachineStatus p : pictures.values()) {
             Catalog.Type t = catalog.type(p.type());
             if (!p.usable()
                     || t == null
@@ -103,9 +103,9 @@
         int wanted = (int) Math.ceil(Math.max(largest.tasks(), inABoot + tasks / gangs.size()));
         int best = -1;
         int most = -1;
-        for (Map.Entry<Integer, List<Picture>> e : idle.entrySet()) {
+        for (Map.Entry<Integer, List<MachineStatus>> e : idle.entrySet()) {
             int n = places.getOrDefault(e.getKey(), 0);
-            for (Picture p : e.getValue()) {
+            for (MachineStatus p : e.getValue()) {
                 n += places(p, catalog.type(p.type()), largest);
             }
             if (n > most) {
@@ -114,7 +114,7 @@
             }
         }
         int have = places.getOrDefault(best, 0);
-        for (Picture p : idle.getOrDefault(best, List.of())) {
+        for (MachineStatus p : idle.getOrDefault(best, List.of())) {
             if (have >= wanted) {
                 return;
             }
@@ -124,7 +124,7 @@
     }
 
     /** For how many such tasks a machine has room, or would have once work that yields has left. */
-    private int places(Picture p, Catalog.Type t, JobSpec s) {
+    private int places(MachineStatus p, Catalog.Type t, JobSpec s) {
         double cpus = t.cpus();
         double gpus = t.gpus();
         double mem = t.mem();
--- a/src/main/java/birchusher/jobs/Desk.java
+++ b/src/main/java/birchusher/jobs/JobApi.java
@@ -3,9 +3,9 @@
 import birchusher.core.Effects;
 import birchusher.core.Fields;
 import birchusher.core.Fields.Bad;
+import birchusher.membership.Membership;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
-import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.store.Change;
 import birchusher.store.Chunk;
@@ -26,29 +26,36 @@
 import org.slf4j.LoggerFactory;
 
 /** The users' side: submissions, polls, cancellations and the final states. */
-public final class Desk {
-    private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
+public final class JobApi {
+    private static final Logger LOG = LoggerFactory.getLogger(JobApi.class);
     private static final long COMMIT_MS = 2_500;
 
-    private final Effects fx;
+    private final Effects effects;
     private final Catalog catalog;
     private final JobCodec codec;
     private final View view;
     private final StoreLink store;
-    private final Seats seats;
+    private final Membership membership;
     private final int chunkSize;
     private final int txnOps;
     private final boolean cancelsLate;
     private final Set<String> ending = new HashSet<>();
     private long nextSweep;
 
-    public Desk(Effects fx, Settings s, Catalog catalog, JobCodec codec, View view, StoreLink store, Seats seats) {
-        this.fx = fx;
+    public JobApi(
+            Effects effects,
+            Settings s,
+            Catalog catalog,
+            JobCodec codec,
+            View view,
+            StoreLink store,
+            Membership membership) {
+        this.effects = effects;
         this.catalog = catalog;
         this.codec = codec;
         this.view = view;
         this.store = store;
-        this.seats = seats;
+        this.membership = membership;
         txnOps = s.txnOps();
         cancelsLate = s.cancelsLate();
         if (cancelsLate) {
@@ -123,33 +130,33 @@
 
     public void poll(long exchange, String id) {
         if (!JobCodec.isId(id)) {
-            fx.answer(exchange, 404, Map.of("error", "no such job"));
+            effects.answer(exchange, 404, Map.of("error", "no such job"));
             return;
         }
         Map<String, Object> known = finalState(id);
         if (known != null) {
-            fx.answer(exchange, 200, known);
+            effects.answer(exchange, 200, known);
             return;
         }
-        lookUp(exchange, id, () -> fx.answer(exchange, 404, Map.of("error", "no such job")));
+        lookUp(exchange, id, () -> effects.answer(exchange, 404, Map.of("error", "no such job")));
     }
 
     /** Answers a job's state from a view that is as new as this moment; {@code unknown} if it was never accepted. */
     private void lookUp(long exchange, String id, Runnable unknown) {
-        lookUp(exchange, id, j -> fx.answer(exchange, 200, open(j)), unknown);
+        lookUp(exchange, id, j -> effects.answer(exchange, 200, open(j)), unknown);
     }
 
     /** The same, with what is to be done with a job that has no final state. */
     private void lookUp(long exchange, String id, Consumer<Job> unfinished, Runnable unknown) {
         boolean asked = store.fresh(ok -> {
             if (!ok) {
-                fx.later(exchange, 503, 2);
+                effects.later(exchange, 503, 2);
                 return;
             }
             Map<String, Object> last = finalState(id);
             Job j = view.job(id);
             if (last != null) {
-                fx.answer(exchange, 200, last);
+                effects.answer(exchange, 200, last);
                 return;
             }
             if (j != null) {
@@ -157,7 +164,7 @@
                 return;
             }
             if (view.unreadable(id)) {
-                fx.answer(exchange, 200, answer(id, Wire.QUEUED, 0, 0));
+                effects.answer(exchange, 200, answer(id, Wire.QUEUED, 0, 0));
                 return;
             }
             if (store.knowsAllEnds()) {
@@ -170,22 +177,22 @@
                     view.put(Keys.END + id, m.get(Wire.VALUE), Fields.count(m, Wire.VERSION));
                     Map<String, Object> kept = finalState(id);
                     if (kept != null) {
-                        fx.answer(exchange, 200, kept);
+                        effects.answer(exchange, 200, kept);
                     } else {
-                        fx.later(exchange, 503, 2);
+                        effects.later(exchange, 503, 2);
                     }
                 } else if (status == 404) {
                     unknown.run();
                 } else {
-                    fx.later(exchange, 503, 2);
+                    effects.later(exchange, 503, 2);
                 }
             });
             if (!sent) {
-                fx.later(exchange, 503, 1);
+                effects.later(exchange, 503, 1);
             }
         });
         if (!asked) {
-            fx.later(exchange, 503, 2);
+            effects.later(exchange, 503, 2);
         }
     }
 
@@ -209,38 +216,38 @@
         }
         Map<String, Object> known = id == null ? null : finalState(id);
         if (known != null) {
-            fx.answer(exchange, 200, known);
+            effects.answer(exchange, 200, known);
             return;
         }
         if (id != null && view.job(id) != null) {
             String jobId = id;
-            lookUp(exchange, jobId, () -> fx.later(exchange, 503, 1));
+            lookUp(exchange, jobId, () -> effects.later(exchange, 503, 1));
             return;
         }
         if (bad != null && id == null) {
-            fx.answer(exchange, 400, Map.of("error", bad.getMessage()));
+            effects.answer(exchange, 400, Map.of("error", bad.getMessage()));
             return;
         }
         if (spec == null && bad == null && never == null || !store.healthy()) {
-            fx.later(exchange, 503, 1);
+            effects.later(exchange, 503, 1);
             return;
         }
         String why = bad != null ? bad.getMessage() : never != null ? never.getMessage() : catalog.misfit(spec);
         if (why != null) {
             // A repeat of an accepted id is answered with its state, whatever its body has become.
             int status = bad != null ? 400 : 422;
-            lookUp(exchange, id, () -> fx.answer(exchange, status, Map.of("error", why)));
+            lookUp(exchange, id, () -> effects.answer(exchange, status, Map.of("error", why)));
             return;
         }
         if (!store.offer(new Accept(exchange, spec))) {
-            fx.later(exchange, 503, 2);
+            effects.later(exchange, 503, 2);
         }
     }
 
     private final class Accept implements Change {
         private final long exchange;
         private final JobSpec spec;
-        private final long until = fx.now() + COMMIT_MS;
+        private final long until = effects.now() + COMMIT_MS;
 
         Accept(long exchange, JobSpec spec) {
             this.exchange = exchange;
@@ -268,18 +275,18 @@
                     || view.unreadable(spec.id())
                     || view.ended(spec.id()) != null
                     || tx.writes(Keys.JOB + spec.id())
-                    || fx.now() > until) {
+                    || effects.now() > until) {
                 return false;
             }
             tx.require(Keys.END + spec.id());
-            tx.put(Keys.JOB + spec.id(), row(spec, chunkSize, fx.wall(), Job.State.OPEN));
+            tx.put(Keys.JOB + spec.id(), row(spec, chunkSize, effects.wall(), Job.State.OPEN));
             return true;
         }
 
         @Override
         public void committed(long revision) {
             LOG.info("job {} accepted: {} {} tasks, {}", spec.id(), spec.shape(), spec.tasks(), spec.priority());
-            fx.answer(exchange, 201, answer(spec.id(), Wire.QUEUED, 0, 0));
+            effects.answer(exchange, 201, answer(spec.id(), Wire.QUEUED, 0, 0));
         }
 
         @Override
@@ -293,7 +300,7 @@
 
         @Override
         public void dropped() {
-            lookUp(exchange, spec.id(), () -> fx.later(exchange, 503, 1));
+            lookUp(exchange, spec.id(), () -> effects.later(exchange, 503, 1));
         }
     }
 
@@ -310,16 +317,16 @@
 
     public void cancel(long exchange, String id) {
         if (!JobCodec.isId(id)) {
-            fx.answer(exchange, 404, Map.of("error", "no such job"));
+            effects.answer(exchange, 404, Map.of("error", "no such job"));
             return;
         }
         Map<String, Object> known = finalState(id);
         if (known != null) {
-            fx.answer(exchange, 200, known);
+            effects.answer(exchange, 200, known);
             return;
         }
         if (!store.healthy() || view.unreadable(id)) {
-            fx.later(exchange, 503, 1);
+            effects.later(exchange, 503, 1);
             return;
         }
         if (view.job(id) == null) {
@@ -329,7 +336,7 @@
                     exchange,
                     id,
                     j -> cancel(exchange, j),
-                    () -> fx.answer(exchange, 404, Map.of("error", "no such job")));
+                    () -> effects.answer(exchange, 404, Map.of("error", "no such job")));
             return;
         }
         cancel(exchange, view.job(id));
@@ -337,14 +344,14 @@
 
     private void cancel(long exchange, Job j) {
         if (!store.offer(new Cancel(exchange, j.spec.id()))) {
-            fx.later(exchange, 503, 1);
+            effects.later(exchange, 503, 1);
         }
     }
 
     private final class Cancel implements Change {
         private final long exchange;
         private final String id;
-        private final long until = fx.now() + COMMIT_MS;
+        private final long until = effects.now() + COMMIT_MS;
 
         Cancel(long exchange, String id) {
             this.exchange = exchange;
@@ -373,7 +380,7 @@
                     || j.state() != Job.State.OPEN
                     || j.allDone()
                     || tx.writes(Keys.JOB + id)
-                    || fx.now() > until) {
+                    || effects.now() > until) {
                 return false;
             }
             // Another controller may be about to see, and to tell, that the last task is done: then this must fail.
@@ -399,10 +406,10 @@
         public void dropped() {
             Map<String, Object> known = finalState(id);
             if (known != null) {
-                fx.answer(exchange, 200, known);
+                effects.answer(exchange, 200, known);
             } else {
                 // Not settled in time, or the job ended meanwhile: the repeat will find out.
-                fx.later(exchange, 503, 1);
+                effects.later(exchange, 503, 1);
             }
         }
     }
@@ -411,14 +418,14 @@
 
     /** Writes final states, and puts ended jobs away once nothing of them is on any machine. */
     public void tick() {
-        long now = fx.now();
-        if (!store.loaded() || !store.healthy() || !seats.holding() || now < nextSweep) {
+        long now = effects.now();
+        if (!store.loaded() || !store.healthy() || !membership.holding() || now < nextSweep) {
             return;
         }
         nextSweep = now + 200;
         for (Job j : view.jobs()) {
             boolean over = (j.state() != Job.State.OPEN || j.allDone()) && j.claimCount() == 0;
-            if (over && seats.drives(j.spec.id()) && ending.size() < 100 && ending.add(j.spec.id())) {
+            if (over && membership.drives(j.spec.id()) && ending.size() < 100 && ending.add(j.spec.id())) {
                 if (!store.offer(new End(j.spec.id(), Math.min(txnOps, j.chunks.size() + 2)))) {
                     ending.remove(j.spec.id());
                 }
--- a/src/main/java/birchusher/jobs/Listing.java
+++ b/src/main/java/birchusher/jobs/Listing.java
@@ -30,21 +30,28 @@
     private static final int MAX_JOBS = 200;
     private static final int MAX_TASKS = 500;
 
-    private final Effects fx;
+    private final Effects effects;
     private final Catalog catalog;
     private final JobCodec codec;
     private final View view;
     private final StoreLink store;
-    private final Desk desk;
+    private final JobApi jobApi;
     private final Events events;
 
-    public Listing(Effects fx, Catalog catalog, JobCodec codec, View view, StoreLink store, Desk desk, Events events) {
-        this.fx = fx;
+    public Listing(
+            Effects effects,
+            Catalog catalog,
+            JobCodec codec,
+            View view,
+            StoreLink store,
+            JobApi jobApi,
+            Events events) {
+        this.effects = effects;
         this.catalog = catalog;
         this.codec = codec;
         this.view = view;
         this.store = store;
-        this.desk = desk;
+        this.jobApi = jobApi;
         this.events = events;
     }
 
@@ -53,11 +60,11 @@
             if (ok) {
                 then.run();
             } else {
-                fx.later(exchange, 503, 2);
+                effects.later(exchange, 503, 2);
             }
         });
         if (!asked) {
-            fx.later(exchange, 503, 2);
+            effects.later(exchange, 503, 2);
         }
     }
 
@@ -108,7 +115,7 @@
             if (!wanted.test(j)) {
                 continue;
             }
-            Map<String, Object> m = new LinkedHashMap<>(desk.told(j));
+            Map<String, Object> m = new LinkedHashMap<>(jobApi.told(j));
             if (stage == null || stage.equals(m.get(Wire.STATE))) {
                 m.put(Wire.TEAM, catalog.teams.name(j.spec.team()));
                 m.put(Wire.CLASS, catalog.classes.name(j.spec.cls()));
@@ -123,7 +130,7 @@
             long exchange, TreeMap<String, Map<String, Object>> rows, String stage, String after, int most) {
         boolean sent = store.page(Keys.END, after.isEmpty() ? "" : Keys.END + after, most, (status, m) -> {
             if (status != 200) {
-                fx.later(exchange, 503, 2);
+                effects.later(exchange, 503, 2);
                 return;
             }
             boolean more = Boolean.TRUE.equals(m.get(Wire.MORE));
@@ -131,7 +138,7 @@
             for (Object o : Fields.list(m, Wire.ITEMS)) {
                 Map<String, Object> row = Fields.map(o, "row");
                 last = Fields.text(row, Wire.KEY).substring(Keys.END.length());
-                Map<String, Object> told = Desk.ended(last, View.readEnded(Fields.map(row.get(Wire.VALUE), "value")));
+                Map<String, Object> told = JobApi.ended(last, View.readEnded(Fields.map(row.get(Wire.VALUE), "value")));
                 if (stage.equals(told.get(Wire.STATE))) {
                     rows.put(last, told);
                 }
@@ -144,7 +151,7 @@
             answer(exchange, rows, most, more);
         });
         if (!sent) {
-            fx.later(exchange, 503, 1);
+            effects.later(exchange, 503, 1);
         }
     }
 
@@ -160,7 +167,7 @@
                 l.add(e.getValue());
             }
         }
-        fx.answer(exchange, 200, Map.of("runs", l, Wire.MORE, more || rows.higherKey(last) != null, "last", last));
+        effects.answer(exchange, 200, Map.of("runs", l, Wire.MORE, more || rows.higherKey(last) != null, "last", last));
     }
 
     /**
@@ -174,10 +181,10 @@
             Job j = view.job(id);
             if (j == null) {
                 // The same answer as to a poll, looked up in the same way.
-                desk.poll(exchange, id);
+                jobApi.poll(exchange, id);
                 return;
             }
-            Map<String, Object> m = new HashMap<>(desk.told(j));
+            Map<String, Object> m = new HashMap<>(jobApi.told(j));
             m.put("job", codec.write(j.spec));
             m.put("accepted_ms", j.acceptedAt);
             m.put("attempts", j.attempts());
@@ -194,14 +201,14 @@
                             Wire.MACHINE,
                             c.machine(),
                             "held_s",
-                            Math.max(0, fx.now() - c.seenAt()) / 1000.0));
+                            Math.max(0, effects.now() - c.seenAt()) / 1000.0));
                 }
             }
             m.put("pieces", tasks);
-            m.put("events", events.of(fx.now(), id));
+            m.put("events", events.of(effects.now(), id));
             m.put("next", i);
             m.put(Wire.MORE, i < j.spec.tasks());
-            fx.answer(exchange, 200, m);
+            effects.answer(exchange, 200, m);
         });
     }
 
@@ -227,7 +234,7 @@
                         "gpus_max",
                         t.gpusMax()));
             }
-            fx.answer(exchange, 200, Map.of("teams", l));
+            effects.answer(exchange, 200, Map.of("teams", l));
         });
     }
 }
--- a/src/main/java/birchusher/seats/Seats.java
+++ b/src/main/java/birchusher/membership/Membership.java
@@ -1,4 +1,4 @@
-package birchusher.seats;
+package birchusher.membership;
 
 import birchusher.core.Effects;
 import birchusher.core.Fields;
@@ -22,8 +22,8 @@
  * Membership and who owns which workers. The seat's lease is the safety bound: nobody answers workers without it.
  * Heartbeats are only a hint about who is alive, and never decide anything by themselves.
  */
-public final class Seats {
-    private static final Logger LOG = LoggerFactory.getLogger(Seats.class);
+public final class Membership {
+    private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
 
     private static final long GIVE_MS = 1_000;
     /** While we miss a controller in the mesh, a beat in our seat's row shows the others that we live. */
@@ -37,7 +37,7 @@
     /** A shard that was taken for its workers' sake stays for a seat's lease, each time twice as long up to this often. */
     private static final int MAX_DOUBLINGS = 3;
 
-    private final Effects fx;
+    private final Effects effects;
     private final Settings settings;
     private final Catalog catalog;
     private final View view;
@@ -87,8 +87,8 @@
     private boolean taking;
     public long takeovers;
 
-    public Seats(Effects fx, Settings s, Catalog catalog, View view, StoreLink store, Tuning t) {
-        this.fx = fx;
+    public Membership(Effects effects, Settings s, Catalog catalog, View view, StoreLink store, Tuning t) {
+        this.effects = effects;
         this.settings = s;
         this.catalog = catalog;
         this.view = view;
@@ -129,8 +129,8 @@
         java.util.Arrays.fill(beatAt, Long.MIN_VALUE / 2);
         seenTerm = new long[members.size()][n];
         heardTerm = new long[n];
-        staleness = new Staleness(fx, s, view, store);
-        incarnation = fx.wall();
+        staleness = new Staleness(effects, s, view, store);
+        incarnation = effects.wall();
     }
 
     /**
@@ -220,7 +220,7 @@
 
     /** Whether our seat certainly still stands in the state service, by our own clock, and we know enough to act. */
     public boolean holding() {
-        return seated && fx.now() < goodUntil && staleness.informed();
+        return seated && effects.now() < goodUntil && staleness.informed();
     }
 
     public Staleness staleness() {
@@ -307,7 +307,7 @@
     }
 
     public boolean live(int i) {
-        return i == 0 || fx.now() - heardAt[i] < suspectMs;
+        return i == 0 || effects.now() - heardAt[i] < suspectMs;
     }
 
     /** Served by the state service and heard in the mesh. */
@@ -317,22 +317,22 @@
 
     /**
      * Heard in the mesh, or seen to write to the state service lately. A silent mesh alone once made seven controllers take
-     * the same shards from each other twice a second, each time with the buyer's row.
+     * the same shards from each other twice a second, each time with the autoscaler's row.
      */
     public boolean seen(int i) {
-        long now = fx.now();
+        long now = effects.now();
         return i == 0 || now - heardAt[i] < suspectMs + GRACE_MS || now - beatAt[i] < BEAT_SEEN_MS;
     }
 
     /** Heard just now, and in the same life for at least so long. */
     public boolean steady(int i, long ms) {
-        return fx.now() - heardAt[i] < JUST_MS && fx.now() - aliveSince[i] > ms;
+        return effects.now() - heardAt[i] < JUST_MS && effects.now() - aliveSince[i] > ms;
     }
 
     private boolean seenAble(int i) {
         return i == 0
                 ? store.healthy()
-                : live(i) ? storeOk[i] : seen(i) && (storeOk[i] || fx.now() - beatAt[i] < BEAT_SEEN_MS);
+                : live(i) ? storeOk[i] : seen(i) && (storeOk[i] || effects.now() - beatAt[i] < BEAT_SEEN_MS);
     }
 
     /** Notes whose seat rows have changed. The first look tells nothing: the row may be a dead one's. */
@@ -412,15 +412,15 @@
         }
         if (news) {
             // Also one that was back before anybody missed it: shards are handed to what has settled.
-            aliveSince[i] = fx.now();
+            aliveSince[i] = effects.now();
             LOG.info("{} is heard of", memberName(i));
         }
-        heardAt[i] = fx.now();
+        heardAt[i] = effects.now();
         storeOk[i] = itsStoreOk;
         if (itsStoreOk) {
             badStoreSince[i] = -1;
         } else if (badStoreSince[i] < 0) {
-            badStoreSince[i] = fx.now();
+            badStoreSince[i] = effects.now();
         }
         return news;
     }
@@ -444,7 +444,7 @@
 
     /** A worker of a shard whose owner we don't hear of has come to us. */
     public void wanted(int shard) {
-        wantedAt[shard] = fx.now();
+        wantedAt[shard] = effects.now();
     }
 
     /** Whether another live controller is served by the state service, so that an outage seen here is ours alone. */
@@ -498,7 +498,7 @@
     // ---- the seat
 
     public void tick() {
-        long now = fx.now();
+        long now = effects.now();
         if (!store.loaded()) {
             return;
         }
@@ -536,7 +536,7 @@
     private void grant() {
         leaseBusy = true;
         outlive();
-        long sent = fx.now();
+        long sent = effects.now();
         nextLease = sent + 1_000;
         store.lease("POST", Wire.LEASES, Map.of(Wire.TTL, leaseMs), (status, m) -> {
             leaseBusy = false;
@@ -554,7 +554,7 @@
 
     private void extend() {
         leaseBusy = true;
-        long sent = fx.now();
+        long sent = effects.now();
         nextLease = sent + 1_000;
         long id = lease;
         store.lease("POST", Wire.LEASES + "/" + id + Wire.EXTEND, Map.of(), (status, m) -> {
@@ -576,7 +576,7 @@
         seated = false;
         goodUntil = -1;
         // A new seat is a new incarnation: whoever counted on the old one having ended must stay right.
-        incarnation = Math.max(incarnation + 1, fx.wall());
+        incarnation = Math.max(incarnation + 1, effects.wall());
     }
 
     private void sit() {
@@ -736,7 +736,7 @@
 
     /** Workers of a foreign shard keep coming to us: their owner can't be reached by them. */
     public void pressed(int shard) {
-        long now = fx.now();
+        long now = effects.now();
         if (!taking && store.healthy() && holding() && !owns(shard) && now - lastTake[shard] > 15_000) {
             LOG.info("workers of shard {} can't reach their owner", shard);
             lastTake[shard] = now;
@@ -748,7 +748,7 @@
 
     /** A higher term for a shard of ours fences commands that may still be under way. */
     public void raise(int shard) {
-        if (!taking && owns(shard) && fx.now() - lastTake[shard] > 2_000) {
+        if (!taking && owns(shard) && effects.now() - lastTake[shard] > 2_000) {
             take(List.of(shard));
         }
     }
@@ -797,7 +797,7 @@
                                     term,
                                     ours ? Fields.countOr(old, "o", term) : term,
                                     before));
-                    lastTake[s] = fx.now();
+                    lastTake[s] = effects.now();
                     n++;
                 }
                 if (n == 0) {
@@ -823,7 +823,7 @@
                                                 mine(s) && view.version(shardKey(s)) != versions[shards.indexOf(s)])) {
                     takeovers++;
                     LOG.info("shards {} are ours, term {}", shards, lastTerm());
-                    follow(fx.now());
+                    follow(effects.now());
                 }
             }
         });
@@ -865,7 +865,7 @@
     private void give(int shard, String to, long inc) {
         giving[shard] = true;
         LOG.info("handing shard {} to {}", shard, to);
-        long until = fx.now() + GIVE_MS;
+        long until = effects.now() + GIVE_MS;
         store.offer(new ShardChange(1) {
             private boolean unclear;
 
--- a/src/main/java/birchusher/seats/Staleness.java
+++ b/src/main/java/birchusher/membership/Staleness.java
@@ -1,4 +1,4 @@
-package birchusher.seats;
+package birchusher.membership;
 
 import birchusher.core.Effects;
 import birchusher.mesh.PeerRecord.Cancelled;
@@ -24,15 +24,15 @@
 
     private static final long ASK_FROM_MS = 1_000;
 
-    private final Effects fx;
+    private final Effects effects;
     private final View view;
     private final StoreLink store;
     private final long boundMs;
     /** Per member: what it knew at this moment, by our clock, is known here. */
     private final long[] toldAt;
 
-    Staleness(Effects fx, Settings s, View view, StoreLink store) {
-        this.fx = fx;
+    Staleness(Effects effects, Settings s, View view, StoreLink store) {
+        this.effects = effects;
         this.view = view;
         this.store = store;
         boundMs = s.staleMs();
@@ -45,17 +45,17 @@
     /** Every change that a user was told of before this moment is known here. */
     long informedUpTo() {
         long told = Arrays.stream(toldAt).min().getAsLong();
-        return Math.max(store.provenAt(), Math.min(told, fx.now()));
+        return Math.max(store.provenAt(), Math.min(told, effects.now()));
     }
 
     boolean informed() {
-        return fx.now() - informedUpTo() < boundMs;
+        return effects.now() - informedUpTo() < boundMs;
     }
 
     /** What to ask the other members now; null while the state service proves our view. */
     public RevisionQuery ask() {
-        return store.loaded() && fx.now() - store.provenAt() > ASK_FROM_MS
-                ? new RevisionQuery(fx.now(), view.applied())
+        return store.loaded() && effects.now() - store.provenAt() > ASK_FROM_MS
+                ? new RevisionQuery(effects.now(), view.applied())
                 : null;
     }
 
@@ -83,7 +83,7 @@
         boolean kept = view.hear(r.cancelled());
         boolean covered = r.known() >= 0
                 && (r.known() <= view.applied() || r.since() >= 0 && r.since() <= view.applied() && kept);
-        if (covered && !r.served() && r.incarnation() == ourIncarnation && r.sentAt() <= fx.now()) {
+        if (covered && !r.served() && r.incarnation() == ourIncarnation && r.sentAt() <= effects.now()) {
             toldAt[member] = Math.max(toldAt[member], r.sentAt());
         }
     }
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -1,12 +1,12 @@
 package birchusher.placement;
 
 import birchusher.core.Effects;
+import birchusher.membership.Membership;
 import birchusher.mesh.PeerRecord;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
 import birchusher.model.Priority;
 import birchusher.model.Shape;
-import birchusher.seats.Seats;
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
 import birchusher.store.Change;
@@ -18,8 +18,8 @@
 import birchusher.store.Tx;
 import birchusher.store.View;
 import birchusher.workers.Counters;
-import birchusher.workers.Picture;
-import birchusher.workers.Yard;
+import birchusher.workers.MachineStatus;
+import birchusher.workers.WorkerRegistry;
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -84,15 +84,15 @@
 
     private record Asked(Group group, List<Planner.Choice> items) {}
 
-    private final Effects fx;
+    private final Effects effects;
     private final Settings settings;
     private final Catalog catalog;
     private final View view;
     private final StoreLink store;
-    private final Seats seats;
-    private final Yard yard;
+    private final Membership membership;
+    private final WorkerRegistry workerRegistry;
     private final Planner planner;
-    private final Gates gates;
+    private final Quotas quotas;
     private final Preemption preemption;
     private final Counters counters;
     private final Mesh mesh;
@@ -128,39 +128,39 @@
     private Planner.Plan last = new Planner.Plan(List.of(), List.of(), Set.of(), 0, 0, List.of());
 
     public Driver(
-            Effects fx,
+            Effects effects,
             Settings s,
             Catalog catalog,
             View view,
             StoreLink store,
-            Seats seats,
-            Yard yard,
+            Membership membership,
+            WorkerRegistry workerRegistry,
             Planner planner,
             Counters counters,
             Tuning t,
             Mesh mesh,
             BooleanSupplier fleetKnown,
             IntSupplier returning) {
-        this.fx = fx;
+        this.effects = effects;
         this.settings = s;
         this.catalog = catalog;
         this.view = view;
         this.store = store;
-        this.seats = seats;
-        this.yard = yard;
+        this.membership = membership;
+        this.workerRegistry = workerRegistry;
         this.planner = planner;
-        gates = new Gates(catalog, view, 1 + s.peers().size());
+        quotas = new Quotas(catalog, view, 1 + s.peers().size());
         preemption = new Preemption(view, this::runningFor);
         this.counters = counters;
         this.mesh = mesh;
         this.fleetKnown = fleetKnown;
         this.returning = returning;
-        nextId = fx.wall() << 20;
+        nextId = effects.wall() << 20;
         offerMs = t.ms("placement.offer-s");
         preemptDelay = t.num("placement.preempt-delay-s") * 1000;
         planGap = t.ms("placement.plan-gap-s");
         slotsPerMs = t.num("placement.slots-per-s") / 1000;
-        planner.zoneOfShard(seats::zoneOf);
+        planner.zoneOfShard(membership::zoneOf);
     }
 
     /** What the last plan made of the waiting tasks: room now, room soon, none; overdue of the second. */
@@ -168,7 +168,7 @@
         long now = last.choices().stream().filter(c -> c.slot().real).count();
         return "room_now=" + now + " room_soon=" + (last.choices().size() - now) + " no_room="
                 + last.unplaced().stream().mapToInt(Planner.Unplaced::tasks).sum() + " overdue="
-                + last.choices().stream().filter(c -> c.overdue(fx.wall())).count();
+                + last.choices().stream().filter(c -> c.overdue(effects.wall())).count();
     }
 
     public Planner.Plan last() {
@@ -177,7 +177,7 @@
 
     /** Whether a plan is due; the pictures need to be drawn only then. */
     public boolean due() {
-        long now = fx.now();
+        long now = effects.now();
         return store.loaded()
                 && catalog.typesKnown()
                 && now >= nextPlan
@@ -185,8 +185,8 @@
     }
 
     /** {@code coming}: room that is not there yet; looked for only when something waits. */
-    public void tick(Map<String, Picture> pictures, Supplier<List<Slot>> coming) {
-        long now = fx.now();
+    public void tick(Map<String, MachineStatus> pictures, Supplier<List<Slot>> coming) {
+        long now = effects.now();
         plannedAt = now;
         plannedChanges = view.changes();
         forget(now);
@@ -197,7 +197,7 @@
         }
         List<Slot> slots = slots(pictures);
         slots.addAll(coming.get());
-        Planner.Plan plan = planner.plan(slots, marks, underway(), now, fx.wall());
+        Planner.Plan plan = planner.plan(slots, marks, underway(), now, effects.wall());
         last = plan;
         // Large fleets and long queues make plans dear: they are then made less often, not at the cost of the reports.
         // Every claim
@@ -206,7 +206,7 @@
         counters.plans++;
         counters.planned += plan.work();
         counters.speedLimited += plan.speedLimited();
-        if (seats.holding() && store.healthy()) {
+        if (membership.holding() && store.healthy()) {
             act(plan, pictures, now);
             if (fleetKnown.getAsBoolean()) {
                 preempt(plan, pictures, now);
@@ -281,7 +281,7 @@
 
     /** For how long this controller has seen a claim stand, in ms. */
     public long runningFor(Claim c) {
-        return c.seenAt() < 0 ? 0 : fx.now() - c.seenAt();
+        return c.seenAt() < 0 ? 0 : effects.now() - c.seenAt();
     }
 
     /** Expected end of a claim by what this controller has seen of it, in steady ms. */
@@ -292,7 +292,7 @@
         long ran = runningFor(c);
         double left = planner.expectedS(c.job().spec) * 1000 + 3_000 - ran;
         // The longer a task is overdue, the less its end is near: "any moment now" kept others waiting for minutes.
-        return fx.now() + Math.round(Math.max(left, 0.4 * ran));
+        return effects.now() + Math.round(Math.max(left, 0.4 * ran));
     }
 
     /** A job whose tasks keep failing waits longer and longer, so that it does not wear out machines. */
@@ -305,10 +305,10 @@
         long[] seen = errorSeen.computeIfAbsent(j.spec.id(), k -> new long[] {0, 0});
         if (seen[0] != errors) {
             seen[0] = errors;
-            seen[1] =
-                    fx.now() + Math.min(60_000, 500L << Math.min(7, errors / Math.max(1, Math.min(8, j.spec.tasks()))));
+            seen[1] = effects.now()
+                    + Math.min(60_000, 500L << Math.min(7, errors / Math.max(1, Math.min(8, j.spec.tasks()))));
         }
-        return fx.now() < seen[1];
+        return effects.now() < seen[1];
     }
 
     private List<Planner.Choice> underway() {
@@ -318,14 +318,14 @@
     }
 
     /** Free room on every machine in the pictures, less what the store records. */
-    public List<Slot> slots(Map<String, Picture> pictures) {
+    public List<Slot> slots(Map<String, MachineStatus> pictures) {
         List<Slot> slots = new ArrayList<>(pictures.size());
         elsewhere.clear();
         Map<String, List<Planner.Choice>> underway = new HashMap<>();
         for (Planner.Choice c : underway()) {
             underway.computeIfAbsent(c.slot().machine, k -> new ArrayList<>()).add(c);
         }
-        for (Picture p : pictures.values()) {
+        for (MachineStatus p : pictures.values()) {
             Catalog.Type t = catalog.type(p.type());
             if (!p.usable() || t == null) {
                 continue;
@@ -396,7 +396,7 @@
 
     // ---- offers
 
-    private void act(Planner.Plan plan, Map<String, Picture> pictures, long now) {
+    private void act(Planner.Plan plan, Map<String, MachineStatus> pictures, long now) {
         Map<String, List<Planner.Choice>> groups = new LinkedHashMap<>();
         Map<String, Boolean> whole = new HashMap<>();
         for (Planner.Choice c : plan.choices()) {
@@ -405,7 +405,7 @@
                 whole.put(s.id(), false);
                 continue;
             }
-            if (heldCount + groups.size() > MAX_OFFERED || !seats.drives(s.id())) {
+            if (heldCount + groups.size() > MAX_OFFERED || !membership.drives(s.id())) {
                 continue;
             }
             String key = s.gang() ? s.id() : s.id() + "/" + c.task() / c.job().chunkSize;
@@ -432,11 +432,11 @@
 
     /** For a gang that would miss an aim only as its images have to come: places where they are, if others may be stopped there. */
     private List<Planner.Choice> sooner(
-            Job j, List<Planner.Choice> choices, Planner.Plan plan, Map<String, Picture> pictures) {
+            Job j, List<Planner.Choice> choices, Planner.Plan plan, Map<String, MachineStatus> pictures) {
         if (!j.spec.manyGang()) {
             return null;
         }
-        double spareMs = planner.spareMs(j, fx.wall());
+        double spareMs = planner.spareMs(j, effects.wall());
         if (choices.stream().noneMatch(c -> c.delayMs() > spareMs)) {
             return null;
         }
@@ -457,8 +457,8 @@
     private void offer(Group g) {
         Map<Integer, List<Planner.Choice>> byOwner = new TreeMap<>();
         for (Planner.Choice c : g.choices) {
-            int owner = seats.owns(c.slot().shard) ? 0 : seats.liveOwner(c.slot().shard);
-            if (owner < 0 || owner == 0 && !seats.owns(c.slot().shard)) {
+            int owner = membership.owns(c.slot().shard) ? 0 : membership.liveOwner(c.slot().shard);
+            if (owner < 0 || owner == 0 && !membership.owns(c.slot().shard)) {
                 g.refused = true;
                 continue;
             }
@@ -468,7 +468,7 @@
             return;
         }
         for (Planner.Choice c : g.choices) {
-            hold(c, fx.now() + offerMs);
+            hold(c, effects.now() + offerMs);
         }
         out.add(g);
         g.waiting = byOwner.size();
@@ -502,11 +502,11 @@
             Job j = view.job(i.job());
             String no = j == null
                     ? NOT_KNOWN_YET
-                    : yard.reserve(j.spec, i.task(), i.machine(), i.session(), offer.makesRoom());
+                    : workerRegistry.reserve(j.spec, i.task(), i.machine(), i.session(), offer.makesRoom());
             refusals.add(no == null ? "" : no);
             all &= no == null;
-            Integer shard = yard.shardOf(i.machine());
-            terms.add(shard == null ? 0 : seats.term(shard));
+            Integer shard = workerRegistry.shardOf(i.machine());
+            terms.add(shard == null ? 0 : membership.term(shard));
         }
         if (offer.whole() && !all) {
             calledOff(new PeerRecord.CalledOff(offer.items()));
@@ -516,14 +516,14 @@
 
     /** As owner: frees the room kept for offers that come to nothing. */
     public void calledOff(PeerRecord.CalledOff o) {
-        o.items().forEach(i -> yard.unreserve(i.machine(), i.job() + "/" + i.task()));
+        o.items().forEach(i -> workerRegistry.unreserve(i.machine(), i.job() + "/" + i.task()));
     }
 
     /** As driver: tells the owners that what they accepted will not be claimed. */
     private void callOff(List<Planner.Choice> choices) {
         Map<Integer, List<PeerRecord.Item>> byOwner = new TreeMap<>();
         for (Planner.Choice c : choices) {
-            int owner = seats.owns(c.slot().shard) ? 0 : seats.liveOwner(c.slot().shard);
+            int owner = membership.owns(c.slot().shard) ? 0 : membership.liveOwner(c.slot().shard);
             if (owner >= 0) {
                 byOwner.computeIfAbsent(owner, k -> new ArrayList<>()).add(item(c));
             }
@@ -561,7 +561,7 @@
                 LOG.debug("offer of {} to {} refused: {}", key(c), c.slot().machine, no);
                 letGo(c);
                 refusals.computeIfAbsent(c.job().spec.id(), k -> new HashMap<>())
-                        .put(c.slot().machine, fx.now() + refusalMs(no));
+                        .put(c.slot().machine, effects.now() + refusalMs(no));
             }
         }
         if (--g.waiting > 0) {
@@ -612,10 +612,10 @@
                 continue;
             }
             rows.add(row);
-            shards.add(seats.shardKey(c.slot().shard));
+            shards.add(membership.shardKey(c.slot().shard));
             list.add(c);
             claiming.put(key(c), c);
-            hold(c, fx.now() + 30_000);
+            hold(c, effects.now() + 30_000);
         }
         callOff(over);
         boolean queued = store.offer(new Change() {
@@ -637,7 +637,7 @@
             /** Counted, as a guess once let claims on machines of many shards make a transaction that was refused whole. */
             @Override
             public int conditions(Tx tx) {
-                int n = 2 + rows.size() + Math.min(g.job.gone().size(), seats.shardCount());
+                int n = 2 + rows.size() + Math.min(g.job.gone().size(), membership.shardCount());
                 for (String shard : shards) {
                     n += tx.lacks(shard) ? 1 : 0;
                 }
@@ -667,18 +667,18 @@
 
             @Override
             public boolean build(Tx tx) {
-                made = fx.now() > expires() ? List.of() : allowed(tx, g, list);
+                made = effects.now() > expires() ? List.of() : allowed(tx, g, list);
                 if (made.isEmpty()) {
                     return false;
                 }
                 double n = made.size();
-                Gates.Pass pass = gates.pass(tx, s.team(), made.size(), n * s.cpus(), n * s.gpus());
-                if (pass == Gates.Pass.YES) {
+                Quotas.Pass pass = quotas.pass(tx, s.team(), made.size(), n * s.cpus(), n * s.gpus());
+                if (pass == Quotas.Pass.YES) {
                     record(tx, s, made);
                 } else {
                     made = List.of();
                 }
-                return pass != Gates.Pass.NO;
+                return pass != Quotas.Pass.NO;
             }
 
             @Override
@@ -751,19 +751,19 @@
         // With a single row, what may be replaced leaves it by the same writing; of several rows, some may stay as they
         // are.
         Map<Integer, Integer> zones =
-                Planner.zones(j, seats::zoneOf, i -> tx.peek(j, i), x -> j.chunks.size() == 1 && replaceable(x));
+                Planner.zones(j, membership::zoneOf, i -> tx.peek(j, i), x -> j.chunks.size() == 1 && replaceable(x));
         List<Planner.Choice> ok = new ArrayList<>();
         for (Planner.Choice c : list) {
             Slot slot = c.slot();
             int shard = slot.shard;
-            int zone = seats.zoneOf(shard);
+            int zone = membership.zoneOf(shard);
             cpus += s.cpus();
             gpus += s.gpus();
             Chunk before = tx.peek(j, c.task() / j.chunkSize);
             Claim recorded = before == null ? null : before.claims.get(c.task());
             boolean fine = !j.isDone(c.task())
                     && (recorded == null || replaceable(recorded))
-                    && seats.term(shard) == g.accepted.get(c.task())
+                    && membership.term(shard) == g.accepted.get(c.task())
                     && slot.allows(s)
                     && zone == slot.zone
                     && !Catalog.over(team.cpusMax(), cpus)
@@ -787,7 +787,9 @@
     /** Whether a claim may be replaced in the transaction that writes its task's next one: the owner's proof must still be good. */
     private boolean replaceable(Claim c) {
         Job.Gone g = c.job().gone(c.task());
-        return g != null && g.claim() == c && (g.own() ? seats.owns(c.shard()) : g.term() == seats.term(c.shard()));
+        return g != null
+                && g.claim() == c
+                && (g.own() ? membership.owns(c.shard()) : g.term() == membership.term(c.shard()));
     }
 
     private int replaceable(Job j) {
@@ -803,7 +805,7 @@
         for (Job.Gone g : j.gone()) {
             Claim c = g.claim();
             if (c.task() / j.chunkSize == chunk.index && replaceable(c) && chunk.claims.get(c.task()) == c) {
-                tx.require(seats.shardKey(c.shard()));
+                tx.require(membership.shardKey(c.shard()));
                 chunk.claims.remove(c.task());
                 chunk.restarts += g.started() ? 1 : 0;
             }
@@ -827,7 +829,7 @@
         }
         for (Planner.Choice c : ok) {
             Slot slot = c.slot();
-            tx.require(seats.shardKey(slot.shard));
+            tx.require(membership.shardKey(slot.shard));
             Chunk chunk = tx.chunk(j, c.task() / j.chunkSize);
             chunk.attempts = attempt;
             chunk.claims.put(c.task(), new Claim(j, c.task(), attempt, slot.machine, slot.session, slot.shard));
@@ -849,7 +851,7 @@
      * team's guarantee. The claim comes before anybody is stopped. When work was stopped first and the room planned for
      * afterwards, small tasks of other drivers filled it as it came free, and a large task had 87 others stopped in vain.
      */
-    private void preempt(Planner.Plan plan, Map<String, Picture> pictures, long now) {
+    private void preempt(Planner.Plan plan, Map<String, MachineStatus> pictures, long now) {
         List<Wish> wishes = new ArrayList<>();
         Map<String, Wish> slow = new LinkedHashMap<>();
         for (Planner.Choice c : plan.choices()) {
@@ -859,12 +861,12 @@
             }
             boolean guaranteed = plan.guaranteed().contains(s.id());
             boolean gathers = s.manyGang() && !c.slot().real;
-            if (gathers && c.delayMs() > planner.spareMs(c.job(), fx.wall())) {
+            if (gathers && c.delayMs() > planner.spareMs(c.job(), effects.wall())) {
                 slow.put(s.id(), new Wish(c.job(), guaranteed, Double.MAX_VALUE));
             } else if (c.delayMs() > preemptDelay && (guaranteed || s.priority() == Priority.PRODUCTION || gathers)) {
                 // A gang's room is "soon" there again and again, and somebody else's then: what it has waited counts as
                 // well.
-                double waited = gathers ? Math.max(0, fx.wall() - c.job().acceptedAt) : 0;
+                double waited = gathers ? Math.max(0, effects.wall() - c.job().acceptedAt) : 0;
                 slow.put(s.id(), new Wish(c.job(), guaranteed, (c.delayMs() + waited) / 1000));
             }
         }
@@ -878,7 +880,7 @@
         int looks = MAX_WISHES;
         for (Wish u : wishes) {
             Job j = u.job();
-            if (!seats.drives(j.spec.id()) || preempting.containsKey(j.spec.id())) {
+            if (!membership.drives(j.spec.id()) || preempting.containsKey(j.spec.id())) {
                 continue;
             }
             if (budget <= 0 || looks-- <= 0) {
@@ -930,7 +932,7 @@
                             j,
                             u.guaranteed(),
                             u.delayS(),
-                            planner.spareMs(j, fx.wall()),
+                            planner.spareMs(j, effects.wall()),
                             plan,
                             slots,
                             catalog.zones.size(),
@@ -952,9 +954,9 @@
         for (Chunk ch : job.chunks) {
             if (ch != null) {
                 for (Claim c : ch.claims.values()) {
-                    int owner = seats.owns(c.shard()) ? 0 : seats.liveOwner(c.shard());
+                    int owner = membership.owns(c.shard()) ? 0 : membership.liveOwner(c.shard());
                     if (owner == 0) {
-                        yard.wishStop(c, graceS, reason);
+                        workerRegistry.wishStop(c, graceS, reason);
                     } else if (owner > 0 && owners.add(owner)) {
                         mesh.send(owner, new PeerRecord.Stop(job.spec.id(), -1, c.attempt(), graceS, reason));
                     }
@@ -972,8 +974,10 @@
         for (Chunk ch : j.chunks) {
             if (ch != null) {
                 for (Claim c : List.copyOf(ch.claims.values())) {
-                    if (c.attempt() == s.attempt() && (s.task() < 0 || s.task() == c.task()) && seats.owns(c.shard())) {
-                        yard.wishStop(c, s.graceS(), s.reason());
+                    if (c.attempt() == s.attempt()
+                            && (s.task() < 0 || s.task() == c.task())
+                            && membership.owns(c.shard())) {
+                        workerRegistry.wishStop(c, s.graceS(), s.reason());
                     }
                 }
             }
--- a/src/main/java/birchusher/placement/Gates.java
+++ b/src/main/java/birchusher/placement/Quotas.java
@@ -19,7 +19,7 @@
  * <p><b>tight</b>: each claim also writes the row, so claims of the team are serialised and the use that a view shows is
  * exact. So it is while the limit is near.
  */
-public final class Gates {
+public final class Quotas {
     private static final String CPUS = "c";
     private static final String GPUS = "g";
     private static final String SINCE = "s";
@@ -43,7 +43,7 @@
     /** What was there before us may hold claims of an earlier life of ours: such a version's quota counts as used up. */
     private long bornAt = -1;
 
-    public Gates(Catalog catalog, View view, int controllers) {
+    public Quotas(Catalog catalog, View view, int controllers) {
         this.catalog = catalog;
         this.view = view;
         this.controllers = controllers;
--- a/src/main/java/birchusher/recovery/Census.java
+++ b/src/main/java/birchusher/recovery/Inventory.java
@@ -20,8 +20,8 @@
  *
  * <p>It needs no talk: all rows are known to every controller, and owners tell of the machines they have heard anyway.
  */
-public final class Census {
-    private static final Logger LOG = LoggerFactory.getLogger(Census.class);
+public final class Inventory {
+    private static final Logger LOG = LoggerFactory.getLogger(Inventory.class);
     private static final int MAX_FIT = 50_000;
     /** One in so many may be open: waiting for single machines held up rentals on days when many are taken back. */
     private static final int FEW = 50;
@@ -62,7 +62,7 @@
     private long since;
     private int most;
 
-    public Census(View view, long patienceMs) {
+    public Inventory(View view, long patienceMs) {
         this.view = view;
         this.patienceMs = patienceMs;
     }
--- a/src/main/java/birchusher/recovery/Losses.java
+++ b/src/main/java/birchusher/recovery/Losses.java
@@ -34,7 +34,7 @@
     private long nextForget;
 
     /**
-     * @param patienceMs for how long what was dropped is expected to find its place again by itself, see {@link Census}
+     * @param patienceMs for how long what was dropped is expected to find its place again by itself, see {@link Inventory}
      * @param members of the cluster, ourselves included
      */
     public Losses(long patienceMs, int members) {
--- a/src/main/java/birchusher/recovery/Squaring.java
+++ b/src/main/java/birchusher/recovery/Reconciliation.java
@@ -7,7 +7,7 @@
  *
  * <p>The caller has already left out reports that are not newer than the last one, and answers only under a valid seat and term.
  */
-public final class Squaring {
+public final class Reconciliation {
     /** What the rows say of an attempt on this machine. */
     public enum Row {
         /** It is to run here, in the session that the report is of. */
@@ -59,7 +59,7 @@
         FENCE
     }
 
-    private Squaring() {}
+    private Reconciliation() {}
 
     /** What goes into the rows: a claim leaves them only with a proof that the task is not on the machine and can't come to be there. */
     public static Write write(Row row, Shown shown, Known k) {
--- a/src/main/java/birchusher/statehost/Host.java
+++ b/src/main/java/birchusher/statehost/Host.java
@@ -69,7 +69,7 @@
     public void tick() {
         give(keeper.tick(EventLoop.now()));
         kick();
-        Keeper.Picture p = keeper.picture(EventLoop.now());
+        Keeper.MachineStatus p = keeper.picture(EventLoop.now());
         if (p != null) {
             snapshots.execute(() -> picture(p));
         }
@@ -79,7 +79,7 @@
         }
     }
 
-    private void picture(Keeper.Picture p) {
+    private void picture(Keeper.MachineStatus p) {
         boolean written = false;
         try {
             p.write();
--- a/src/main/java/birchusher/statehost/Keeper.java
+++ b/src/main/java/birchusher/statehost/Keeper.java
@@ -21,12 +21,12 @@
  * then are the answers given that rest on it. Time is an input.
  *
  * <p>One thread owns a keeper. {@link Batch#write} may run on another one, and requests gather meanwhile; only one batch is under
- * way at a time, so what became of it is always told before the next begins. {@link Picture#write} may run on a third: a
+ * way at a time, so what became of it is always told before the next begins. {@link MachineStatus#write} may run on a third: a
  * picture is of a state that never changes. {@link #flush} does it all in one thread.
  */
 public final class Keeper implements Closeable {
     /** A state to be written as a snapshot, and the last record that it holds. */
-    public record Picture(Disk disk, long sequence, State state) {
+    public record MachineStatus(Disk disk, long sequence, State state) {
         /** Writes it; {@link Keeper#pictured} has to be told once it has returned. */
         public void write() throws IOException {
             Snapshot.write(disk, sequence, to -> Codec.encode(state, to::row));
@@ -225,17 +225,17 @@
     }
 
     /** A snapshot that is due, null if none is or one is being written, or could not be written just now. */
-    public Picture picture(long now) {
+    public MachineStatus picture(long now) {
         if (picturing || logBytes < snapshotBytes || now < pictureFrom) {
             return null;
         }
         picturing = true;
         picturedBytes = logBytes;
-        return new Picture(disk, engine.durableSequence(), engine.durableState());
+        return new MachineStatus(disk, engine.durableSequence(), engine.durableState());
     }
 
     /** A picture's writing has ended; if it was written, what it stands for is dropped from the log with the next batch. */
-    public void pictured(long now, Picture p, boolean written) {
+    public void pictured(long now, MachineStatus p, boolean written) {
         picturing = false;
         if (written) {
             prune = p.sequence();
--- a/src/main/java/birchusher/store/StoreLink.java
+++ b/src/main/java/birchusher/store/StoreLink.java
@@ -45,7 +45,7 @@
     /** {@code turn}: only what is read by a later request is as new as the question; two may come in one millisecond. */
     private record Waiting(long since, long turn, Consumer<Boolean> then) {}
 
-    private final Effects fx;
+    private final Effects effects;
     private final View view;
     private final String address;
     private final Settings settings;
@@ -97,8 +97,8 @@
     private long conflicts;
     private long tooMany;
 
-    public StoreLink(Effects fx, View view, Settings s, Tuning t) {
-        this.fx = fx;
+    public StoreLink(Effects effects, View view, Settings s, Tuning t) {
+        this.effects = effects;
         this.view = view;
         this.settings = s;
         this.address = s.store().toString();
@@ -128,7 +128,7 @@
 
     /** Whether the state service answers us, as far as we have lately seen. */
     public boolean healthy() {
-        return loaded && (failingSince < 0 || fx.now() - failingSince < 1_500);
+        return loaded && (failingSince < 0 || effects.now() - failingSince < 1_500);
     }
 
     /**
@@ -143,7 +143,7 @@
         if (queue.size() >= MAX_WAITING) {
             return false;
         }
-        Queued q = new Queued(c, seq++, fx.now(), false);
+        Queued q = new Queued(c, seq++, effects.now(), false);
         queue.add(q);
         nextDue = Math.min(nextDue, due(q));
         pump();
@@ -155,14 +155,14 @@
         if (!healthy() || fresh.size() >= MAX_WAITING) {
             return false;
         }
-        fresh.add(new Waiting(fx.now(), turn++, then));
+        fresh.add(new Waiting(effects.now(), turn++, then));
         pump();
         return true;
     }
 
     /** One plain read; status 0 or 503 when it can't be had now. */
     public boolean get(String key, Effects.Reply reply) {
-        if (!requests.take(fx.now(), 1)) {
+        if (!requests.take(effects.now(), 1)) {
             return false;
         }
         call("GET", Wire.STORE + "/" + key, null, 2_000, reply);
@@ -171,7 +171,7 @@
 
     /** Rows under a prefix, after a key or from the first one on ({@code ""}); as with {@link #get}. */
     public boolean page(String prefix, String after, int most, Effects.Reply reply) {
-        if (!requests.take(fx.now(), 1)) {
+        if (!requests.take(effects.now(), 1)) {
             return false;
         }
         call("GET", pagePath(prefix, after, most), null, 2_000, reply);
@@ -185,12 +185,12 @@
 
     /** Lease calls are never held back: everything hangs on them. */
     public void lease(String method, String path, Object body, Effects.Reply reply) {
-        requests.force(fx.now(), 1);
+        requests.force(effects.now(), 1);
         call(method, path, body, 3_000, reply);
     }
 
     private void call(String method, String path, Object body, int timeout, Effects.Reply reply) {
-        fx.call(Target.STORE, address, method, path, body, timeout, (status, m) -> {
+        effects.call(Target.STORE, address, method, path, body, timeout, (status, m) -> {
             note(status);
             reply.got(status, m);
         });
@@ -199,21 +199,21 @@
     private void note(int status) {
         if (status == 429) {
             tooMany++;
-            requests.block(fx.now(), fx.now() + 100 + (fx.now() * 31 + seq * 17) % 150);
+            requests.block(effects.now(), effects.now() + 100 + (effects.now() * 31 + seq * 17) % 150);
         } else if (status == 0 || status == 503) {
             if (failingSince < 0) {
-                failingSince = fx.now();
+                failingSince = effects.now();
             }
         } else {
-            if (failingSince >= 0 && fx.now() - failingSince > 3_000) {
-                LOG.info("state service answers again after {} ms", fx.now() - failingSince);
+            if (failingSince >= 0 && effects.now() - failingSince > 3_000) {
+                LOG.info("state service answers again after {} ms", effects.now() - failingSince);
             }
             failingSince = -1;
         }
     }
 
     public void tick() {
-        long now = fx.now();
+        long now = effects.now();
         if (!loaded) {
             if (!loading && now >= nextLoad) {
                 load();
@@ -234,7 +234,7 @@
         if (!loaded) {
             return;
         }
-        long now = fx.now();
+        long now = effects.now();
         expire(now);
         boolean behind = !fresh.isEmpty() || needFresh || view.applied() < needRevision;
         if (!watching && now >= nextWatch && requests.take(now, 1)) {
@@ -303,7 +303,7 @@
                 return;
             }
             endsReading = false;
-            nextEnds = fx.now() + (status == 200 ? 50 : 500);
+            nextEnds = effects.now() + (status == 200 ? 50 : 500);
             if (status != 200) {
                 return;
             }
@@ -327,14 +327,14 @@
     }
 
     private void page(String after, long firstRevision, long gen) {
-        requests.force(fx.now(), 1);
+        requests.force(effects.now(), 1);
         call("GET", pagePath(Keys.LIVE, after, MAX_ROWS), null, 3_000, (status, m) -> {
             if (gen != generation) {
                 return;
             }
             if (status != 200) {
                 loading = false;
-                nextLoad = fx.now() + 300;
+                nextLoad = effects.now() + 300;
                 resumeAfter = firstRevision >= 0 ? after : null;
                 resumeRevision = firstRevision;
                 return;
@@ -361,20 +361,20 @@
     private void watch(long wait) {
         watching = true;
         long gen = generation;
-        long sent = fx.now();
+        long sent = effects.now();
         long at = turn++;
         boolean clears = needFresh;
         Effects.Reply reply = (status, m) -> {
             watching = false;
             // Every change wakes every controller's watch: the gap keeps that within each one's part of the requests.
-            nextWatch = fx.now()
+            nextWatch = effects.now()
                     + (status == 200 ? Math.max(watchGap, Math.round(1_000 / (0.4 * requests.perSecond()))) : 500);
             if (gen == generation) {
                 upToDate(status, m, sent, at, clears);
             }
         };
         if (wait > 0) {
-            fx.call(Target.WATCH, address, "GET", watchPath(wait), null, (int) wait + 3_000, reply);
+            effects.call(Target.WATCH, address, "GET", watchPath(wait), null, (int) wait + 3_000, reply);
         } else {
             call("GET", watchPath(0), null, 2_000, reply);
         }
@@ -402,7 +402,7 @@
 
     /** A watch that does not wait tells the current revision and every change up to it: proof of a fresh view. */
     private void askFresh() {
-        long now = fx.now();
+        long now = effects.now();
         if (asking || now < nextFresh) {
             return;
         }
@@ -424,7 +424,7 @@
             }
             upToDate(status, m, now, at, clears);
             if (status != 200) {
-                nextFresh = Math.max(nextFresh, fx.now() + 250);
+                nextFresh = Math.max(nextFresh, effects.now() + 250);
             }
             pump();
         });
@@ -434,7 +434,7 @@
         if (status == 410) {
             LOG.info("watch too old, reading everything again");
             loaded = false;
-            nextLoad = fx.now();
+            nextLoad = effects.now();
             return;
         }
         if (status != 200) {
@@ -473,7 +473,7 @@
         long patience = q.change.patienceMs();
         return patience == 0
                 ? q.since
-                : q.since + Math.min(patience, 50 + Math.round(PATIENCE_MS * writes.shortage(fx.now())));
+                : q.since + Math.min(patience, 50 + Math.round(PATIENCE_MS * writes.shortage(effects.now())));
     }
 
     /** How many rows this controller may expect to write within a time, at its present part of the changes. */
@@ -559,7 +559,7 @@
         Map<String, Object> body = tx.body();
         call("POST", Wire.MULTI, body, (int) TXN_TIMEOUT_MS, (status, m) -> {
             sending = false;
-            nextTxn = fx.now() + txnGap;
+            nextTxn = effects.now() + txnGap;
             if (gen != generation) {
                 needFresh = true;
                 batch.forEach(this::unclear);
@@ -584,7 +584,7 @@
                     });
                 }
                 case 400 -> {
-                    nextTxn = fx.now() + 250;
+                    nextTxn = effects.now() + 250;
                     LOG.error(
                             "transaction refused as malformed: {} ({} rows, {} conditions)",
                             m,
@@ -602,17 +602,17 @@
                     });
                 }
                 case 429 -> {
-                    writes.block(fx.now(), fx.now() + 150 + (fx.now() * 13) % 200);
+                    writes.block(effects.now(), effects.now() + 150 + (effects.now() * 13) % 200);
                     batch.forEach(this::again);
                 }
                 case 503 -> {
-                    nextTxn = fx.now() + 250;
+                    nextTxn = effects.now() + 250;
                     batch.forEach(this::again);
                 }
                 default -> {
                     // No answer: it may be applied later, so nothing is built before a fresh view.
                     needFresh = true;
-                    nextTxn = fx.now() + 100;
+                    nextTxn = effects.now() + 100;
                     batch.forEach(this::unclear);
                 }
             }
--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -3,11 +3,11 @@
 import birchusher.core.Effect.Target;
 import birchusher.core.Effects;
 import birchusher.core.Fields;
+import birchusher.membership.Membership;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
 import birchusher.recovery.Orders;
-import birchusher.recovery.Squaring;
-import birchusher.seats.Seats;
+import birchusher.recovery.Reconciliation;
 import birchusher.settings.Settings;
 import birchusher.store.Claim;
 import birchusher.store.Job;
@@ -40,34 +40,34 @@
         boolean take(Machine m, Report r, int zone);
     }
 
-    private final Effects fx;
+    private final Effects effects;
     private final Settings settings;
     private final Catalog catalog;
     private final View view;
     private final StoreLink store;
-    private final Seats seats;
+    private final Membership membership;
     private final Outcomes outcomes;
     private final Orders account;
     private final SafetyChecks checks;
     private final Owner owner;
 
     Commands(
-            Effects fx,
+            Effects effects,
             Settings s,
             Catalog catalog,
             View view,
             StoreLink store,
-            Seats seats,
+            Membership membership,
             Outcomes outcomes,
             Orders account,
             SafetyChecks checks,
             Owner owner) {
-        this.fx = fx;
+        this.effects = effects;
         this.settings = s;
         this.catalog = catalog;
         this.view = view;
         this.store = store;
-        this.seats = seats;
+        this.membership = membership;
         this.outcomes = outcomes;
         this.account = account;
         this.checks = checks;
@@ -93,7 +93,7 @@
                         && (m.stops.containsKey(c.attemptKey())
                                 || m.noticeAt >= 0
                                 || m.gone
-                                || fx.now() - m.held.getOrDefault(c.attemptKey(), fx.now()) > HELD_MS);
+                                || effects.now() - m.held.getOrDefault(c.attemptKey(), effects.now()) > HELD_MS);
     }
 
     /** A gang attempt that has lost a task can't go on; all its claims were made at once, so a gap means a loss. */
@@ -106,7 +106,7 @@
         if (!store.loaded()) {
             return orders;
         }
-        if (!seats.settled(m.shard)) {
+        if (!membership.settled(m.shard)) {
             // Cancelled is for good, however old the view: without this, a new owner renewed such tasks and could not
             // stop them.
             for (Entry e : m.entries.values()) {
@@ -116,26 +116,26 @@
             }
             return orders;
         }
-        long now = fx.now();
+        long now = effects.now();
         Map<String, Claim> claims = view.claims(m.name);
         for (Entry e : m.entries.values()) {
             Claim c = claims.get(e.key());
             Stop stop = m.stops.get(e.attemptKey());
-            Squaring.Row row = c == null || c.attempt() != e.attempt() ? Squaring.Row.NONE : row(m, c);
-            if (row == Squaring.Row.UNWANTED
+            Reconciliation.Row row = c == null || c.attempt() != e.attempt() ? Reconciliation.Row.NONE : row(m, c);
+            if (row == Reconciliation.Row.UNWANTED
                     && (stop != null || m.noticeAt >= 0 || c.job().allDone())
                     && !view.cancelled(c.job().spec.id())) {
                 // A wish to stop has its own grace, and what is done elsewhere ends by itself. What a cancelled task
                 // saves is of no use,
                 // and its grace may be longer than a cancellation has.
-                row = Squaring.Row.CLAIMED;
+                row = Reconciliation.Row.CLAIMED;
             }
-            switch (Squaring.order(row, shown(e), known(m, e.attemptKey()))) {
+            switch (Reconciliation.order(row, shown(e), known(m, e.attemptKey()))) {
                 case REAP -> orders.add(order(Wire.FORGET, e.key(), e.attempt(), -1));
                 case FENCE -> fence(m, e.attemptKey(), now);
                 case STOP -> orders.add(order(Wire.STOP, e.key(), e.attempt(), 0));
                 default -> {
-                    if (row == Squaring.Row.CLAIMED && stop != null && !e.exited()) {
+                    if (row == Reconciliation.Row.CLAIMED && stop != null && !e.exited()) {
                         stop(orders, e, stop, now);
                     }
                 }
@@ -143,15 +143,15 @@
         }
         for (Claim c : claims.values()) {
             String ak = c.attemptKey();
-            Squaring.Row row = row(m, c);
-            if (m.entries.containsKey(ak) || row == Squaring.Row.EARLIER) {
+            Reconciliation.Row row = row(m, c);
+            if (m.entries.containsKey(ak) || row == Reconciliation.Row.EARLIER) {
                 continue;
             }
-            Squaring.Order must = Squaring.order(row, Squaring.Shown.ABSENT, known(m, ak));
-            if (must == Squaring.Order.FENCE) {
+            Reconciliation.Order must = Reconciliation.order(row, Reconciliation.Shown.ABSENT, known(m, ak));
+            if (must == Reconciliation.Order.FENCE) {
                 fence(m, ak, now);
             }
-            if (must != Squaring.Order.START
+            if (must != Reconciliation.Order.START
                     || m.session == m.deadSession
                     || straight && m.loose.containsKey(ak)
                     || m.held.containsKey(ak)) {
@@ -165,7 +165,7 @@
             }
             orders.add(order(Wire.START, c.key(), c.attempt(), -1));
             if (straight) {
-                m.loose.put(ak, new long[] {now, seats.term(m.shard)});
+                m.loose.put(ak, new long[] {now, membership.term(m.shard)});
             } else {
                 m.answered.put(ak, now);
             }
@@ -185,33 +185,33 @@
     // ---- what the squaring table asks for
 
     /** What the rows say of a claim on a machine of ours, by its session and by whether anybody wants it any more. */
-    Squaring.Row row(Machine m, Claim c) {
+    Reconciliation.Row row(Machine m, Claim c) {
         if (c.session() != m.session) {
-            return c.session() < m.session ? Squaring.Row.EARLIER : Squaring.Row.LATER;
+            return c.session() < m.session ? Reconciliation.Row.EARLIER : Reconciliation.Row.LATER;
         }
-        return unwanted(m, c) ? Squaring.Row.UNWANTED : Squaring.Row.CLAIMED;
+        return unwanted(m, c) ? Reconciliation.Row.UNWANTED : Reconciliation.Row.CLAIMED;
     }
 
-    static Squaring.Shown shown(Entry e) {
+    static Reconciliation.Shown shown(Entry e) {
         return e == null
-                ? Squaring.Shown.ABSENT
+                ? Reconciliation.Shown.ABSENT
                 : switch (e.phase()) {
-                    case FETCHING -> Squaring.Shown.FETCHING;
-                    case WAITING -> Squaring.Shown.WAITING;
-                    case RUNNING -> Squaring.Shown.RUNNING;
-                    case SAVING -> Squaring.Shown.SAVING;
+                    case FETCHING -> Reconciliation.Shown.FETCHING;
+                    case WAITING -> Reconciliation.Shown.WAITING;
+                    case RUNNING -> Reconciliation.Shown.RUNNING;
+                    case SAVING -> Reconciliation.Shown.SAVING;
                     case EXITED -> e.why() == Entry.Why.DONE
-                            ? Squaring.Shown.DONE
-                            : e.why() == Entry.Why.ERROR ? Squaring.Shown.ERROR : Squaring.Shown.ENDED;
+                            ? Reconciliation.Shown.DONE
+                            : e.why() == Entry.Why.ERROR ? Reconciliation.Shown.ERROR : Reconciliation.Shown.ENDED;
                 };
     }
 
-    Squaring.Known known(Machine m, String ak) {
+    Reconciliation.Known known(Machine m, String ak) {
         Run run = m.runs.get(ak);
-        return new Squaring.Known(
+        return new Reconciliation.Known(
                 run != null && run.shown,
                 m.loose.containsKey(ak) || onItsWay(m, ak),
-                m.token >= seats.term(m.shard),
+                m.token >= membership.term(m.shard),
                 outcomes.pending(ak));
     }
 
@@ -221,14 +221,14 @@
      */
     private boolean onItsWay(Machine m, String ak) {
         Long at = m.answered.get(ak);
-        return at != null && fx.now() - at < ANSWER_MS;
+        return at != null && effects.now() - at < ANSWER_MS;
     }
 
     /** An unanswered start may still arrive; when that must not happen any more, a higher term keeps it out. */
     private void fence(Machine m, String attemptKey, long now) {
         long[] l = m.loose.get(attemptKey);
-        if (l != null && now - l[0] > DO_TIMEOUT_MS + 500 && l[1] >= seats.term(m.shard)) {
-            seats.raise(m.shard);
+        if (l != null && now - l[0] > DO_TIMEOUT_MS + 500 && l[1] >= membership.term(m.shard)) {
+            membership.raise(m.shard);
         }
     }
 
@@ -244,13 +244,13 @@
     }
 
     void push(Machine m) {
-        long now = fx.now();
+        long now = effects.now();
         boolean reachable = m.address != null && reporting(m, now);
-        if (m.calling || !reachable || m.token < seats.term(m.shard) && m.token > 0 && now - m.heardAt > 1_000) {
+        if (m.calling || !reachable || m.token < membership.term(m.shard) && m.token > 0 && now - m.heardAt > 1_000) {
             return;
         }
         List<Object> orders = orders(m, true);
-        if (orders.isEmpty() && (m.hears || m.token < seats.term(m.shard))) {
+        if (orders.isEmpty() && (m.hears || m.token < membership.term(m.shard))) {
             // Without orders it only asks whether the worker hears us, where its reports alone don't show that.
             return;
         }
@@ -264,12 +264,12 @@
                 starts.add(x.get(Wire.TASK) + "#" + x.get(Wire.ATTEMPT));
             }
         }
-        fx.call(
+        effects.call(
                 Target.WORKER,
                 m.address,
                 "POST",
                 Wire.DO,
-                Map.of(Wire.TOKEN, seats.term(m.shard), Wire.SESSION, session, Wire.COMMANDS, orders),
+                Map.of(Wire.TOKEN, membership.term(m.shard), Wire.SESSION, session, Wire.COMMANDS, orders),
                 (int) DO_TIMEOUT_MS,
                 (status, body) -> {
                     m.calling = false;
@@ -278,7 +278,7 @@
                                 "machine {} did not answer {} commands after {} ms",
                                 m.name,
                                 orders.size(),
-                                fx.now() - sent);
+                                effects.now() - sent);
                         return;
                     }
                     for (String ak : starts) {
@@ -287,7 +287,7 @@
                             m.loose.remove(ak);
                         }
                     }
-                    if ((status == 200 || status == 409) && seats.owns(m.shard)) {
+                    if ((status == 200 || status == 409) && membership.owns(m.shard)) {
                         try {
                             Report r = Report.read(body);
                             int zone = catalog.zones.find(r.zone());
--- a/src/main/java/birchusher/workers/Machine.java
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -51,7 +51,7 @@
     final WorkerLease workerLease;
 
     long heardAt = -1;
-    /** See {@link Hearing}: whether the worker hears us, when that was last shown, and whether it did as its session before ended. */
+    /** See {@link Reachability}: whether the worker hears us, when that was last shown, and whether it did as its session before ended. */
     boolean hears;
 
     long hearsAt = -1;
--- a/src/main/java/birchusher/workers/Picture.java
+++ b/src/main/java/birchusher/workers/MachineStatus.java
@@ -3,11 +3,11 @@
 import java.util.List;
 
 /**
- * What an owner publishes about a machine, for drivers and the buyer. Only a hint: the owner checks every offer.
+ * What an owner publishes about a machine, for drivers and the autoscaler. Only a hint: the owner checks every offer.
  * {@code silentMs} is 0 while reports come as they should; {@code idleSince} is our steady time, -1 while it has work. {@code reserved}: tasks whose
  * claims are awaited.
  */
-public record Picture(
+public record MachineStatus(
         String machine,
         int type,
         int zone,
--- a/src/main/java/birchusher/workers/PictureBook.java
+++ b/src/main/java/birchusher/workers/MachineStatusExchange.java
@@ -2,9 +2,9 @@
 
 import birchusher.core.Effects;
 import birchusher.lease.Hazards;
+import birchusher.membership.Membership;
 import birchusher.mesh.PeerRecord;
 import birchusher.model.Catalog;
-import birchusher.seats.Seats;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -16,7 +16,7 @@
  * told, and now and then everything again, so that what controllers send each other grows with what happens and not with
  * machines times controllers.
  */
-public final class PictureBook {
+public final class MachineStatusExchange {
     /** Each machine is told again after this long, in case that a record was lost. */
     private static final long AGAIN_MS = 4_000;
     /** What is not told again for this long is not counted on any more. */
@@ -26,38 +26,38 @@
 
     private record Told(PeerRecord.Machine machine, long at) {}
 
-    private record Theirs(Picture picture, int owner, long at) {}
+    private record Theirs(MachineStatus picture, int owner, long at) {}
 
-    private final Effects fx;
+    private final Effects effects;
     private final Catalog catalog;
-    private final Seats seats;
+    private final Membership membership;
     private final Map<String, Told> told = new HashMap<>();
     private final Map<String, Theirs> theirs = new HashMap<>();
     private final List<String> left = new ArrayList<>();
-    private Map<String, Picture> pictures = Map.of();
+    private Map<String, MachineStatus> pictures = Map.of();
     private boolean everything;
 
-    public PictureBook(Effects fx, Catalog catalog, Seats seats) {
-        this.fx = fx;
+    public MachineStatusExchange(Effects effects, Catalog catalog, Membership membership) {
+        this.effects = effects;
         this.catalog = catalog;
-        this.seats = seats;
+        this.membership = membership;
     }
 
     /** The present picture of the fleet; ours first, as we know our own machines best. */
-    public Map<String, Picture> pictures() {
+    public Map<String, MachineStatus> pictures() {
         return pictures;
     }
 
-    public void draw(List<Picture> own) {
-        Map<String, Picture> all = new LinkedHashMap<>();
-        for (Picture p : own) {
+    public void draw(List<MachineStatus> own) {
+        Map<String, MachineStatus> all = new LinkedHashMap<>();
+        for (MachineStatus p : own) {
             all.put(p.machine(), p);
         }
         for (var it = theirs.values().iterator(); it.hasNext(); ) {
             Theirs t = it.next();
-            if (fx.now() - t.at > FORGET_MS) {
+            if (effects.now() - t.at > FORGET_MS) {
                 it.remove();
-            } else if (seats.live(t.owner) && fx.now() - t.at <= STALE_MS) {
+            } else if (membership.live(t.owner) && effects.now() - t.at <= STALE_MS) {
                 all.putIfAbsent(t.picture.machine(), t.picture);
             }
         }
@@ -65,14 +65,14 @@
     }
 
     /** What another owner has last told of a machine, or null. */
-    public Picture told(String machine) {
+    public MachineStatus told(String machine) {
         Theirs t = theirs.get(machine);
         return t == null ? null : t.picture;
     }
 
     /** The kind of a machine that is in the picture, else -1. */
     public int kind(String machine) {
-        Picture p = pictures.get(machine);
+        MachineStatus p = pictures.get(machine);
         return p == null ? -1 : Hazards.kind(p.type(), p.spot());
     }
 
@@ -82,11 +82,11 @@
     }
 
     /** What the others don't know yet of our machines; {@link #left} belongs to it. */
-    public List<PeerRecord.Machine> news(List<Picture> own) {
-        long now = fx.now();
+    public List<PeerRecord.Machine> news(List<MachineStatus> own) {
+        long now = effects.now();
         List<PeerRecord.Machine> news = new ArrayList<>();
-        Map<String, Picture> present = new HashMap<>();
-        for (Picture p : own) {
+        Map<String, MachineStatus> present = new HashMap<>();
+        for (MachineStatus p : own) {
             present.put(p.machine(), p);
             PeerRecord.Machine m = machine(p);
             Told before = told.get(p.machine());
@@ -106,7 +106,7 @@
         return List.copyOf(left);
     }
 
-    private PeerRecord.Machine machine(Picture p) {
+    private PeerRecord.Machine machine(MachineStatus p) {
         List<String> images = new ArrayList<>(p.images().length);
         for (int i : p.images()) {
             images.add(catalog.images.name(i));
@@ -120,7 +120,7 @@
         int flags = (p.usable() ? PeerRecord.Machine.USABLE : 0)
                 | (p.condemned() ? PeerRecord.Machine.CONDEMNED : 0)
                 | (p.leaving() ? PeerRecord.Machine.LEAVING : 0);
-        int idle = p.idleSince() < 0 ? -1 : (int) (fx.now() - p.idleSince());
+        int idle = p.idleSince() < 0 ? -1 : (int) (effects.now() - p.idleSince());
         return new PeerRecord.Machine(
                 p.machine(),
                 catalog.typeNames.name(p.type()),
@@ -142,7 +142,7 @@
     }
 
     public void heard(int from, PeerRecord.Heartbeat h) {
-        long now = fx.now();
+        long now = effects.now();
         for (String name : h.left()) {
             Theirs t = theirs.get(name);
             if (t != null && t.owner == from) {
@@ -152,7 +152,7 @@
         h.gone().forEach(theirs::remove);
         for (PeerRecord.Machine m : h.machines()) {
             int zone = catalog.zones.find(m.zone());
-            if (zone < 0 || m.shard() < 0 || m.shard() >= seats.shardCount()) {
+            if (zone < 0 || m.shard() < 0 || m.shard() >= membership.shardCount()) {
                 continue;
             }
             int[] images = m.images().stream().mapToInt(catalog.images::add).toArray();
@@ -165,7 +165,7 @@
             theirs.put(
                     m.name(),
                     new Theirs(
-                            new Picture(
+                            new MachineStatus(
                                     m.name(),
                                     catalog.typeNames.add(m.type()),
                                     zone,
@@ -182,7 +182,7 @@
                                     fetching,
                                     images,
                                     m.reserved().stream()
-                                            .filter(PictureBook::isTask)
+                                            .filter(MachineStatusExchange::isTask)
                                             .toList()),
                             from,
                             now));
--- a/src/main/java/birchusher/workers/Outcomes.java
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -1,11 +1,11 @@
 package birchusher.workers;
 
 import birchusher.core.Effects;
+import birchusher.membership.Membership;
 import birchusher.mesh.PeerRecord;
 import birchusher.model.Priority;
 import birchusher.model.Shape;
 import birchusher.recovery.Losses;
-import birchusher.seats.Seats;
 import birchusher.store.Change;
 import birchusher.store.Chunk;
 import birchusher.store.Claim;
@@ -68,21 +68,28 @@
         void send(int member, PeerRecord r);
     }
 
-    private final Effects fx;
+    private final Effects effects;
     private final View view;
     private final StoreLink store;
-    private final Seats seats;
+    private final Membership membership;
     private final Counters counters;
     private final Mesh mesh;
     private final Losses losses;
     private final Map<String, Pending> pending = new LinkedHashMap<>();
     private final Map<Integer, List<PeerRecord.Ended>> outbox = new LinkedHashMap<>();
 
-    public Outcomes(Effects fx, View view, StoreLink store, Seats seats, Counters counters, Losses losses, Mesh mesh) {
-        this.fx = fx;
+    public Outcomes(
+            Effects effects,
+            View view,
+            StoreLink store,
+            Membership membership,
+            Counters counters,
+            Losses losses,
+            Mesh mesh) {
+        this.effects = effects;
         this.view = view;
         this.store = store;
-        this.seats = seats;
+        this.membership = membership;
         this.counters = counters;
         this.losses = losses;
         this.mesh = mesh;
@@ -98,10 +105,11 @@
         if (pending.containsKey(c.attemptKey())) {
             return false;
         }
-        int driver = seats.driver(c.job().spec.id());
-        gone(c, kind, seats.term(c.shard()), true, driver == 0);
+        int driver = membership.driver(c.job().spec.id());
+        gone(c, kind, membership.term(c.shard()), true, driver == 0);
         if (driver > 0) {
-            pending.put(c.attemptKey(), new Pending(c, kind, fx.now() + (kind.ofMany() ? MANY_MS : DRIVER_MS), false));
+            pending.put(
+                    c.attemptKey(), new Pending(c, kind, effects.now() + (kind.ofMany() ? MANY_MS : DRIVER_MS), false));
             outbox.computeIfAbsent(driver, k -> new ArrayList<>())
                     .add(new PeerRecord.Ended(
                             c.job().spec.id(),
@@ -109,7 +117,7 @@
                             c.attempt(),
                             c.machine(),
                             c.shard(),
-                            seats.term(c.shard()),
+                            membership.term(c.shard()),
                             kind.ordinal()));
         } else {
             write(c, kind);
@@ -125,14 +133,21 @@
         if (kind == Kind.DROPPED && ours) {
             // Only a machine that lives has their room and images: nothing was rented for the losses of dead ones while
             // they counted here.
-            losses.dropped(c.job().spec.id(), c.task(), c.machine(), fx.now());
+            losses.dropped(c.job().spec.id(), c.task(), c.machine(), effects.now());
         }
     }
 
     private void write(Claim c, Kind kind) {
         pending.put(c.attemptKey(), new Pending(c, kind, Long.MAX_VALUE, true));
         boolean queued = store.offer(new Settle(
-                c.job().spec.id(), c.task(), c.attempt(), c.machine(), c.shard(), seats.term(c.shard()), kind, true));
+                c.job().spec.id(),
+                c.task(),
+                c.attempt(),
+                c.machine(),
+                c.shard(),
+                membership.term(c.shard()),
+                kind,
+                true));
         if (!queued) {
             pending.remove(c.attemptKey());
             view.notGone(c);
@@ -164,11 +179,11 @@
             if (!stands(p.claim)) {
                 it.remove();
                 over(p);
-            } else if (!seats.owns(p.claim.shard())) {
+            } else if (!membership.owns(p.claim.shard())) {
                 // Not ours to say any more; the new owner finds its own proof.
                 view.notGone(p.claim);
                 it.remove();
-            } else if (!p.queued && fx.now() > p.writeBy) {
+            } else if (!p.queued && effects.now() > p.writeBy) {
                 late = late == null ? new ArrayList<>() : late;
                 late.add(p);
             }
@@ -181,7 +196,10 @@
     /** As driver: writes what an owner has proof of, as long as that owner's term stands. */
     public void told(PeerRecord.Outcomes r) {
         for (PeerRecord.Ended e : r.items()) {
-            if (e.shard() >= 0 && e.shard() < seats.shardCount() && e.kind() >= 0 && e.kind() < Kind.values().length) {
+            if (e.shard() >= 0
+                    && e.shard() < membership.shardCount()
+                    && e.kind() >= 0
+                    && e.kind() < Kind.values().length) {
                 Kind kind = Kind.values()[e.kind()];
                 boolean queued = store.offer(
                         new Settle(e.job(), e.task(), e.attempt(), e.machine(), e.shard(), e.term(), kind, false));
@@ -221,7 +239,7 @@
             this.term = term;
             this.kind = kind;
             this.own = own;
-            until = fx.now() + (kind.ofMany() ? MANY_MS : 10_000);
+            until = effects.now() + (kind.ofMany() ? MANY_MS : 10_000);
             Job j = view.job(id);
             array = j != null && j.spec.shape() == Shape.ARRAY;
             // With the last ones the job is over, and its user waits for that.
@@ -260,7 +278,9 @@
         public boolean build(Tx tx) {
             Job j = view.job(id);
             // The owner may raise its own term and stays entitled; a driver knows only the term it was told.
-            if (j == null || task >= j.spec.tasks() || (own ? !seats.owns(shard) : seats.term(shard) != term)) {
+            if (j == null
+                    || task >= j.spec.tasks()
+                    || (own ? !membership.owns(shard) : membership.term(shard) != term)) {
                 return false;
             }
             Claim now = j.claim(task);
@@ -273,7 +293,7 @@
                 // The same transaction places the task anew, and has taken this claim out for that.
                 return true;
             }
-            tx.require(seats.shardKey(shard));
+            tx.require(membership.shardKey(shard));
             chunk.claims.remove(task);
             if (kind == Kind.DONE) {
                 if (j.spec.gang()) {
--- a/src/main/java/birchusher/workers/OwnerRedirect.java
+++ b/src/main/java/birchusher/workers/OwnerRedirect.java
@@ -2,7 +2,7 @@
 
 import birchusher.core.Effect.Target;
 import birchusher.core.Effects;
-import birchusher.seats.Seats;
+import birchusher.membership.Membership;
 import birchusher.wire.Wire;
 import java.util.Collections;
 import java.util.HashMap;
@@ -32,8 +32,8 @@
     private record Redirected(long first, long last) {}
 
     private final Effects effects;
-    private final Seats seats;
-    private final PictureBook book;
+    private final Membership membership;
+    private final MachineStatusExchange book;
     /** Per shard: until when a worker that was sent away and is back is being asked whether it hears anybody. */
     private final Map<Integer, Long> probing = new HashMap<>();
     /** Per shard: machines that its owner tells of and that lately came here all the same, and when they first did. */
@@ -48,17 +48,17 @@
         }
     };
 
-    OwnerRedirect(Effects effects, Seats seats, PictureBook book) {
+    OwnerRedirect(Effects effects, Membership membership, MachineStatusExchange book) {
         this.effects = effects;
-        this.seats = seats;
+        this.membership = membership;
         this.book = book;
     }
 
     /** Answers a report of a worker whose shard is another controller's: 421 naming the owner, or 503 while none is known to live. */
     void redirect(long exchange, Report report, int shard) {
-        int owner = seats.seenOwner(shard);
+        int owner = membership.seenOwner(shard);
         if (owner <= 0) {
-            seats.wanted(shard);
+            membership.wanted(shard);
             effects.later(exchange, 503, 1);
             return;
         }
@@ -73,12 +73,12 @@
             // each time.
             probe(shard, report);
         }
-        effects.answer(exchange, 421, Map.of(Wire.REPORT_TO, seats.memberName(owner)));
+        effects.answer(exchange, 421, Map.of(Wire.REPORT_TO, membership.memberName(owner)));
     }
 
     /** Whether no owner that lives tells of a machine as one that it hears. */
     private boolean silent(String machine) {
-        Picture picture = book.pictures().get(machine);
+        MachineStatus picture = book.pictures().get(machine);
         return picture == null || picture.silentMs() > 0;
     }
 
@@ -94,7 +94,7 @@
         Map<String, Long> here = lost.computeIfAbsent(shard, key -> new HashMap<>());
         here.values().removeIf(at -> now - at > LOST_MS);
         here.putIfAbsent(machine, now);
-        if (here.size() < FEW_LOST || !seats.steady(owner, LOST_MS)) {
+        if (here.size() < FEW_LOST || !membership.steady(owner, LOST_MS)) {
             return false;
         }
         long since = Collections.min(here.values());
@@ -122,7 +122,7 @@
             if (answer.machine().equals(report.machine())
                     && answer.session() == report.session()
                     && answer.seq() <= report.seq() + 2) {
-                seats.pressed(shard);
+                membership.pressed(shard);
             }
         });
     }
--- a/src/main/java/birchusher/workers/Hearing.java
+++ b/src/main/java/birchusher/workers/Reachability.java
@@ -10,12 +10,12 @@
  *
  * <p>Only a reason to use a machine or not. What is on it leaves the records by the usual proofs alone.
  */
-final class Hearing {
+final class Reachability {
     private static final long MARGIN_MS = 500;
 
     private final long nextMs;
 
-    Hearing(long reportingMs, int controllers) {
+    Reachability(long reportingMs, int controllers) {
         nextMs = Math.min(reportingMs, Settings.NO_ANSWER_MS + Settings.NEXT_MS * controllers - MARGIN_MS);
     }
 
--- a/src/main/java/birchusher/workers/Room.java
+++ b/src/main/java/birchusher/workers/Room.java
@@ -20,7 +20,7 @@
         void stop(Claim c, double graceS, String reason);
     }
 
-    private final Effects fx;
+    private final Effects effects;
     private final Catalog catalog;
     private final View view;
     private final Outcomes outcomes;
@@ -29,8 +29,8 @@
 
     private final long reserveMs;
 
-    Room(Effects fx, Catalog catalog, View view, Outcomes outcomes, Predicate<String> guaranteed, long reserveMs) {
-        this.fx = fx;
+    Room(Effects effects, Catalog catalog, View view, Outcomes outcomes, Predicate<String> guaranteed, long reserveMs) {
+        this.effects = effects;
         this.catalog = catalog;
         this.view = view;
         this.outcomes = outcomes;
@@ -102,7 +102,7 @@
         Map<String, Long> held = new HashMap<>();
         for (Claim c : unstarted) {
             if (!fits(present, c.job().spec)) {
-                held.put(c.attemptKey(), m.held.getOrDefault(c.attemptKey(), fx.now()));
+                held.put(c.attemptKey(), m.held.getOrDefault(c.attemptKey(), effects.now()));
             }
             minus(present, c.job().spec);
         }
@@ -148,7 +148,7 @@
 
     /** Reservations end by time, or when the claim that they were made for stands. */
     void forgetReservations(Machine m) {
-        long now = fx.now();
+        long now = effects.now();
         Map<String, Claim> claims = view.claims(m.name);
         m.reserved.values().removeIf(r -> {
             Claim c = claims.get(r.key());
@@ -205,6 +205,6 @@
     }
 
     void keep(Machine m, String key, JobSpec j) {
-        m.reserved.put(key, new Machine.Reservation(key, j.cpus(), j.gpus(), j.mem(), fx.now() + reserveMs));
+        m.reserved.put(key, new Machine.Reservation(key, j.cpus(), j.gpus(), j.mem(), effects.now() + reserveMs));
     }
 }
--- a/src/main/java/birchusher/workers/Departed.java
+++ b/src/main/java/birchusher/workers/Tombstones.java
@@ -8,7 +8,7 @@
  * without this, a copy that came long after its machine was returned showed it as up, free and under our term, and got work.
  * Bounded; the longest departed are forgotten first, when copies of theirs are long over.
  */
-final class Departed {
+final class Tombstones {
     private static final int MAX_KEPT = 20_000;
 
     private record Last(long session, long seq, boolean gone) {}
--- a/src/main/java/birchusher/workers/WorkerLease.java
+++ b/src/main/java/birchusher/workers/WorkerLease.java
@@ -15,7 +15,7 @@
  * postpone an end beyond a lease after the last sign of life.
  *
  * <p>Until the worker shows our term it may also have been renewed by an earlier owner of its shard. That ends when every earlier owner is
- * known to be fenced ({@code Seats.fencedAt}), or with the first message that shows our term, since a worker drops answers with lower tokens.
+ * known to be fenced ({@code Membership.fencedAt}), or with the first message that shows our term, since a worker drops answers with lower tokens.
  */
 final class WorkerLease {
     /** {@link #endsBy}: no moment is known at which the lease is certainly over. */
--- a/src/main/java/birchusher/workers/Yard.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -4,11 +4,11 @@
 import birchusher.lease.LeaseTerms;
 import birchusher.lease.Speeds;
 import birchusher.lease.TaskLease;
+import birchusher.membership.Membership;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
 import birchusher.recovery.Orders;
-import birchusher.recovery.Squaring;
-import birchusher.seats.Seats;
+import birchusher.recovery.Reconciliation;
 import birchusher.settings.Settings;
 import birchusher.settings.Tuning;
 import birchusher.store.Claim;
@@ -29,8 +29,8 @@
  * The workers this controller owns: their reports, the commands they get, and the proofs that tasks are gone. A claim
  * leaves the store only through {@link #release}, and each caller of it names its proof.
  */
-public final class Yard {
-    private static final Logger LOG = LoggerFactory.getLogger(Yard.class);
+public final class WorkerRegistry {
+    private static final Logger LOG = LoggerFactory.getLogger(WorkerRegistry.class);
     /** Steps come many times a second; after such a pause we stood still. */
     private static final long STILL_MS = 2_000;
     /** Events that other slices want to hear of. */
@@ -38,25 +38,25 @@
         void stopGang(Job job, double graceS, String reason);
     }
 
-    private final Effects fx;
+    private final Effects effects;
     private final Settings settings;
     private final Catalog catalog;
     private final View view;
     private final StoreLink store;
-    private final Seats seats;
+    private final Membership membership;
     private final LeaseTerms terms;
     private final Speeds speeds;
     private final Counters counters;
     private final Listener listener;
     private final Outcomes outcomes;
     /** What the owners before us told of their machines, so that a new owner starts from what the old one knew. */
-    private final PictureBook book;
+    private final MachineStatusExchange book;
 
     private final Room room;
     private final Commands commands;
     private final Orders orders;
-    private final Hearing hearing;
-    private final Departed departed = new Departed();
+    private final Reachability reachability;
+    private final Tombstones tombstones = new Tombstones();
     private final Faults faults = new Faults();
     private final OwnerRedirect redirects;
     private final SafetyChecks checks;
@@ -70,27 +70,27 @@
     private long nextSweep;
     private long nextLeaseSweep;
 
-    public Yard(
-            Effects fx,
+    public WorkerRegistry(
+            Effects effects,
             Settings s,
             Catalog catalog,
             View view,
             StoreLink store,
-            Seats seats,
+            Membership membership,
             Speeds speeds,
             Tuning t,
             Counters counters,
             Outcomes outcomes,
-            PictureBook book,
+            MachineStatusExchange book,
             Orders orders,
             Listener listener,
             Predicate<String> guaranteed) {
-        this.fx = fx;
+        this.effects = effects;
         this.settings = s;
         this.catalog = catalog;
         this.view = view;
         this.store = store;
-        this.seats = seats;
+        this.membership = membership;
         this.speeds = speeds;
         this.counters = counters;
         this.listener = listener;
@@ -99,32 +99,33 @@
         this.orders = orders;
         terms = LeaseTerms.from(t);
         quarantineMs = t.ms("workers.quarantine-s");
-        room = new Room(fx, catalog, view, outcomes, guaranteed, t.ms("placement.reserve-s"));
-        checks = new SafetyChecks(fx, counters, new SafetyChecks.Machines() {
+        room = new Room(effects, catalog, view, outcomes, guaranteed, t.ms("placement.reserve-s"));
+        checks = new SafetyChecks(effects, counters, new SafetyChecks.Machines() {
             @Override
             public Machine owned(String name) {
                 Machine machine = machines.get(name);
-                return machine != null && seats.owns(machine.shard) ? machine : null;
+                return machine != null && membership.owns(machine.shard) ? machine : null;
             }
 
             @Override
             public long leaseEnd(Machine machine) {
-                return Yard.this.leaseEnd(machine);
+                return WorkerRegistry.this.leaseEnd(machine);
             }
         });
-        commands = new Commands(fx, s, catalog, view, store, seats, outcomes, orders, checks, new Commands.Owner() {
-            @Override
-            public Run newRun(Machine m, JobSpec j, long now) {
-                return Yard.this.newRun(m, j, now);
-            }
-
-            @Override
-            public boolean take(Machine m, Report r, int zone) {
-                return Yard.this.take(m, r, zone, true);
-            }
-        });
-        hearing = new Hearing(commands.reportingMs(), 1 + s.peers().size());
-        redirects = new OwnerRedirect(fx, seats, book);
+        commands = new Commands(
+                effects, s, catalog, view, store, membership, outcomes, orders, checks, new Commands.Owner() {
+                    @Override
+                    public Run newRun(Machine m, JobSpec j, long now) {
+                        return WorkerRegistry.this.newRun(m, j, now);
+                    }
+
+                    @Override
+                    public boolean take(Machine m, Report r, int zone) {
+                        return WorkerRegistry.this.take(m, r, zone, true);
+                    }
+                });
+        reachability = new Reachability(commands.reportingMs(), 1 + s.peers().size());
+        redirects = new OwnerRedirect(effects, membership, book);
         view.onTouched(this::touch);
     }
 
@@ -141,46 +142,46 @@
     public void hello(long exchange, Map<String, Object> body) {
         Report r = Report.read(body);
         int zone = catalog.zones.find(r.zone());
-        if (!store.loaded() || !seats.holding() || zone < 0) {
-            fx.later(exchange, 503, 1);
+        if (!store.loaded() || !membership.holding() || zone < 0) {
+            effects.later(exchange, 503, 1);
             return;
         }
-        int shard = seats.shardOf(r.machine(), zone);
-        if (!seats.owns(shard)) {
+        int shard = membership.shardOf(r.machine(), zone);
+        if (!membership.owns(shard)) {
             redirects.redirect(exchange, r, shard);
             return;
         }
-        long term = seats.term(shard);
+        long term = membership.term(shard);
         if (r.token() > term) {
             // Someone holds a higher term than we know of: an answer of ours would be dropped and hold the worker here.
-            fx.later(exchange, 503, 1);
+            effects.later(exchange, 503, 1);
             return;
         }
-        if (!machines.containsKey(r.machine()) && !departed.admits(r)) {
+        if (!machines.containsKey(r.machine()) && !tombstones.admits(r)) {
             // A late copy, or a machine that is gone: nothing of it may be used, and nobody waits for this answer.
             counters.copies++;
-            fx.answer(exchange, 200, WorkerLease.noRenewal());
+            effects.answer(exchange, 200, WorkerLease.noRenewal());
             return;
         }
         Machine m = machine(r.machine(), shard);
         if (take(m, r, zone, false)) {
-            fx.answer(exchange, 200, m.workerLease.renewal(r, term, commands.orders(m, false)));
-            if (hearing.doubtful(m, term)) {
+            effects.answer(exchange, 200, m.workerLease.renewal(r, term, commands.orders(m, false)));
+            if (reachability.doubtful(m, term)) {
                 commands.push(m);
             }
         } else if (m.workerLease.overtaken(r)) {
             counters.overtaken++;
-            fx.answer(exchange, 200, m.workerLease.renewal(r, term, List.of()));
+            effects.answer(exchange, 200, m.workerLease.renewal(r, term, List.of()));
         } else {
             counters.copies++;
-            fx.answer(exchange, 200, WorkerLease.noRenewal());
+            effects.answer(exchange, 200, WorkerLease.noRenewal());
         }
     }
 
     private Machine machine(String name, int shard) {
         return machines.computeIfAbsent(name, n -> {
             Machine m = new Machine(n, shard, settings.leaseS());
-            Picture p = book.told(n);
+            MachineStatus p = book.told(n);
             if (p != null) {
                 m.speed = new birchusher.lease.MachineSpeed(p.speed());
                 for (int i = p.images().length - 1; i >= 0; i--) {
@@ -204,7 +205,7 @@
             m.loose.clear();
             m.answered.clear();
         }
-        hearing.reported(m, r, seats.term(m.shard), direct, fx.now());
+        reachability.reported(m, r, membership.term(m.shard), direct, effects.now());
         boolean later = r.session() > m.session;
         boolean followed = m.heardAt >= 0;
         if (!followed) {
@@ -223,12 +224,12 @@
         m.zone = zone;
         m.type = catalog.typeNames.add(r.type());
         m.spot = r.spot();
-        m.heardAt = fx.now();
-        m.workerLease.heard(r, seats.term(m.shard), fx.now());
+        m.heardAt = effects.now();
+        m.workerLease.heard(r, membership.term(m.shard), effects.now());
         long tokenNow = m.token;
         m.loose.values().removeIf(l -> l[1] < tokenNow);
         if (r.noticeS() >= 0) {
-            long at = fx.now() + Math.round(r.noticeS() * 1000);
+            long at = effects.now() + Math.round(r.noticeS() * 1000);
             if (m.noticeAt < 0) {
                 counters.notices++;
                 LOG.info("machine {} will be taken back in {} s", m.name, r.noticeS());
@@ -258,23 +259,23 @@
     // ---- what the report and the records say together
 
     private void reconcile(Machine m) {
-        long now = fx.now();
+        long now = effects.now();
         boolean any = false;
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
             String ak = c.attemptKey();
             Entry e = m.entries.get(ak);
-            Squaring.Row row = commands.row(m, c);
-            Squaring.Write write = Squaring.write(row, Commands.shown(e), commands.known(m, ak));
-            any |= row != Squaring.Row.EARLIER;
-            if (e == null || row == Squaring.Row.EARLIER || row == Squaring.Row.LATER) {
-                if (write == Squaring.Write.LOST) {
-                    boolean dropped = row == Squaring.Row.EARLIER;
+            Reconciliation.Row row = commands.row(m, c);
+            Reconciliation.Write write = Reconciliation.write(row, Commands.shown(e), commands.known(m, ak));
+            any |= row != Reconciliation.Row.EARLIER;
+            if (e == null || row == Reconciliation.Row.EARLIER || row == Reconciliation.Row.LATER) {
+                if (write == Reconciliation.Write.LOST) {
+                    boolean dropped = row == Reconciliation.Row.EARLIER;
                     // A worker that hears nobody will not take it back: nothing is to wait for that.
                     release(
                             c,
                             !dropped ? Outcomes.Kind.LOST : m.deafBefore ? Outcomes.Kind.SILENT : Outcomes.Kind.DROPPED,
                             dropped ? "a later session" : "absent from a newer report");
-                } else if (write == Squaring.Write.NOT_STARTED) {
+                } else if (write == Reconciliation.Write.NOT_STARTED) {
                     // Never shown, and nothing of ours or of an earlier owner is under way any more.
                     release(c, Outcomes.Kind.NOT_STARTED, "not started");
                 }
@@ -336,7 +337,7 @@
             m.image(c.job().spec.image(), catalog);
         }
         if (running && !before) {
-            counters.started(fx.wall() - c.job().acceptedAt);
+            counters.started(effects.wall() - c.job().acceptedAt);
             LOG.info("task {} attempt {} runs on {}", c.key(), c.attempt(), m.name);
         }
         if (got == TaskLease.Renewal.GRANTED) {
@@ -378,9 +379,9 @@
         }
     }
 
-    private void exited(Machine m, Claim c, Entry e, Run run, Squaring.Write write) {
+    private void exited(Machine m, Claim c, Entry e, Run run, Reconciliation.Write write) {
         JobSpec j = c.job().spec;
-        long now = fx.now();
+        long now = effects.now();
         switch (write) {
             case DONE -> {
                 if (run.lease.runningSince() >= 0
@@ -415,10 +416,10 @@
             }
         }
         if (faults.against(m, view::job) > 0) {
-            m.quarantineUntil = fx.now() + quarantineMs;
+            m.quarantineUntil = effects.now() + quarantineMs;
         }
         if (!m.condemned && m.judgeAt < 0 && faults.condemns(m, view::job)) {
-            m.judgeAt = fx.now() + quarantineMs;
+            m.judgeAt = effects.now() + quarantineMs;
         }
     }
 
@@ -453,7 +454,7 @@
         dirty.clear();
         for (Machine m : all) {
             m.dirty = false;
-            if (seats.owns(m.shard) && m.heardAt >= 0) {
+            if (membership.owns(m.shard) && m.heardAt >= 0) {
                 reconcile(m);
                 commands.push(m);
             }
@@ -464,14 +465,14 @@
     public void wishStop(Claim c, double graceS, String reason) {
         Machine m = machines.get(c.machine());
         String ak = c.attemptKey();
-        if (m == null || !seats.owns(c.shard())) {
+        if (m == null || !membership.owns(c.shard())) {
             return;
         }
         Stop old = m.stops.get(ak);
         if (old == null || old.graceS > graceS) {
-            m.stops.put(ak, new Stop(graceS, reason, fx.now()));
+            m.stops.put(ak, new Stop(graceS, reason, effects.now()));
             counters.stops++;
-            orders.stop(ak, reason, fx.now());
+            orders.stop(ak, reason, effects.now());
             LOG.info("task {} attempt {} on {} is to stop: {}", c.key(), c.attempt(), m.name, reason);
             touch(m.name);
         }
@@ -503,15 +504,15 @@
     // ---- offers
 
     private boolean usable(Machine m) {
-        long now = fx.now();
+        long now = effects.now();
         return m.heardAt >= 0
-                && seats.owns(m.shard)
+                && membership.owns(m.shard)
                 && !m.condemned
                 && !m.leaving
                 && !m.gone
                 && m.noticeAt < 0
                 && m.session != m.deadSession
-                && m.token >= seats.term(m.shard)
+                && m.token >= membership.term(m.shard)
                 && m.hears
                 && commands.reporting(m, now)
                 && now >= m.quarantineUntil;
@@ -550,10 +551,10 @@
         }
     }
 
-    /** The buyer wants to return a machine: agreed only if nothing is or may come to be on it. */
+    /** The autoscaler wants to return a machine: agreed only if nothing is or may come to be on it. */
     public boolean retire(String machine, boolean withTasks) {
         Machine m = machines.get(machine);
-        if (m == null || !seats.owns(m.shard)) {
+        if (m == null || !membership.owns(m.shard)) {
             return false;
         }
         // Without this, one old reservation kept a machine rented for good.
@@ -574,9 +575,9 @@
         if (m != null) {
             m.gone = true;
         }
-        departed.gone(machine);
+        tombstones.gone(machine);
         for (Claim c : List.copyOf(view.claims(machine).values())) {
-            if (seats.owns(c.shard())) {
+            if (membership.owns(c.shard())) {
                 release(c, Outcomes.Kind.LOST, "machine gone");
             }
         }
@@ -585,7 +586,7 @@
     // ---- time
 
     public void tick() {
-        long now = fx.now();
+        long now = effects.now();
         if (now - lastTick > STILL_MS) {
             listeningFrom = now;
         }
@@ -605,16 +606,16 @@
         for (String name : List.copyOf(view.claimedMachines())) {
             Map<String, Claim> claims = view.claims(name);
             Claim any = claims.isEmpty() ? null : claims.values().iterator().next();
-            if (any != null && seats.owns(any.shard())) {
+            if (any != null && membership.owns(any.shard())) {
                 watchSilence(machine(name, any.shard()), now);
             }
         }
         for (Machine m : List.copyOf(machines.values())) {
-            if (!seats.mine(m.shard)) {
+            if (!membership.mine(m.shard)) {
                 machines.remove(m.name);
                 continue;
             }
-            if (!seats.owns(m.shard)) {
+            if (!membership.owns(m.shard)) {
                 // Between two owners: what is known must not be forgotten, loose commands above all.
                 continue;
             }
@@ -622,7 +623,7 @@
                             && now - m.heardAt > 120_000
                             && view.claims(m.name).isEmpty()
                     || m.gone && view.claims(m.name).isEmpty() && now - m.heardAt > 30_000) {
-                departed.leaves(m);
+                tombstones.leaves(m);
                 machines.remove(m.name);
                 continue;
             }
@@ -638,7 +639,7 @@
             if (m.leaving) {
                 move(m);
             }
-            if (!m.stops.isEmpty() || hasUnstarted(m) || hearing.doubtful(m, seats.term(m.shard))) {
+            if (!m.stops.isEmpty() || hasUnstarted(m) || reachability.doubtful(m, membership.term(m.shard))) {
                 commands.push(m);
             }
         }
@@ -689,8 +690,8 @@
                     "lease over machine={} session={} term={} owned_ms={} {}",
                     m.name,
                     m.session,
-                    seats.term(m.shard),
-                    now - seats.ownedSince(m.shard),
+                    membership.term(m.shard),
+                    now - membership.ownedSince(m.shard),
                     m.workerLease.evidence(now));
         }
         for (Claim c : List.copyOf(view.claims(m.name).values())) {
@@ -705,18 +706,19 @@
     /** When the worker of a machine of ours has certainly dropped its tasks, or {@link WorkerLease#NEVER}. */
     private long leaseEnd(Machine m) {
         return m.workerLease.endsBy(
-                seats.term(m.shard), new WorkerLease.Ownership(seats.ownedSince(m.shard), seats.fencedAt(m.shard)));
+                membership.term(m.shard),
+                new WorkerLease.Ownership(membership.ownedSince(m.shard), membership.fencedAt(m.shard)));
     }
 
-    public List<Picture> pictures() {
-        long now = fx.now();
-        List<Picture> l = new ArrayList<>();
+    public List<MachineStatus> pictures() {
+        long now = effects.now();
+        List<MachineStatus> l = new ArrayList<>();
         for (Machine m : machines.values()) {
-            if (m.heardAt < 0 || m.gone || !seats.owns(m.shard)) {
+            if (m.heardAt < 0 || m.gone || !membership.owns(m.shard)) {
                 continue;
             }
             room.forgetReservations(m);
-            l.add(new Picture(
+            l.add(new MachineStatus(
                     m.name,
                     m.type,
                     m.zone,
@@ -738,11 +740,11 @@
     }
 
     /**
-     * Without its second part, a controller that had stood still for 13 s told that its machines were silent for as long, and the buyer
+     * Without its second part, a controller that had stood still for 13 s told that its machines were silent for as long, and the autoscaler
      * deleted those that had something to do.
      */
     private int silentMs(Machine m, long now) {
-        return (int) Math.min(hearing.silentMs(m, commands.reporting(m, now), now), now - listeningFrom);
+        return (int) Math.min(reachability.silentMs(m, commands.reporting(m, now), now), now - listeningFrom);
     }
 
     /** Images being fetched, each with the ms that it should still take: image, ms, image, ms. */
--- a/src/test/java/birchusher/fleet/LateMachinesTest.java
+++ b/src/test/java/birchusher/fleet/LateMachinesTest.java
@@ -70,18 +70,18 @@
                 "\"teams\":[", "\"teams\":[{\"name\":\"guests\",\"cpus\":0,\"cpus_max\":0,\"gpus\":0,\"gpus_max\":0},");
         Catalog catalog = new Catalog(SettingsReader.read(guests.getBytes(StandardCharsets.UTF_8)));
         View view = new View(catalog, new JobCodec(catalog));
-        Appetite a = new Appetite(catalog, List.of(new Settings.Objective("finished", "spoken", 400, 0.8)), 150_000);
+        Demand a = new Demand(catalog, List.of(new Settings.Objective("finished", "spoken", 400, 0.8)), 150_000);
         Job idle = job(view, "wk-idle", "guests", "low", "idle");
-        assertThat(a.of(idle, 9, 100_000)).isEqualTo(new Appetite.Of(0, true));
-        assertThat(a.of(idle, 9, 151_000)).as("it is to begin, though").isEqualTo(new Appetite.Of(1, true));
+        assertThat(a.of(idle, 9, 100_000)).isEqualTo(new Demand.Of(0, true));
+        assertThat(a.of(idle, 9, 151_000)).as("it is to begin, though").isEqualTo(new Demand.Of(1, true));
         view.put(Keys.place("wk-idle", 0), new HashMap<>(Map.of("a", 1L, "d", "1", "c", "")), ++revision);
-        assertThat(a.of(idle, 8, 400_000)).as("it has begun").isEqualTo(new Appetite.Of(0, true));
+        assertThat(a.of(idle, 8, 400_000)).as("it has begun").isEqualTo(new Demand.Of(0, true));
         Job spoken = job(view, "wk-spoken", "guests", "low", "spoken");
-        assertThat(a.of(spoken, 9, 100_000)).isEqualTo(new Appetite.Of(9, true));
-        assertThat(a.of(spoken, 9, 151_000)).isEqualTo(new Appetite.Of(9, false));
+        assertThat(a.of(spoken, 9, 100_000)).isEqualTo(new Demand.Of(9, true));
+        assertThat(a.of(spoken, 9, 151_000)).isEqualTo(new Demand.Of(9, false));
         String team = "red";
-        assertThat(a.of(job(view, "wk-own", team, "low", "idle"), 9, 0)).isEqualTo(new Appetite.Of(9, false));
+        assertThat(a.of(job(view, "wk-own", team, "low", "idle"), 9, 0)).isEqualTo(new Demand.Of(9, false));
         assertThat(a.of(job(view, "wk-mid", "guests", "standard", "idle"), 9, 0))
-                .isEqualTo(new Appetite.Of(9, false));
+                .isEqualTo(new Demand.Of(9, false));
     }
 }
--- a/src/test/java/birchusher/fleet/ReserveTest.java
+++ b/src/test/java/birchusher/fleet/ReserveTest.java
@@ -9,7 +9,7 @@
 import birchusher.store.Keys;
 import birchusher.store.View;
 import birchusher.wire.JobCodec;
-import birchusher.workers.Picture;
+import birchusher.workers.MachineStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -28,7 +28,7 @@
     private final View view = new View(catalog, new JobCodec(catalog));
     private final Catalog.Type type =
             new Catalog.Type(catalog.typeNames.add("big"), "big", 32, 0, 128, 80, 1, 2.5, 0.8, 40, new int[] {0, 1});
-    private final Map<String, Picture> fleet = new LinkedHashMap<>();
+    private final Map<String, MachineStatus> fleet = new LinkedHashMap<>();
     private long revision;
 
     ReserveTest() {
@@ -37,7 +37,7 @@
             int zone = i < 12 ? 1 : 0;
             fleet.put(
                     "m" + i,
-                    new Picture(
+                    new MachineStatus(
                             "m" + i,
                             type.index(),
                             zone,
--- a/src/test/java/birchusher/seats/StalenessTest.java
+++ b/src/test/java/birchusher/membership/StalenessTest.java
@@ -1,4 +1,4 @@
-package birchusher.seats;
+package birchusher.membership;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -32,14 +32,14 @@
         final Settings settings = SettingsReader.read(
                 TestJobs.SETTINGS.replace("\"seeds\":[]", PEERS).getBytes(StandardCharsets.UTF_8));
         final Catalog catalog = new Catalog(settings);
-        final Effects fx = new Effects();
+        final Effects effects = new Effects();
         final View view = new View(catalog, new JobCodec(catalog));
-        final StoreLink store = new StoreLink(fx, view, settings, new Tuning());
-        final Staleness staleness = new Staleness(fx, settings, view, store);
+        final StoreLink store = new StoreLink(effects, view, settings, new Tuning());
+        final Staleness staleness = new Staleness(effects, settings, view, store);
         long now = 100_000;
 
         Side(long revision) {
-            fx.time(now, now);
+            effects.time(now, now);
             store.tick();
             answer("/store?", 200, Map.of("rows", List.of(), "has_next", false, "epoch", revision));
             answer("/watch", 200, Map.of("events", List.of(), "epoch", revision));
@@ -47,7 +47,7 @@
 
         List<Effect.Call> calls(String path) {
             List<Effect.Call> l = new ArrayList<>();
-            for (Effect e : fx.drain()) {
+            for (Effect e : effects.drain()) {
                 if (e instanceof Effect.Call c && c.path().startsWith(path)) {
                     l.add(c);
                 }
@@ -56,14 +56,14 @@
         }
 
         void answer(String path, int status, Map<String, Object> body) {
-            calls(path).forEach(c -> fx.reply(c.id(), status, body));
+            calls(path).forEach(c -> effects.reply(c.id(), status, body));
         }
 
         /** Time in which the state service answers 503. */
         void out(long ms) {
             for (long end = now + ms; now < end; ) {
                 now += 100;
-                fx.time(now, now);
+                effects.time(now, now);
                 store.tick();
                 answer("/", 503, Map.of());
             }
@@ -85,16 +85,16 @@
     @Test
     void aReadCountsFromWhenItWasSentAndOtherAnswersNotAtAll() {
         us.now += 3_000;
-        us.fx.time(us.now, us.now);
+        us.effects.time(us.now, us.now);
         us.store.tick();
         long sent = us.now;
         List<Effect.Call> reads = us.calls("/watch");
         us.now += 900;
-        us.fx.time(us.now, us.now);
+        us.effects.time(us.now, us.now);
         us.store.lease("POST", "/leases/1/extend", Map.of(), (s, m) -> {});
         us.answer("/leases", 200, Map.of());
         assertThat(us.staleness.informedUpTo()).isEqualTo(100_000);
-        reads.forEach(c -> us.fx.reply(c.id(), 200, Map.of("events", List.of(), "epoch", 41L)));
+        reads.forEach(c -> us.effects.reply(c.id(), 200, Map.of("events", List.of(), "epoch", 41L)));
         assertThat(us.staleness.informedUpTo()).isEqualTo(sent);
     }
 
@@ -161,7 +161,7 @@
         blank.answer("/", 200, Map.of());
         // As after a watch that was too old: all is read anew.
         blank.now += 3_000;
-        blank.fx.time(blank.now, blank.now);
+        blank.effects.time(blank.now, blank.now);
         blank.store.tick();
         blank.answer("/watch", 410, Map.of());
         assertThat(blank.store.loaded()).isFalse();
--- a/src/test/java/birchusher/placement/GatesTest.java
+++ b/src/test/java/birchusher/placement/QuotasTest.java
@@ -28,7 +28,7 @@
  * Controllers with views that lag, transactions whose answers get lost and restarts: together they never claim more than the
  * team's limit, and far below it they do so without writing the gate each time.
  */
-class GatesTest {
+class QuotasTest {
     private static final int LIMIT = 150;
     private static final String SETTINGS =
             birchusher.TestJobs.SETTINGS.replace("\"gpus_max\":8", "\"gpus_max\":" + LIMIT);
@@ -42,7 +42,7 @@
     private final class Member {
         Catalog catalog;
         View view;
-        Gates gates;
+        Quotas quotas;
         int read;
 
         Member() {
@@ -52,7 +52,7 @@
         void restart() {
             catalog = new Catalog(SettingsReader.read(SETTINGS.getBytes(StandardCharsets.UTF_8)));
             view = new View(catalog, new JobCodec(catalog));
-            gates = new Gates(catalog, view, 3);
+            quotas = new Quotas(catalog, view, 3);
             rows.forEach((k, r) -> view.put(k, value(r[0]), (Long) r[1]));
             view.applied(revision);
             read = log.size();
@@ -80,12 +80,12 @@
                 }
             }
             Tx tx = new Tx(view);
-            Gates.Pass pass =
-                    free.isEmpty() ? Gates.Pass.NO : gates.pass(tx, j.spec.team(), free.size(), 0, free.size());
-            if (pass == Gates.Pass.NO) {
+            Quotas.Pass pass =
+                    free.isEmpty() ? Quotas.Pass.NO : quotas.pass(tx, j.spec.team(), free.size(), 0, free.size());
+            if (pass == Quotas.Pass.NO) {
                 return false;
             }
-            if (pass == Gates.Pass.YES) {
+            if (pass == Quotas.Pass.YES) {
                 Chunk c = tx.chunk(j, 0);
                 free.forEach(t -> c.claims.put((int) t, new Claim(j, t, ++c.attempts, "m" + t, 1, 0)));
             }
@@ -95,7 +95,7 @@
             } else {
                 follow(Integer.MAX_VALUE);
             }
-            claims += rev > 0 && pass == Gates.Pass.YES ? 1 : 0;
+            claims += rev > 0 && pass == Quotas.Pass.YES ? 1 : 0;
             return rev > 0;
         }
 
@@ -154,7 +154,7 @@
 
     private final Member[] members = new Member[3];
 
-    GatesTest() {
+    QuotasTest() {
         for (int i = 0; i < 3; i++) {
             job("wk-" + i);
         }
--- a/src/test/java/birchusher/recovery/SquaringTest.java
+++ b/src/test/java/birchusher/recovery/ReconciliationTest.java
@@ -2,11 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import birchusher.recovery.Squaring.Known;
-import birchusher.recovery.Squaring.Order;
-import birchusher.recovery.Squaring.Row;
-import birchusher.recovery.Squaring.Shown;
-import birchusher.recovery.Squaring.Write;
+import birchusher.recovery.Reconciliation.Known;
+import birchusher.recovery.Reconciliation.Order;
+import birchusher.recovery.Reconciliation.Row;
+import birchusher.recovery.Reconciliation.Shown;
+import birchusher.recovery.Reconciliation.Write;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Test;
 
 /** The table in docs/recovery.md against the code, every combination of its columns. */
-class SquaringTest {
+class ReconciliationTest {
     private record Line(List<Row> rows, List<Shown> shown, List<String> known, Write write, Order order) {
         boolean covers(Row r, Shown s, Known k) {
             return rows.contains(r) && shown.contains(s) && known.stream().allMatch(w -> holds(w, k));
@@ -83,8 +83,12 @@
                     List<Line> lines =
                             table.stream().filter(x -> x.covers(r, s, k)).toList();
                     assertThat(lines).as("%s %s %s", r, s, k).hasSize(1);
-                    assertThat(Squaring.write(r, s, k)).as("%s %s %s", r, s, k).isEqualTo(lines.get(0).write);
-                    assertThat(Squaring.order(r, s, k)).as("%s %s %s", r, s, k).isEqualTo(lines.get(0).order);
+                    assertThat(Reconciliation.write(r, s, k))
+                            .as("%s %s %s", r, s, k)
+                            .isEqualTo(lines.get(0).write);
+                    assertThat(Reconciliation.order(r, s, k))
+                            .as("%s %s %s", r, s, k)
+                            .isEqualTo(lines.get(0).order);
                 }
             }
         }
@@ -101,13 +105,13 @@
                     if (here
                             && (s == Shown.ABSENT && k.loose()
                                     || s.compareTo(Shown.ABSENT) > 0 && s.compareTo(Shown.DONE) < 0)) {
-                        assertThat(Squaring.write(r, s, k)).isEqualTo(Write.NOTHING);
+                        assertThat(Reconciliation.write(r, s, k)).isEqualTo(Write.NOTHING);
                     }
                     if (here || k.told() || k.loose()) {
-                        assertThat(Squaring.order(r, s, k)).isNotEqualTo(Order.REAP);
+                        assertThat(Reconciliation.order(r, s, k)).isNotEqualTo(Order.REAP);
                     }
                     if (r != Row.CLAIMED || s != Shown.ABSENT) {
-                        assertThat(Squaring.order(r, s, k)).isNotEqualTo(Order.START);
+                        assertThat(Reconciliation.order(r, s, k)).isNotEqualTo(Order.START);
                     }
                 }
             }
--- a/src/test/java/birchusher/recovery/ReturnTest.java
+++ b/src/test/java/birchusher/recovery/ReturnTest.java
@@ -15,44 +15,44 @@
 class ReturnTest {
     private final Catalog catalog = new Catalog(birchusher.settings.SettingsReader.read(
             birchusher.TestJobs.SETTINGS.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
-    private final Census census = new Census(new View(catalog, new JobCodec(catalog)), 10_000);
+    private final Inventory inventory = new Inventory(new View(catalog, new JobCodec(catalog)), 10_000);
     private final Set<String> heard = new HashSet<>();
     private final Set<String> reports = new HashSet<>();
     private final Set<String> gone = new HashSet<>();
     private final List<String> listed = new ArrayList<>(List.of("n-1", "n-2", "n-3"));
 
-    private Census.Phase look(long now, boolean read) {
-        census.look(
+    private Inventory.Phase look(long now, boolean read) {
+        inventory.look(
                 now,
                 read,
                 m -> heard.contains(m)
-                        ? Census.Told.FIT
-                        : reports.contains(m) ? Census.Told.REPORTS : Census.Told.NOTHING,
+                        ? Inventory.Told.FIT
+                        : reports.contains(m) ? Inventory.Told.REPORTS : Inventory.Told.NOTHING,
                 gone::contains,
                 listed);
-        return census.phase();
+        return inventory.phase();
     }
 
     @Test
     void machinesAreWaitedForUntilTheyAreHeardOrGone() {
-        assertThat(look(0, false)).isEqualTo(Census.Phase.READING);
-        assertThat(look(1_000, true)).isEqualTo(Census.Phase.HEARING);
-        assertThat(census.open()).isEqualTo(3);
+        assertThat(look(0, false)).isEqualTo(Inventory.Phase.READING);
+        assertThat(look(1_000, true)).isEqualTo(Inventory.Phase.HEARING);
+        assertThat(inventory.open()).isEqualTo(3);
         heard.add("n-1");
         gone.add("n-2");
-        assertThat(look(2_000, true)).isEqualTo(Census.Phase.HEARING);
-        assertThat(census.known()).isFalse();
+        assertThat(look(2_000, true)).isEqualTo(Inventory.Phase.HEARING);
+        assertThat(inventory.known()).isFalse();
         reports.add("n-3");
-        assertThat(look(3_000, true)).isEqualTo(Census.Phase.HEARING);
+        assertThat(look(3_000, true)).isEqualTo(Inventory.Phase.HEARING);
         heard.add("n-3");
-        assertThat(look(4_000, true)).isEqualTo(Census.Phase.ORDINARY);
+        assertThat(look(4_000, true)).isEqualTo(Inventory.Phase.ORDINARY);
         // The last plan was made without its room.
-        assertThat(census.known()).isFalse();
+        assertThat(inventory.known()).isFalse();
         look(5_000, true);
-        assertThat(census.known()).isTrue();
+        assertThat(inventory.known()).isTrue();
         // Unfit for reasons of its own, it is not waited for again.
         heard.remove("n-3");
-        assertThat(look(6_000, true)).isEqualTo(Census.Phase.ORDINARY);
+        assertThat(look(6_000, true)).isEqualTo(Inventory.Phase.ORDINARY);
     }
 
     @Test
@@ -60,20 +60,20 @@
         look(0, true);
         heard.add("n-1");
         heard.add("n-2");
-        assertThat(look(9_999, true)).isEqualTo(Census.Phase.HEARING);
-        assertThat(look(10_000, true)).isEqualTo(Census.Phase.ORDINARY);
-        assertThat(look(60_000, true)).isEqualTo(Census.Phase.ORDINARY);
+        assertThat(look(9_999, true)).isEqualTo(Inventory.Phase.HEARING);
+        assertThat(look(10_000, true)).isEqualTo(Inventory.Phase.ORDINARY);
+        assertThat(look(60_000, true)).isEqualTo(Inventory.Phase.ORDINARY);
         heard.remove("n-1");
-        assertThat(look(61_000, true)).isEqualTo(Census.Phase.HEARING);
-        assertThat(census.open()).isEqualTo(1);
-        assertThat(look(70_999, true)).isEqualTo(Census.Phase.HEARING);
-        assertThat(look(71_000, true)).isEqualTo(Census.Phase.ORDINARY);
+        assertThat(look(61_000, true)).isEqualTo(Inventory.Phase.HEARING);
+        assertThat(inventory.open()).isEqualTo(1);
+        assertThat(look(70_999, true)).isEqualTo(Inventory.Phase.HEARING);
+        assertThat(look(71_000, true)).isEqualTo(Inventory.Phase.ORDINARY);
     }
 
     @Test
     void patienceFollowsFromReportsAndControllers() {
-        assertThat(Census.patience(4_000, 3)).isEqualTo(13_000);
-        assertThat(Census.patience(4_000, 7)).isEqualTo(17_000);
+        assertThat(Inventory.patience(4_000, 3)).isEqualTo(13_000);
+        assertThat(Inventory.patience(4_000, 7)).isEqualTo(17_000);
     }
 
     @Test
--- a/src/test/java/birchusher/sim/Told.java
+++ b/src/test/java/birchusher/sim/AnswerHistory.java
@@ -4,7 +4,7 @@
  * What users were told of one job by any controller, and whether an answer is older than what was told before it was asked for.
  * Questions may overlap: each is held against what was known when it was sent. Of done and cancelled only one may ever be told.
  */
-final class Told {
+final class AnswerHistory {
     enum Kind {
         SUBMIT,
         POLL,
--- a/src/test/java/birchusher/sim/CancelledMeansGoneTest.java
+++ b/src/test/java/birchusher/sim/CancelledMeansGoneTest.java
@@ -329,7 +329,7 @@
     /** For searches by hand: {@code -Dgone.from=1000 -Dgone.seeds=500}. */
     @org.junit.jupiter.api.Test
     void aSearchOverSeedsByHand() {
-        Search.over("gone", CancelledMeansGoneTest::drawn);
+        SeedSearch.over("gone", CancelledMeansGoneTest::drawn);
     }
 
     private static void drawn(long seed) {
--- a/src/test/java/birchusher/sim/FurtherMeetingsTest.java
+++ b/src/test/java/birchusher/sim/FurtherMeetingsTest.java
@@ -60,7 +60,7 @@
         endsWell(w, 1_000);
     }
 
-    /** Cancelled in the seconds in which shards, drivers and the buyer change hands and back, with commands held up on both sides. */
+    /** Cancelled in the seconds in which shards, drivers and the autoscaler change hands and back, with commands held up on both sides. */
     @ParameterizedTest
     @CsvSource({"11, 3", "12, 3", "13, 7", "14, 7", "15, 3", "16, 7"})
     void whatIsCancelledWhileWorkChangesHandsIsGoneInTime(long seed, int controllers) {
@@ -110,7 +110,7 @@
         endsWell(w, 10_000);
     }
 
-    /** A machine reports before its rental's answer and before the row that names it, and the buyer ends; work comes to it at once. */
+    /** A machine reports before its rental's answer and before the row that names it, and the autoscaler ends; work comes to it at once. */
     @ParameterizedTest
     @CsvSource({"21, 3", "22, 3", "23, 7", "24, 3"})
     void machinesThatAreUpAtOnceAreNeitherUsedTwiceNorForgotten(long seed, int controllers) {
@@ -123,7 +123,7 @@
         for (int i = 0; i < 10; i++) {
             w.submit("wk-a" + i, "sweep", 5, "standard", false, false);
             w.run(1_200);
-            int buyer = Integer.parseInt(w.store
+            int autoscaler = Integer.parseInt(w.store
                     .dump()
                     .lines()
                     .filter(l -> l.startsWith("b/live/buyer"))
@@ -131,7 +131,7 @@
                     .orElse("m=perch-0")
                     .replaceAll(".*m=perch-(\\d+).*", "$1"));
             if (i % 3 == 1) {
-                w.crash(buyer, 1_500 + w.random.nextInt(3_000));
+                w.crash(autoscaler, 1_500 + w.random.nextInt(3_000));
             }
             w.run(3_500);
             assertThat(w.broken).isEmpty();
@@ -232,7 +232,7 @@
         endsWell(w, 1_000);
     }
 
-    /** Owners and the buyer end one after the other, ten in two minutes, for a part of that in an outage; long tasks go on or run again. */
+    /** Owners and the autoscaler end one after the other, ten in two minutes, for a part of that in an outage; long tasks go on or run again. */
     @ParameterizedTest
     @CsvSource({"81, 3, false", "82, 3, true", "83, 7, false", "84, 7, true"})
     void tenChangesOfLeaderInTwoMinutesForgetNothing(long seed, int controllers, boolean outage) {
@@ -306,7 +306,7 @@
         w.runs.put("wk-long/0", 150_000L);
         w.runs.put("wk-long/1", 140_000L);
         w.keepsReports = true;
-        // Else the buyer deletes what is silent while nobody is heard, and that starts elsewhere.
+        // Else the autoscaler deletes what is silent while nobody is heard, and that starts elsewhere.
         w.keepsAll = true;
         w.submit("wk-arr", "sweep", 10, "standard", false, false);
         w.submit("wk-long", "sweep", 2, "urgent", false, false);
@@ -341,10 +341,10 @@
         World w = new World(41, 3, 16);
         w.never = 1;
         w.run(6_000);
-        Hand x = new Hand(w, "x-1");
+        ScriptedWorker x = new ScriptedWorker(w, "x-1");
         Map<String, Object> old = x.message(Map.of());
         x.takes("wk-x", "standing");
-        Map<String, Object> runs = Hand.shows("wk-x/0", 1, "running", null);
+        Map<String, Object> runs = ScriptedWorker.shows("wk-x/0", 1, "running", null);
         for (int i = 0; i < 6; i++) {
             w.run(500);
             x.report(runs);
@@ -377,13 +377,13 @@
         World w = new World(42, 3, 16);
         w.never = 1;
         w.run(6_000);
-        Hand x = new Hand(w, "x-1");
+        ScriptedWorker x = new ScriptedWorker(w, "x-1");
         x.takes("wk-x", "sweep");
         w.run(500);
-        x.report(Hand.shows("wk-x/0", 1, "running", null));
+        x.report(ScriptedWorker.shows("wk-x/0", 1, "running", null));
         w.run(500);
         w.store.outage(true, w.now);
-        Map<String, Object> done = Hand.shows("wk-x/0", 1, "exited", "done");
+        Map<String, Object> done = ScriptedWorker.shows("wk-x/0", 1, "exited", "done");
         w.finished("wk-x/0");
         for (int i = 0; i < 8; i++) {
             assertThat(x.report(done)).as("the end can't be written").isEqualTo("200");
--- a/src/test/java/birchusher/sim/MeetingsTest.java
+++ b/src/test/java/birchusher/sim/MeetingsTest.java
@@ -184,7 +184,7 @@
         World w = new World(31, 3, 16);
         w.never = 1;
         w.run(6_000);
-        Hand x = new Hand(w, "x-1");
+        ScriptedWorker x = new ScriptedWorker(w, "x-1");
         x.takes("wk-y", "standing");
         x.takes("wk-x", "standing");
         w.run(300);
@@ -211,7 +211,7 @@
         World w = new World(32, 3, 16);
         w.never = 1;
         w.run(6_000);
-        Hand x = new Hand(w, "x-1");
+        ScriptedWorker x = new ScriptedWorker(w, "x-1");
         x.takes("wk-y", "sweep");
         w.run(300);
         assertThat(x.report(Map.of(
@@ -352,7 +352,7 @@
     /** For searches by hand: {@code -Dmeet.from=1000 -Dmeet.seeds=500}. */
     @Test
     void aSearchOverSeedsByHand() {
-        Search.over("meet", MeetingsTest::drawn);
+        SeedSearch.over("meet", MeetingsTest::drawn);
     }
 
     private static void drawn(long seed) {
--- a/src/test/java/birchusher/sim/NothingOlderTest.java
+++ b/src/test/java/birchusher/sim/NothingOlderTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import birchusher.sim.Told.Kind;
+import birchusher.sim.AnswerHistory.Kind;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -166,8 +166,8 @@
         assertThat(after(200, "cancelled", Kind.POLL, 200, "done")).startsWith("went_back");
         assertThat(after(200, "running", Kind.POLL, 200, "queued")).isNull();
         assertThat(after(200, "done", Kind.POLL, 503, null)).isNull();
-        Told overlapping = new Told();
-        Told.Question before = overlapping.ask(Kind.POLL);
+        AnswerHistory overlapping = new AnswerHistory();
+        AnswerHistory.Question before = overlapping.ask(Kind.POLL);
         overlapping.answered(overlapping.ask(Kind.POLL), 200, "done");
         assertThat(overlapping.answered(before, 200, "running"))
                 .as("asked before it was told")
@@ -178,7 +178,7 @@
     }
 
     private static String after(int status, String stage, Kind kind, int nextStatus, String nextStage) {
-        Told t = new Told();
+        AnswerHistory t = new AnswerHistory();
         assertThat(t.answered(t.ask(Kind.SUBMIT), status, stage)).isNull();
         return t.answered(t.ask(kind), nextStatus, nextStage);
     }
--- a/src/test/java/birchusher/sim/Hand.java
+++ b/src/test/java/birchusher/sim/ScriptedWorker.java
@@ -6,14 +6,14 @@
 import java.util.Map;
 
 /** A machine in the hands of a test: reports as one, says nothing to direct commands. */
-final class Hand {
+final class ScriptedWorker {
     final World w;
     final String name;
     int owner;
     long tick;
     long token;
 
-    Hand(World w, String name) {
+    ScriptedWorker(World w, String name) {
         this.w = w;
         this.name = name;
         finds();
--- a/src/test/java/birchusher/sim/Search.java
+++ b/src/test/java/birchusher/sim/SeedSearch.java
@@ -3,8 +3,8 @@
 import java.util.function.LongConsumer;
 
 /** Searches over many seeds by hand, as {@code -Dmeet.from=1000 -Dmeet.seeds=500}; one seed unless asked for more. */
-final class Search {
-    private Search() {}
+final class SeedSearch {
+    private SeedSearch() {}
 
     static void over(String name, LongConsumer drawn) {
         long from = Long.getLong(name + ".from", 1_000);
--- a/src/test/java/birchusher/sim/SimulationTest.java
+++ b/src/test/java/birchusher/sim/SimulationTest.java
@@ -65,7 +65,7 @@
         assertThat(w.state("wk-web")).isEqualTo("running");
     }
 
-    /** The member and the life of the buyer, as its row tells. */
+    /** The member and the life of the autoscaler, as its row tells. */
     private static String buyer(World w) {
         Matcher m = Pattern.compile("b/live/buyer = \\{(.*)}").matcher(w.store.dump());
         assertThat(m.find()).isTrue();
@@ -78,7 +78,7 @@
                 .toString();
     }
 
-    /** Seen on both larger fleets: the others waited for the buyer that was back, and it for a member of lower name. */
+    /** Seen on both larger fleets: the others waited for the autoscaler that was back, and it for a member of lower name. */
     @Test
     void aBuyerThatComesBackWithAllOthersIsTheBuyerAgain() {
         World w = world(7);
--- a/src/test/java/birchusher/sim/TroublesTest.java
+++ b/src/test/java/birchusher/sim/TroublesTest.java
@@ -371,7 +371,7 @@
     /** For searches by hand: {@code -Dsim.from=1000 -Dsim.seeds=500}. */
     @Test
     void aSearchOverSeedsByHand() {
-        Search.over("sim", seed -> drawn(seed, seed % 3 == 0 ? 7 : 3));
+        SeedSearch.over("sim", seed -> drawn(seed, seed % 3 == 0 ? 7 : 3));
     }
 
     private static void drawn(long seed, int controllers) {
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -48,7 +48,7 @@
         String id;
         Map<String, Object> body;
         boolean accepted;
-        final Told told = new Told();
+        final AnswerHistory told = new AnswerHistory();
         boolean wantsCancel;
         long cancelledAt = -1;
         long askAt;
@@ -308,7 +308,7 @@
             for (String x : open) {
                 String id = x.substring(x.indexOf(' ') + 1);
                 int node = Integer.parseInt(x.substring(0, x.indexOf(' ')));
-                question(node, Told.Kind.POLL, jobs.get(id), status -> {
+                question(node, AnswerHistory.Kind.POLL, jobs.get(id), status -> {
                     if (status == 200) {
                         answered.add(x);
                     }
@@ -405,7 +405,7 @@
         UserJob j = jobs.get(id);
         j.wantsCancel = true;
         int before = j.told.answers();
-        question(node, Told.Kind.CANCEL, j);
+        question(node, AnswerHistory.Kind.CANCEL, j);
         for (int i = 0; i < 100 && j.told.answers() == before; i++) {
             run(50);
         }
@@ -839,11 +839,11 @@
         j.askAt = now + 1_500;
         int node = random.nextInt(nodes.length);
         if (!j.accepted) {
-            question(node, Told.Kind.SUBMIT, j);
+            question(node, AnswerHistory.Kind.SUBMIT, j);
         } else if (j.wantsCancel && j.cancelledAt < 0) {
-            question(node, Told.Kind.CANCEL, j);
+            question(node, AnswerHistory.Kind.CANCEL, j);
         } else {
-            question(node, Told.Kind.POLL, j);
+            question(node, AnswerHistory.Kind.POLL, j);
             ask(node, "GET", "/v2/runs/wk-nobody", new byte[0], (s, m) -> {
                 if (s == 200) {
                     broken.add("invented");
@@ -853,16 +853,18 @@
     }
 
     /** One request of a user's about a job, its answer held against all that was told before it was sent. */
-    private void question(int node, Told.Kind kind, UserJob j) {
+    private void question(int node, AnswerHistory.Kind kind, UserJob j) {
         question(node, kind, j, status -> {});
     }
 
-    private void question(int node, Told.Kind kind, UserJob j, java.util.function.IntConsumer then) {
-        Told.Question q = j.told.ask(kind);
+    private void question(int node, AnswerHistory.Kind kind, UserJob j, java.util.function.IntConsumer then) {
+        AnswerHistory.Question q = j.told.ask(kind);
         String path = "/v2/runs"
-                + (kind == Told.Kind.SUBMIT ? "" : "/" + j.id + (kind == Told.Kind.CANCEL ? "/withdraw" : ""));
-        byte[] body = kind == Told.Kind.SUBMIT ? Pack.encode(j.body) : new byte[0];
-        ask(node, kind == Told.Kind.POLL ? "GET" : "POST", path, body, (s, m) -> {
+                + (kind == AnswerHistory.Kind.SUBMIT
+                        ? ""
+                        : "/" + j.id + (kind == AnswerHistory.Kind.CANCEL ? "/withdraw" : ""));
+        byte[] body = kind == AnswerHistory.Kind.SUBMIT ? Pack.encode(j.body) : new byte[0];
+        ask(node, kind == AnswerHistory.Kind.POLL ? "GET" : "POST", path, body, (s, m) -> {
             String before = j.told.last();
             String wrong = j.told.answered(q, s, (String) m.get("stage"));
             if (wrong != null) {
@@ -888,7 +890,7 @@
     /** Cancels through one controller without waiting for the answer. */
     void cancelAt(int node, String id) {
         jobs.get(id).wantsCancel = true;
-        question(node, Told.Kind.CANCEL, jobs.get(id));
+        question(node, AnswerHistory.Kind.CANCEL, jobs.get(id));
     }
 
     /** Ends a job's running tasks now; the machine that had the last of them, or null if none runs. */
@@ -909,11 +911,11 @@
         for (int i = 0; i < nodes.length; i++) {
             int node = i;
             for (int ms : new int[] {0, 1 + random.nextInt(4), 20}) {
-                at(now + ms, () -> question(node, Told.Kind.POLL, j));
+                at(now + ms, () -> question(node, AnswerHistory.Kind.POLL, j));
             }
-            at(now + random.nextInt(6), () -> question(node, Told.Kind.SUBMIT, j));
+            at(now + random.nextInt(6), () -> question(node, AnswerHistory.Kind.SUBMIT, j));
             if (j.wantsCancel) {
-                at(now + random.nextInt(6), () -> question(node, Told.Kind.CANCEL, j));
+                at(now + random.nextInt(6), () -> question(node, AnswerHistory.Kind.CANCEL, j));
             }
         }
     }
@@ -1007,7 +1009,7 @@
             if (cancelAtEnd > 0 && n == j.tasks && random.nextDouble() < cancelAtEnd) {
                 j.wantsCancel = true;
                 int node = random.nextInt(nodes.length);
-                at(now + random.nextInt(1_500), () -> question(node, Told.Kind.CANCEL, j));
+                at(now + random.nextInt(1_500), () -> question(node, AnswerHistory.Kind.CANCEL, j));
             }
         }
     }
--- a/src/test/java/birchusher/statehost/KeeperMeasure.java
+++ b/src/test/java/birchusher/statehost/KeeperMeasure.java
@@ -67,7 +67,7 @@
             report(dir, jobs, "log");
             try (Keeper k = Keeper.open(new HostDisk(dir), Log.Options.USUAL, 1, LIMITS, 0)) {
                 long from = System.nanoTime();
-                Keeper.Picture p = k.picture(0);
+                Keeper.MachineStatus p = k.picture(0);
                 p.write();
                 k.pictured(0, p, true);
                 k.flush(0);
--- a/src/test/java/birchusher/statehost/KeeperTest.java
+++ b/src/test/java/birchusher/statehost/KeeperTest.java
@@ -131,7 +131,7 @@
                 seen.states.tailMap(revision, false).clear();
                 assertThat(model).isEqualTo(seen.states.get(revision));
             }
-            Keeper.Picture p = k.picture(now);
+            Keeper.MachineStatus p = k.picture(now);
             if (p != null) {
                 boolean written = true;
                 try {
