--- a/src/test/java/birchusher/store/StoreLinkTest.java
+++ b/src/test/java/birchusher/store/StoreLinkTest.java
@@ -21,28 +21,28 @@
 class StoreLinkTest {
     private final Settings settings = SettingsReader.read(TestJobs.SETTINGS.getBytes(StandardCharsets.UTF_8));
     private final Catalog catalog = new Catalog(settings);
-    private final Effects fx = new Effects();
+    private final Effects effects = new Effects();
     private final View view = new View(catalog, new JobCodec(catalog));
-    private final StoreLink store = new StoreLink(fx, view, settings, new Tuning());
+    private final StoreLink store = new StoreLink(effects, view, settings, new Tuning());
     private final List<String> built = new ArrayList<>();
     private long now = 1_000;
 
     StoreLinkTest() {
-        fx.time(now, now);
+        effects.time(now, now);
         store.tick();
         answer("/store?", 200, Map.of("rows", List.of(), "has_next", false, "epoch", 1L));
         answer("/watch", 200, Map.of("events", List.of(), "epoch", 1L));
     }
 
     private List<Effect.Call> calls(String path) {
-        return fx.drain().stream()
+        return effects.drain().stream()
                 .filter(e -> e instanceof Effect.Call c && c.path().startsWith(path))
                 .map(e -> (Effect.Call) e)
                 .toList();
     }
 
     private void answer(String path, int status, Map<String, Object> body) {
-        calls(path).forEach(c -> fx.reply(c.id(), status, body));
+        calls(path).forEach(c -> effects.reply(c.id(), status, body));
     }
 
     private void offer(String key, int rank, int bytes) {
@@ -74,7 +74,7 @@
 
     private void later(long ms) {
         now += ms;
-        fx.time(now, now);
+        effects.time(now, now);
         store.tick();
     }
 
@@ -86,7 +86,7 @@
         for (int i = 0; i < 11; i++) {
             offer("row" + i, 4, 8_000);
         }
-        fx.reply(first.id(), 200, Map.of("epoch", 2L));
+        effects.reply(first.id(), 200, Map.of("epoch", 2L));
         later(3_000);
         Effect.Call all = calls("/multi").get(0);
         assertThat(Json.size(all.body())).isBetween(30_000, 64 * 1024);
@@ -116,11 +116,11 @@
     @Test
     void whatMayYetBeAppliedIsNotDroppedWithARefusedTransaction() {
         offer("handover", 1, 10);
-        fx.reply(calls("/multi").get(0).id(), 0, Map.of());
+        effects.reply(calls("/multi").get(0).id(), 0, Map.of());
         later(500);
         answer("/watch", 200, Map.of("events", List.of(), "epoch", 1L));
         later(300);
-        fx.reply(calls("/multi").get(0).id(), 400, Map.of("error", "no such lease"));
+        effects.reply(calls("/multi").get(0).id(), 400, Map.of("error", "no such lease"));
         built.clear();
         later(1_000);
         answer("/watch", 200, Map.of("events", List.of(), "epoch", 1L));
@@ -139,7 +139,7 @@
         List<Effect.Call> reads = calls("/watch");
         assertThat(reads).isNotEmpty();
         store.fresh(ok -> fresh.add("second " + ok));
-        fx.reply(reads.get(reads.size() - 1).id(), 200, Map.of("events", List.of(), "epoch", 1L));
+        effects.reply(reads.get(reads.size() - 1).id(), 200, Map.of("events", List.of(), "epoch", 1L));
         assertThat(fresh).isNotEmpty().doesNotContain("second true");
         for (int i = 0; i < 10; i++) {
             later(100);
