Log lines say who owns which shard under which term, how new the view is, and on what a start rests

Need: the incident's records could not tell the hypotheses apart. The line of counters has shards=, revision= and informed_ms=; a start names the worker's session, the term and how long ago it was heard. No more lines than before.

--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -248,8 +248,11 @@
         if (now >= nextLine) {
             nextLine = now + 30_000;
             LOG.info(
-                    "counters takeovers={} jobs={} machines={} {} {} {} recovery={} open={} gone={} {}",
+                    "counters takeovers={} shards={} revision={} informed_ms={} jobs={} machines={} {} {} {} recovery={} open={} gone={} {}",
                     membership.takeovers,
+                    membership.owned(),
+                    view.applied(),
+                    store.loaded() ? membership.staleness().ageMs() : -1,
                     view.jobs().size(),
                     book.pictures().size(),
                     counters.line(),
--- a/src/main/java/birchusher/membership/Membership.java
+++ b/src/main/java/birchusher/membership/Membership.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.StringJoiner;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -251,6 +252,17 @@
         return l;
     }
 
+    /** The shards that we own and under which terms, for log lines: {@code 0@5,3@7}. */
+    public String owned() {
+        StringJoiner owned = new StringJoiner(",");
+        for (int shard = 0; shard < giving.length; shard++) {
+            if (mine(shard)) {
+                owned.add(shard + "@" + term(shard));
+            }
+        }
+        return owned.toString();
+    }
+
     /** Whether the row names this incarnation of ours, even while we may not act on it. */
     public boolean mine(int shard) {
         return named(shard, settings.member(), incarnation);
--- a/src/main/java/birchusher/membership/Staleness.java
+++ b/src/main/java/birchusher/membership/Staleness.java
@@ -48,6 +48,11 @@
         return Math.max(store.provenAt(), Math.min(told, effects.now()));
     }
 
+    /** How long ago, in ms, the last moment lies up to which we are informed. */
+    public long ageMs() {
+        return effects.now() - informedUpTo();
+    }
+
     boolean informed() {
         return effects.now() - informedUpTo() < boundMs;
     }
--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -161,7 +161,14 @@
                 m.runs.put(ak, owner.newRun(m, c.job().spec, now));
                 account.start(ak, c.attempt() > 1, now);
                 checks.start(c, m);
-                LOG.info("task {} attempt {} starts on {}", c.key(), c.attempt(), m.name);
+                LOG.info(
+                        "task {} attempt {} starts on {} session={} term={} heard_ms={}",
+                        c.key(),
+                        c.attempt(),
+                        m.name,
+                        m.session,
+                        membership.term(m.shard),
+                        now - m.heardAt);
             }
             orders.add(order(Wire.START, c.key(), c.attempt(), -1));
             if (straight) {
