--- a/src/main/java/birchusher/workers/SafetyChecks.java
+++ b/src/main/java/birchusher/workers/SafetyChecks.java
@@ -18,7 +18,7 @@
 
     /** What the owner of the machines knows of them. */
     interface Machines {
-        /** A machine whose shard we own, or null: of others their owners have the proofs. */
+        /** A machine whose shard we own and whose worker has heard us, or null: nothing can be told of others. */
         Machine owned(String name);
 
         /** When the worker of a machine of ours has certainly dropped its tasks; {@link WorkerLease#NEVER}: nobody can tell. */
--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -104,7 +104,7 @@
             @Override
             public Machine owned(String name) {
                 Machine machine = machines.get(name);
-                return machine != null && membership.owns(machine.shard) ? machine : null;
+                return machine != null && membership.owns(machine.shard) && showsOurTerm(machine) ? machine : null;
             }
 
             @Override
@@ -703,6 +703,11 @@
         }
     }
 
+    /** What a worker showed before it heard us may be a copy that was long on its way, from before its lease was over. */
+    private boolean showsOurTerm(Machine m) {
+        return m.token >= membership.term(m.shard);
+    }
+
     /** When the worker of a machine of ours has certainly dropped its tasks, or {@link WorkerLease#NEVER}. */
     private long leaseEnd(Machine m) {
         return m.workerLease.endsBy(
