--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -104,7 +104,7 @@
             @Override
             public Machine owned(String name) {
                 Machine machine = machines.get(name);
-                return machine != null && membership.owns(machine.shard) && showsOurTerm(machine) ? machine : null;
+                return machine != null && membership.owns(machine.shard) && tells(machine) ? machine : null;
             }
 
             @Override
@@ -703,9 +703,12 @@
         }
     }
 
-    /** What a worker showed before it heard us may be a copy that was long on its way, from before its lease was over. */
-    private boolean showsOurTerm(Machine m) {
-        return m.token >= membership.term(m.shard);
+    /**
+     * Whether what a machine shows tells of now. Before its worker has heard us it may be a copy from before its lease was over; and what
+     * comes in a session that was already over was held back on its way.
+     */
+    private boolean tells(Machine m) {
+        return m.token >= membership.term(m.shard) && m.session != m.deadSession;
     }
 
     /** When the worker of a machine of ours has certainly dropped its tasks, or {@link WorkerLease#NEVER}. */
--- a/src/test/java/birchusher/sim/WorkerLeaseTest.java
+++ b/src/test/java/birchusher/sim/WorkerLeaseTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.BeforeAll;
@@ -148,4 +149,21 @@
         assertThat(world.broken).isEmpty();
         assertThat(holder(world, "wk-web/0")).as("started elsewhere in the end").isNotEqualTo(worker);
     }
+
+    /** Packets of a machine that was cut off are delivered later: its tasks in them are over, and none of them breaks a rule. */
+    @ParameterizedTest
+    @ValueSource(longs = {41, 42, 43})
+    void aReportHeldBackUntilItsLeaseIsOverShowsNothingThatRuns(long seed) {
+        World world = world(seed);
+        FakeWorker worker = holder(world, "wk-web/0");
+        int owner = world.owner(worker);
+        worker.cutOff(true);
+        Map<String, Object> held = worker.report();
+        for (int i = 0; i < 400 && world.store.dump().contains(":" + worker.name + ":"); i++) {
+            world.run(50);
+        }
+        world.copy(owner, held);
+        world.run(40_000);
+        assertThat(world.broken).isEmpty();
+    }
 }
