A dropped task's old room is left free by every plan, not only by its job's driver

Cause: each controller plans all jobs and offers its own. Where a dropped task ran was known to its job's driver alone, so all other plans put it anywhere, often into the room of one of their own dropped tasks, which then displaced a third. Change: owners (from the report) and everybody (from the row) remember where lost tasks ran; a plan leaves them that room; a machine that reports in a later session and is not usable yet is waited for, as long as its owner does not call it silent, and no longer than dropped tasks are expected back. RestorePlanner is split off Planner; the log says what kept an offered task from its old machine.

--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -117,6 +117,9 @@
                 },
                 (c, lost) -> {
                     events.left(effects.now(), c, lost);
+                    if (lost) {
+                        losses.left(c, effects.now());
+                    }
                     if (c.kind() >= 0) {
                         hazards.observe(c.kind(), (effects.now() - c.seenAt()) / 1000.0, lost, effects.now());
                     }
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -122,6 +122,8 @@
     private long plannedChanges = -1;
     private long plannedAt = -1_000_000;
     private long nextForget;
+    /** The fleet as it was when the plan at hand began. */
+    private Map<String, MachineStatus> statuses = Map.of();
     /** Of offers. Begins anew with each life's time of day: a verdict on an earlier life's offer must not pass for one on ours. */
     private long nextId;
 
@@ -186,6 +188,7 @@
 
     /** {@code coming}: room that is not there yet; looked for only when something waits. */
     public void tick(Map<String, MachineStatus> pictures, Supplier<List<Slot>> coming) {
+        statuses = pictures;
         long now = effects.now();
         plannedAt = now;
         plannedChanges = view.changes();
@@ -277,6 +280,17 @@
                     && j.doneCount() == 0
                     && j.errors() >= Math.min(DOUBT, Math.max(2, j.spec.tasks()));
         }
+
+        @Override
+        public boolean returning(String machine, long session) {
+            MachineStatus status = statuses.get(machine);
+            return status != null
+                    && status.session() > session
+                    && !status.usable()
+                    && !status.condemned()
+                    && !status.leaving()
+                    && status.silentMs() == 0;
+        }
     };
 
     /** For how long this controller has seen a claim stand, in ms. */
@@ -469,6 +483,14 @@
         }
         for (Planner.Choice c : g.choices) {
             hold(c, effects.now() + offerMs);
+            RestorePlanner.Obstacle obstacle = planner.obstacle(c);
+            if (obstacle != null && LOG.isDebugEnabled()) {
+                LOG.debug(
+                        "dropped task offered elsewhere task={} machine={} obstacle={}",
+                        key(c),
+                        c.slot().machine,
+                        obstacle);
+            }
         }
         out.add(g);
         g.waiting = byOwner.size();
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -95,6 +95,14 @@
 
         /** Whether a job has only failed so far: then one task at a time shows whether it still does. */
         boolean doubted(Job j);
+
+        /**
+         * Whether a machine reports in a session later than the given one and is only not usable yet: its worker has still to show
+         * its owner's term.
+         */
+        default boolean returning(String machine, long session) {
+            return false;
+        }
     }
 
     /** A need that found no room; whatever needs as much and is allowed no more finds none either. */
@@ -114,6 +122,7 @@
     private final Speeds speeds;
     private final Hazards hazards;
     private final Losses losses;
+    private final RestorePlanner restores;
     private static final double DEFAULT_DUE_S = 600;
     /** Batch work that slows down fetches mostly holds up several tasks, often replicas. */
     private static final double HARM = 1.5;
@@ -147,6 +156,7 @@
         this.speeds = speeds;
         this.hazards = hazards;
         this.losses = losses;
+        restores = new RestorePlanner(losses);
         this.terms = terms;
         for (Settings.Objective o : objectives) {
             boolean start = o.kind().equals("wait");
@@ -334,12 +344,7 @@
         work = all.size();
         Map<Alike, Candidates> alike = new HashMap<>();
         Map<String, Set<Integer>> back = new HashMap<>();
-        Set<String> present = new HashSet<>();
-        for (Slot s : losses.count() > 0 ? all : List.<Slot>of()) {
-            if (s.real) {
-                present.add(s.machine);
-            }
-        }
+        restores.begin(all, marks, now);
         for (Ranked r : order) {
             Job j = r.job;
             JobSpec s = j.spec;
@@ -349,8 +354,12 @@
             IntPredicate held = marks.held(s.id());
             Set<String> refused = marks.refused(s.id());
             if (r.back) {
-                List<Choice> home = home(
-                        j, all, held, refused, zones(j, underwayOf.getOrDefault(s.id(), List.of())), use[s.team()]);
+                List<Choice> home = restores.plan(
+                        j,
+                        held,
+                        refused,
+                        zones(j, underwayOf.getOrDefault(s.id(), List.of())),
+                        n -> overLimit(s, use[s.team()], n));
                 home.forEach(
                         c -> back.computeIfAbsent(s.id(), k -> new HashSet<>()).add(c.task()));
                 choices.addAll(home);
@@ -363,7 +372,7 @@
                 if (j.placedCount() > 0
                         || !isBack.isEmpty()
                         || held != null && held.test(0)
-                        || awaited(s.id(), 0, present, now)) {
+                        || restores.awaited(s.id(), 0)) {
                     continue;
                 }
                 List<Choice> gang = hopeless(s, misfits) ? null : gang(j, slots, refused, use[s.team()]);
@@ -391,7 +400,7 @@
                 if (j.isDone(task) || j.placed(task)) {
                     continue;
                 }
-                if (held != null && held.test(task) || isBack.contains(task) || awaited(s.id(), task, present, now)) {
+                if (held != null && held.test(task) || isBack.contains(task) || restores.awaited(s.id(), task)) {
                     // On its way already: not to be bought for.
                     placed++;
                     continue;
@@ -452,6 +461,11 @@
 
     private long work;
 
+    /** Why the last plan sent a dropped task elsewhere than where it ran; null if it was not dropped lately or goes back. */
+    RestorePlanner.Obstacle obstacle(Choice choice) {
+        return restores.obstacle(choice.job().spec.id(), choice.task());
+    }
+
     private static boolean hopeless(JobSpec s, List<Misfit> misfits) {
         for (Misfit m : misfits) {
             if (m.covers(s)) {
@@ -659,56 +673,6 @@
         return n;
     }
 
-    /** Whether the machine that a task was dropped on is about to be there again. */
-    private boolean awaited(String job, int task, Set<String> present, long now) {
-        String home = losses.awaits(job, task, now);
-        return home != null && !present.contains(home);
-    }
-
-    /** What goes back where it ran, as far as there is room and the rules allow it; of a gang, all or nothing. */
-    private List<Choice> home(
-            Job j, List<Slot> all, IntPredicate held, Set<String> refused, Map<Integer, Integer> zones, double[] use) {
-        JobSpec s = j.spec;
-        Map<Integer, String> homes = losses.of(s.id());
-        if (s.gang() && (homes.size() < s.tasks() || j.placedCount() > 0)) {
-            return List.of();
-        }
-        Map<String, Slot> byName = new HashMap<>();
-        Set<String> names = new HashSet<>(homes.values());
-        for (Slot slot : all) {
-            if (slot.real && names.contains(slot.machine)) {
-                byName.put(slot.machine, slot);
-            }
-        }
-        List<Choice> l = new ArrayList<>();
-        List<Slot.Mark> trial = new ArrayList<>();
-        homes.forEach((task, machine) -> {
-            Slot slot = byName.get(machine);
-            boolean waits =
-                    task < s.tasks() && !j.isDone(task) && !j.placed(task) && (held == null || !held.test(task));
-            if (waits
-                    && slot != null
-                    && slot.fits(s)
-                    && slot.allows(s)
-                    && (refused == null || !refused.contains(machine))
-                    && !(s.oneZone() && !zones.isEmpty() && !zones.containsKey(slot.zone))
-                    && !(s.spread() && zones.getOrDefault(slot.zone, 0) >= s.zoneLimit())
-                    && !overLimit(s, use, l.size() + 1)) {
-                trial.add(slot.mark());
-                l.add(new Choice(j, task, slot, slot.startDelay(s)));
-                slot.take(s);
-                zones.merge(slot.zone, 1, Integer::sum);
-            }
-        });
-        if (s.gang() && l.size() < s.tasks()) {
-            for (int i = trial.size() - 1; i >= 0; i--) {
-                l.get(i).slot().reset(trial.get(i));
-            }
-            return List.of();
-        }
-        return l;
-    }
-
     private List<Choice> gang(Job j, Slot[] slots, Set<String> refused, double[] use) {
         if (overLimit(j.spec, use, j.spec.tasks())) {
             return null;
--- a/src/main/java/birchusher/recovery/Losses.java
+++ b/src/main/java/birchusher/recovery/Losses.java
@@ -7,8 +7,9 @@
 
 /**
  * Where tasks ran that their workers dropped, all at once, as a lease ended: a machine that lives still has their images, and what
- * ran there before fits there again. Remembered from the proof until the task has a place again; whoever drives the job plans it
- * there first, see the order in {@code docs/recovery.md}. Only a hint, gone with the process.
+ * ran there before fits there again. Remembered from the proof, or from the row's change, until the task has a place again, by every
+ * controller that sees it: its driver plans it there first, see the order in {@code docs/recovery.md}, and the others leave it that
+ * room. Only a hint, gone with the process.
  */
 public final class Losses {
     private static final int MAX_KEPT = 20_000;
@@ -21,7 +22,16 @@
      */
     private static final long AWAIT_MS = 1_500;
 
-    private record Home(String machine, long at) {}
+    /** Before every session: a proven loss needs no other evidence. */
+    private static final long NO_SESSION = -1;
+
+    /**
+     * @param session the session of the machine that the task was placed for
+     * @param at steady time at which the loss was seen
+     * @param proven by the worker's report of a later session; else only the row tells that the task is gone
+     * @param ours the job was ours to drive when the loss was proven
+     */
+    public record Home(String machine, long session, long at, boolean proven, boolean ours) {}
 
     private final Map<String, TreeMap<Integer, Home>> homes = new HashMap<>();
     private int kept;
@@ -43,13 +53,50 @@
         toldAt = new long[members];
     }
 
+    /** A worker's later session proves that it dropped a task of a job that we drive. */
     public void dropped(String job, int task, String machine, long now) {
-        if (kept < MAX_KEPT
-                && homes.computeIfAbsent(job, k -> new TreeMap<>()).put(task, new Home(machine, now)) == null) {
+        put(job, task, new Home(machine, NO_SESSION, now, true, true));
+    }
+
+    /**
+     * The same of a job that another controller drives: it plans the task back there, and our plan has to leave it that room and no
+     * other. Without this, plans of owners and of drivers gave the same rooms to different tasks.
+     */
+    public void droppedForOther(String job, int task, String machine, long now) {
+        put(job, task, new Home(machine, NO_SESSION, now, true, false));
+    }
+
+    /** A claim has left its row and its task has still to run. Whether it was dropped, a later session of the machine tells. */
+    public void left(Claim claim, long now) {
+        Home known = home(claim.job().spec.id(), claim.task());
+        if (known == null || !known.machine.equals(claim.machine())) {
+            put(claim.job().spec.id(), claim.task(), new Home(claim.machine(), claim.session(), now, false, false));
+        }
+    }
+
+    private void put(String job, int task, Home home) {
+        if (kept < MAX_KEPT && homes.computeIfAbsent(job, k -> new TreeMap<>()).put(task, home) == null) {
             kept++;
         }
     }
 
+    /** Where a task ran that was lost lately, or null. */
+    public Home home(String job, int task) {
+        TreeMap<Integer, Home> of = homes.get(job);
+        return of == null ? null : of.get(task);
+    }
+
+    /** Whether a loss is so young that its task may still find its place again by itself. */
+    public boolean recent(Home home, long now) {
+        return now - home.at < patienceMs;
+    }
+
+    /** Whether a machine with this session is one that has dropped the task. */
+    public boolean followedBy(String job, int task, long session) {
+        Home home = home(job, task);
+        return home != null && session > home.session;
+    }
+
     /** The task has a place again. */
     public void back(Claim c) {
         TreeMap<Integer, Home> of = homes.get(c.job().spec.id());
@@ -67,9 +114,8 @@
 
     /** The machine on which a task may be expected back although it is not in the picture yet, or null. */
     public String awaits(String job, int task, long now) {
-        TreeMap<Integer, Home> of = homes.get(job);
-        Home h = of == null ? null : of.get(task);
-        return h == null || now - h.at > AWAIT_MS ? null : h.machine;
+        Home h = home(job, task);
+        return h == null || !h.proven || now - h.at > AWAIT_MS ? null : h.machine;
     }
 
     /** Task and machine, by task. */
@@ -93,7 +139,7 @@
         for (TreeMap<Integer, Home> of : homes.values()) {
             kept += of.size();
             for (Home h : of.values()) {
-                returning += now - h.at < patienceMs ? 1 : 0;
+                returning += h.ours && recent(h, now) ? 1 : 0;
             }
         }
     }
--- a/src/main/java/birchusher/workers/Outcomes.java
+++ b/src/main/java/birchusher/workers/Outcomes.java
@@ -130,10 +130,15 @@
         if (kind.isLoss() || kind == Kind.NOT_STARTED) {
             view.gone(new Job.Gone(c, term, own, kind.isLoss()));
         }
-        if (kind == Kind.DROPPED && ours) {
+        if (kind != Kind.DROPPED) {
             // Only a machine that lives has their room and images: nothing was rented for the losses of dead ones while
             // they counted here.
+            return;
+        }
+        if (ours) {
             losses.dropped(c.job().spec.id(), c.task(), c.machine(), effects.now());
+        } else {
+            losses.droppedForOther(c.job().spec.id(), c.task(), c.machine(), effects.now());
         }
     }
 
--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -265,6 +265,87 @@
                 .satisfies(c -> assertThat(c.slot().machine()).isEqualTo("other"));
     }
 
+    /**
+     * A loss that another controller's job suffered is known here from its machine's report or from its row. Planned anywhere in the
+     * meantime, it took the room that our own dropped task was to go back to, and that one was offered for a third one's room.
+     */
+    @Test
+    void whatAnotherControllerBringsBackIsLeftItsOwnRoomAndNoOther() {
+        Job proven = placed("wk-proven", Map.of("pieces", 1L), "away");
+        view.gone(new Job.Gone(proven.claim(0), 1, true, true));
+        losses.droppedForOther("wk-proven", 0, "away", 0);
+        Job ours = placed("wk-ours", Map.of("pieces", 1L, "due_s", 900.0), "home");
+        dropped(ours, 0);
+        assertThat(plan(NOW, List.of(), slot("home", 0, 1, 1))).containsExactly("wk-ours/0 on home");
+        assertThat(plan(NOW, List.of(), slot("home", 0, 1, 1), slot("away", 0, 1, 1)))
+                .containsExactlyInAnyOrder("wk-ours/0 on home", "wk-proven/0 on away");
+    }
+
+    /** From a row that lost a claim, only a later session of its machine shows that the task was dropped there. */
+    @Test
+    void aClaimThatLeftItsRowGoesBackOnlyToALaterSession() {
+        Job job = job("wk-row", Map.of("pieces", 1L));
+        losses.left(new Claim(job, 0, 1, "home", 1, 0), 0);
+        losses.tick(100);
+        assertThat(losses.returning())
+                .as("only proven losses are expected back")
+                .isZero();
+        Slot[] slots = {slot("home", 0, 1, 1), slot("other", 0, 1, 1)};
+        assertThat(planner.plan(new ArrayList<>(List.of(slots)), marks(t -> false), List.of(), 0, NOW)
+                        .choices())
+                .hasSize(1);
+        assertThat(losses.followedBy("wk-row", 0, 1)).isFalse();
+        assertThat(losses.followedBy("wk-row", 0, 2)).isTrue();
+        losses.back(new Claim(job, 0, 2, "home", 2, 0));
+        assertThat(losses.any("wk-row")).isFalse();
+    }
+
+    /** It reports, and has still to show its owner's term: up to a report interval, where a fixed 1.5 s sent its tasks elsewhere. */
+    @Test
+    void aDroppedTaskWaitsForAMachineThatReportsButNotForOneThatDoesNot() {
+        dropped(placed("wk-lost", Map.of("pieces", 1L), "home"), 0);
+        boolean[] reports = {true};
+        Planner.Marks waiting = new Planner.Marks() {
+            @Override
+            public IntPredicate held(String job) {
+                return null;
+            }
+
+            @Override
+            public Set<String> refused(String job) {
+                return null;
+            }
+
+            @Override
+            public boolean paused(Job j) {
+                return false;
+            }
+
+            @Override
+            public boolean doubted(Job j) {
+                return false;
+            }
+
+            @Override
+            public boolean returning(String machine, long session) {
+                return machine.equals("home") && reports[0];
+            }
+        };
+        List<Slot> slots = List.of(slot("other", 0, 4, 1));
+        assertThat(planner.plan(new ArrayList<>(slots), waiting, List.of(), 4_000, NOW)
+                        .choices())
+                .isEmpty();
+        reports[0] = false;
+        assertThat(planner.plan(new ArrayList<>(slots), waiting, List.of(), 4_000, NOW)
+                        .choices())
+                .hasSize(1);
+        reports[0] = true;
+        assertThat(planner.plan(new ArrayList<>(slots), waiting, List.of(), 10_100, NOW)
+                        .choices())
+                .as("no longer than dropped tasks are expected back")
+                .hasSize(1);
+    }
+
     @Test
     void aDroppedGangGoesBackWholeOrIsPlannedLikeAnyOther() {
         Job gang = placed("wk-gang", Map.of("shape", "gang", "pieces", 2L), "a", "b");
