A shard is not given back to an owner while nothing shows that workers reach it

Cause: the way back is tried blindly after a member's lease (45 s, doubled each time). Change: it is held for 6 min, the longest of those, unless the owner tells of a worker in that zone that hears it. A restarted owner gets its shards back at once, as before.

--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -88,6 +88,7 @@
         Speeds speeds = new Speeds();
         Driver[] later = new Driver[1];
         book = new MachineStatusExchange(effects, catalog, membership);
+        membership.hearsWorkers(book::hears);
         long patience =
                 Inventory.patience(Math.round(s.reportS() * 1000), 1 + s.peers().size());
         losses = new Losses(patience, 1 + s.peers().size());
--- a/src/main/java/birchusher/membership/Membership.java
+++ b/src/main/java/birchusher/membership/Membership.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.StringJoiner;
+import java.util.function.BiPredicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -73,6 +74,8 @@
     /** When workers that could not reach its owner last made us take a shard, and how often. */
     private final long[] pressedAt;
 
+    private BiPredicate<Integer, Integer> hearsWorkers = (member, zone) -> true;
+
     private final int[] presses;
     private final long[] wantedAt;
     private final long[] seenIncarnation;
@@ -860,8 +863,7 @@
             // Whom its workers could not reach looks as well as ever from here, unless it was restarted. Given back
             // after six seconds, the shard went round for as
             // long as such a cut lasted, and its workers' leases ended.
-            boolean unreached = aliveSince[p] <= pressedAt[s]
-                    && now - pressedAt[s] < leaseMs << Math.min(MAX_DOUBLINGS, Math.max(0, presses[s] - 1));
+            boolean unreached = aliveSince[p] <= pressedAt[s] && now - pressedAt[s] < holdMs(s, p);
             if (seat == null
                     || !live(p)
                     || unreached
@@ -873,6 +875,21 @@
         }
     }
 
+    /**
+     * For how long a shard is not given back to an owner that its workers could not reach. While the owner tells of no worker in the
+     * shard's zone that hears it, all that can show whether they reach it again is to send them there, at the price of most of a short
+     * worker's lease: after 45 s of a longer cut, replicas with leases of 10 s were dropped by it.
+     */
+    private long holdMs(int shard, int owner) {
+        boolean heard = hearsWorkers.test(owner, zoneOf(shard));
+        return leaseMs << (heard ? Math.min(MAX_DOUBLINGS, Math.max(0, presses[shard] - 1)) : MAX_DOUBLINGS);
+    }
+
+    /** {@code hears}: whether a member, by its index, tells of a worker in a zone that hears it. */
+    public void hearsWorkers(BiPredicate<Integer, Integer> hears) {
+        hearsWorkers = hears;
+    }
+
     /** We stop answering first and write after: the new owner then has nobody to wait for. */
     private void give(int shard, String to, long inc) {
         giving[shard] = true;
--- a/src/main/java/birchusher/workers/MachineStatusExchange.java
+++ b/src/main/java/birchusher/workers/MachineStatusExchange.java
@@ -70,6 +70,20 @@
         return t == null ? null : t.picture;
     }
 
+    /** Whether another controller lately told of a worker in a zone that it hears and that hears it. */
+    public boolean hears(int owner, int zone) {
+        for (Theirs t : theirs.values()) {
+            if (t.owner == owner
+                    && t.picture.zone() == zone
+                    && t.picture.usable()
+                    && t.picture.silentMs() == 0
+                    && effects.now() - t.at <= STALE_MS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** The kind of a machine that is in the picture, else -1. */
     public int kind(String machine) {
         MachineStatus p = pictures.get(machine);
