Machines are rented only in zones that the waiting task may go to

Cause: the autoscaler knew a job's fixed zone and, of one-zone jobs, the zone of what it had rented for before in the same pass; it knew neither the spread limit nor where the job's tasks stand. What booted in the wrong zone did not help, so it rented again.

--- a/src/main/java/birchusher/fleet/Autoscaler.java
+++ b/src/main/java/birchusher/fleet/Autoscaler.java
@@ -13,6 +13,7 @@
 import birchusher.settings.Tuning;
 import birchusher.store.Change;
 import birchusher.store.Claim;
+import birchusher.store.Job;
 import birchusher.store.Keys;
 import birchusher.store.StoreLink;
 import birchusher.store.Tx;
@@ -547,7 +548,7 @@
         int expected = returning.getAsInt();
         for (Planner.Unplaced u : plan.wanted(effects.wall())) {
             JobSpec s = u.job().spec;
-            int jobZone = -1;
+            Map<Integer, Integer> zones = tasksByZone(u.job());
             Demand.Of may = demand.of(u.job(), u.tasks(), effects.wall());
             int spared = Math.min(may.tasks(), expected);
             expected -= spared;
@@ -556,8 +557,7 @@
                 for (int i = 0; i < room.size() && at < 0; i++) {
                     double[] r = room.get(i);
                     Kind k = kinds.get(i);
-                    boolean zoneOk =
-                            (s.zone() < 0 || s.zone() == k.zone) && !(s.oneZone() && jobZone >= 0 && jobZone != k.zone);
+                    boolean zoneOk = (s.zone() < 0 || s.zone() == k.zone) && s.allowsZone(zones, k.zone);
                     if (zoneOk
                             && s.allows(k.type)
                             && (!k.spot || s.spot())
@@ -568,7 +568,7 @@
                     }
                 }
                 if (at < 0) {
-                    Kind k = choose(s, jobZone, perZone, may.spotOnly());
+                    Kind k = choose(s, zones, perZone, may.spotOnly());
                     if (k == null || opened >= 100) {
                         break;
                     }
@@ -580,7 +580,7 @@
                     opened++;
                     at = room.size() - 1;
                 }
-                jobZone = kinds.get(at).zone;
+                zones.merge(kinds.get(at).zone, 1, Integer::sum);
                 double[] r = room.get(at);
                 r[0] -= s.cpus();
                 r[1] -= s.gpus();
@@ -592,8 +592,16 @@
         }
     }
 
+    /**
+     * Where a job's tasks have places. Without it, one machine after the other was rented in a zone that the job's zone rule kept the
+     * waiting task from.
+     */
+    private Map<Integer, Integer> tasksByZone(Job job) {
+        return Planner.zones(job, membership::zoneOf, job.chunks::get, claim -> !job.placed(claim.task()));
+    }
+
     /** The cheapest kind of machine per task that is not known to be sold out; among equals the emptiest zone. */
-    private Kind choose(JobSpec s, int jobZone, int[] perZone, boolean spotOnly) {
+    private Kind choose(JobSpec s, Map<Integer, Integer> tasksByZone, int[] perZone, boolean spotOnly) {
         Kind best = null;
         double bestPrice = Double.MAX_VALUE;
         for (Catalog.Type t : catalog.types()) {
@@ -604,7 +612,7 @@
             fit = s.gpus() > 0 ? Math.min(fit, t.gpus() / s.gpus()) : fit;
             fit = Math.max(1, Math.floor(s.mem() > 0 ? Math.min(fit, t.mem() / s.mem()) : fit));
             for (int zone : t.zones()) {
-                if (s.zone() >= 0 && s.zone() != zone || s.oneZone() && jobZone >= 0 && jobZone != zone) {
+                if (s.zone() >= 0 && s.zone() != zone || !s.allowsZone(tasksByZone, zone)) {
                     continue;
                 }
                 for (int spot = s.spot() ? 1 : 0; spot >= (spotOnly ? 1 : 0); spot--) {
--- a/src/main/java/birchusher/model/JobSpec.java
+++ b/src/main/java/birchusher/model/JobSpec.java
@@ -1,5 +1,7 @@
 package birchusher.model;
 
+import java.util.Map;
+
 /**
  * A job as submitted, names already indices (see {@link Catalog}). {@code zone} -1: any; {@code types} null: any;
  * {@code deadlineS} 0: none.
@@ -55,6 +57,14 @@
         return spread ? (tasks + 1) / 2 : tasks;
     }
 
+    /** Whether one more of its tasks may go to a zone by its zone rules, given how many are in each. */
+    public boolean allowsZone(Map<Integer, Integer> tasksByZone, int taskZone) {
+        if (oneZone && !tasksByZone.isEmpty() && !tasksByZone.containsKey(taskZone)) {
+            return false;
+        }
+        return !spread || tasksByZone.getOrDefault(taskZone, 0) < zoneLimit();
+    }
+
     /** A gang of several tasks: to end one is to end all of them. */
     public boolean manyGang() {
         return gang() && tasks > 1;
--- a/src/main/java/birchusher/placement/Planner.java
+++ b/src/main/java/birchusher/placement/Planner.java
@@ -724,10 +724,7 @@
                     || refused != null && refused.contains(s.machine)) {
                 continue;
             }
-            if (j.spec.oneZone() && !zones.isEmpty() && !zones.containsKey(s.zone)) {
-                continue;
-            }
-            if (j.spec.spread() && zones.getOrDefault(s.zone, 0) >= j.spec.zoneLimit()) {
+            if (!j.spec.allowsZone(zones, s.zone)) {
                 continue;
             }
             double score = score(j, s, zones);
--- a/src/main/java/birchusher/placement/Preemption.java
+++ b/src/main/java/birchusher/placement/Preemption.java
@@ -57,9 +57,7 @@
         Place best = null;
         double bestCost = worth(delayS);
         for (Slot slot : slots) {
-            if (!usable(slot, s, refused)
-                    || s.spread() && zones.getOrDefault(slot.zone, 0) >= s.zoneLimit()
-                    || s.oneZone() && !zones.isEmpty() && !zones.containsKey(slot.zone)) {
+            if (!usable(slot, s, refused) || !s.allowsZone(zones, slot.zone)) {
                 continue;
             }
             List<Claim> victims = yielding(slot, s, guaranteed, plan);
--- a/src/main/java/birchusher/placement/RestorePlanner.java
+++ b/src/main/java/birchusher/placement/RestorePlanner.java
@@ -127,8 +127,6 @@
         if (!slot.allows(spec)) {
             return Obstacle.NOT_ALLOWED;
         }
-        boolean otherZone = spec.oneZone() && !zones.isEmpty() && !zones.containsKey(slot.zone);
-        boolean zoneFull = spec.spread() && zones.getOrDefault(slot.zone, 0) >= spec.zoneLimit();
-        return otherZone || zoneFull ? Obstacle.ZONE_RULE : null;
+        return spec.allowsZone(zones, slot.zone) ? null : Obstacle.ZONE_RULE;
     }
 }
