A machine between its first report and its first task is room that is coming

Symptom: RentalZoneTest, a second machine rented for a replica whose first had booted. Cause: room counts as coming until a machine's first report, and as room once its worker has shown that it hears its owner, half a second or more later; between the two it stood nowhere, and the autoscaler, which looks every half second, rented again. Change: owners tell that a machine is arriving (a flag that the version before ignores and does not set); its room counts as coming. What waits for a dropped task's old machine asks the same, so notices, faults and returns are no longer taken for it.

--- a/src/main/java/birchusher/mesh/PeerRecord.java
+++ b/src/main/java/birchusher/mesh/PeerRecord.java
@@ -26,6 +26,8 @@
         public static final int USABLE = 1;
         public static final int CONDEMNED = 2;
         public static final int LEAVING = 4;
+        /** A controller of the version before ignores it, and does not set it. */
+        public static final int ARRIVING = 8;
 
         /** Whether another record of the machine would tell a listener nothing new; times that just pass are not news. */
         public boolean like(Machine o) {
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -284,12 +284,7 @@
         @Override
         public boolean returning(String machine, long session) {
             MachineStatus status = statuses.get(machine);
-            return status != null
-                    && status.session() > session
-                    && !status.usable()
-                    && !status.condemned()
-                    && !status.leaving()
-                    && status.silentMs() == 0;
+            return status != null && status.session() > session && status.arriving();
         }
     };
 
@@ -790,8 +785,7 @@
                     && zone == slot.zone
                     && !Catalog.over(team.cpusMax(), cpus)
                     && !Catalog.over(team.gpusMax(), gpus)
-                    && !(s.oneZone() && !zones.isEmpty() && !zones.containsKey(zone))
-                    && !(s.spread() && zones.getOrDefault(zone, 0) >= s.zoneLimit());
+                    && s.allowsZone(zones, zone);
             if (!fine) {
                 cpus -= s.cpus();
                 gpus -= s.gpus();
--- a/src/main/java/birchusher/workers/MachineStatus.java
+++ b/src/main/java/birchusher/workers/MachineStatus.java
@@ -5,7 +5,7 @@
 /**
  * What an owner publishes about a machine, for drivers and the autoscaler. Only a hint: the owner checks every offer.
  * {@code silentMs} is 0 while reports come as they should; {@code idleSince} is our steady time, -1 while it has work. {@code reserved}: tasks whose
- * claims are awaited.
+ * claims are awaited. {@code arriving}: reports, and will be usable as soon as its worker shows that it hears its owner.
  */
 public record MachineStatus(
         String machine,
@@ -15,6 +15,7 @@
         long session,
         int shard,
         boolean usable,
+        boolean arriving,
         boolean condemned,
         boolean leaving,
         int silentMs,
--- a/src/main/java/birchusher/workers/MachineStatusExchange.java
+++ b/src/main/java/birchusher/workers/MachineStatusExchange.java
@@ -132,6 +132,7 @@
             fetchMs.add(p.fetching()[i + 1]);
         }
         int flags = (p.usable() ? PeerRecord.Machine.USABLE : 0)
+                | (p.arriving() ? PeerRecord.Machine.ARRIVING : 0)
                 | (p.condemned() ? PeerRecord.Machine.CONDEMNED : 0)
                 | (p.leaving() ? PeerRecord.Machine.LEAVING : 0);
         int idle = p.idleSince() < 0 ? -1 : (int) (effects.now() - p.idleSince());
@@ -187,6 +188,7 @@
                                     m.session(),
                                     m.shard(),
                                     (m.flags() & PeerRecord.Machine.USABLE) != 0,
+                                    (m.flags() & PeerRecord.Machine.ARRIVING) != 0,
                                     (m.flags() & PeerRecord.Machine.CONDEMNED) != 0,
                                     (m.flags() & PeerRecord.Machine.LEAVING) != 0,
                                     m.silentMs(),
--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -504,6 +504,16 @@
     // ---- offers
 
     private boolean usable(Machine m) {
+        return fit(m) && shownToHear(m);
+    }
+
+    /** Whether a machine's worker has shown that it hears us as its owner. */
+    private boolean shownToHear(Machine m) {
+        return m.token >= membership.term(m.shard) && m.hears;
+    }
+
+    /** Whether nothing but the evidence that its worker hears us keeps a machine from getting tasks. */
+    private boolean fit(Machine m) {
         long now = effects.now();
         return m.heardAt >= 0
                 && membership.owns(m.shard)
@@ -512,8 +522,6 @@
                 && !m.gone
                 && m.noticeAt < 0
                 && m.session != m.deadSession
-                && m.token >= membership.term(m.shard)
-                && m.hears
                 && commands.reporting(m, now)
                 && now >= m.quarantineUntil;
     }
@@ -726,6 +734,7 @@
                 continue;
             }
             room.forgetReservations(m);
+            int silentMs = silentMs(m, now);
             l.add(new MachineStatus(
                     m.name,
                     m.type,
@@ -734,9 +743,10 @@
                     m.session,
                     m.shard,
                     usable(m),
+                    fit(m) && !shownToHear(m) && silentMs == 0,
                     m.condemned,
                     m.leaving,
-                    silentMs(m, now),
+                    silentMs,
                     m.idleSince,
                     m.speed.value(),
                     room.stray(m),
--- a/src/test/java/birchusher/fleet/ReserveTest.java
+++ b/src/test/java/birchusher/fleet/ReserveTest.java
@@ -47,6 +47,7 @@
                             true,
                             false,
                             false,
+                            false,
                             0,
                             0,
                             1,
