--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -48,11 +48,6 @@
 public final class Core {
     private static final Logger LOG = LoggerFactory.getLogger(Core.class);
     private static final long HEARTBEAT_MS = 500;
-    /** In how many ms the worker of a machine that reports has mostly shown that it hears its owner. */
-    private static final long ARRIVAL_MS = 1_000;
-
-    /** Of room that no driver can offer yet. */
-    private static final int NO_SHARD = -1;
 
     private final Effects effects = new Effects();
     private final Settings settings;
@@ -433,29 +428,6 @@
         }
     }
 
-    /**
-     * A machine that has reported and is not usable yet counts like one that boots: between its first report and the evidence that its
-     * worker hears us, its room stood nowhere, and another machine was rented for the same task.
-     */
-    private Slot arriving(MachineStatus status, Catalog.Type type) {
-        double[] used = view.useOf(status.machine());
-        return new Slot(
-                status.machine(),
-                type,
-                status.zone(),
-                status.spot(),
-                status.session(),
-                NO_SHARD,
-                status.speed(),
-                status.fetching(),
-                status.images(),
-                ARRIVAL_MS,
-                false,
-                type.cpus() - used[0] - status.strayUse()[0],
-                type.gpus() - used[1] - status.strayUse()[1],
-                type.mem() - used[2] - status.strayUse()[2]);
-    }
-
     /** Room that will be there before a machine bought now could be up. */
     private List<Slot> coming() {
         List<Slot> l = autoscaler.coming(book.pictures());
@@ -463,7 +435,7 @@
         for (MachineStatus p : book.pictures().values()) {
             Catalog.Type t = catalog.type(p.type());
             if (p.arriving() && t != null) {
-                l.add(arriving(p, t));
+                l.add(Slot.arriving(p, t, view.useOf(p.machine())));
             }
             if (!p.usable() || t == null) {
                 continue;
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -2,9 +2,16 @@
 
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
+import birchusher.workers.MachineStatus;
 
 /** Room on a machine as a planner sees it; virtual slots stand for machines that are booting or room about to free. */
 public final class Slot {
+    /** In how many ms the worker of a machine that reports has mostly shown that it hears its owner. */
+    private static final long ARRIVAL_MS = 1_000;
+
+    /** Of room that no driver can offer yet. */
+    private static final int NO_SHARD = -1;
+
     final String machine;
     final Catalog.Type type;
     final int zone;
@@ -57,6 +64,30 @@
         this.mem = mem;
     }
 
+    /**
+     * A machine that has reported and is not usable yet counts like one that boots: between its first report and the evidence that its
+     * worker hears its owner, its room stood nowhere, and another machine was rented for the same task.
+     *
+     * @param used cpus, gpus and memory of the claims on it
+     */
+    public static Slot arriving(MachineStatus status, Catalog.Type type, double[] used) {
+        return new Slot(
+                status.machine(),
+                type,
+                status.zone(),
+                status.spot(),
+                status.session(),
+                NO_SHARD,
+                status.speed(),
+                status.fetching(),
+                status.images(),
+                ARRIVAL_MS,
+                false,
+                type.cpus() - used[0] - status.strayUse()[0],
+                type.gpus() - used[1] - status.strayUse()[1],
+                type.mem() - used[2] - status.strayUse()[2]);
+    }
+
     public boolean allows(JobSpec j) {
         return j.allows(type.index()) && (j.zone() < 0 || j.zone() == zone) && (!spot || j.spot());
     }
