The zone rules have one form, also for gangs and fixed zones; slots are made in one place

Found reading the change once more; behaviour unchanged. - Preemption of gangs still had its own form of the spread limit, and the autoscaler asked the fixed zone beside allowsZone: both ask JobSpec.allowsZone alone now. World.SEAT_MS is private again: the test that read it was not kept.

--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -455,21 +455,7 @@
                 mem += c.job().spec.mem();
             }
             if (eta > 0) {
-                l.add(new Slot(
-                        p.machine(),
-                        t,
-                        p.zone(),
-                        p.spot(),
-                        p.session(),
-                        p.shard(),
-                        p.speed(),
-                        p.fetching(),
-                        p.images(),
-                        eta,
-                        false,
-                        cpus,
-                        gpus,
-                        mem));
+                l.add(Slot.of(p, t, p.shard(), eta, false, new double[] {cpus, gpus, mem}));
             }
         }
         return l;
--- a/src/main/java/birchusher/fleet/Autoscaler.java
+++ b/src/main/java/birchusher/fleet/Autoscaler.java
@@ -557,8 +557,7 @@
                 for (int i = 0; i < room.size() && at < 0; i++) {
                     double[] r = room.get(i);
                     Kind k = kinds.get(i);
-                    boolean zoneOk = (s.zone() < 0 || s.zone() == k.zone) && s.allowsZone(zones, k.zone);
-                    if (zoneOk
+                    if (s.allowsZone(zones, k.zone)
                             && s.allows(k.type)
                             && (!k.spot || s.spot())
                             && r[0] >= s.cpus() - Catalog.EPS
@@ -612,7 +611,7 @@
             fit = s.gpus() > 0 ? Math.min(fit, t.gpus() / s.gpus()) : fit;
             fit = Math.max(1, Math.floor(s.mem() > 0 ? Math.min(fit, t.mem() / s.mem()) : fit));
             for (int zone : t.zones()) {
-                if (s.zone() >= 0 && s.zone() != zone || !s.allowsZone(tasksByZone, zone)) {
+                if (!s.allowsZone(tasksByZone, zone)) {
                     continue;
                 }
                 for (int spot = s.spot() ? 1 : 0; spot >= (spotOnly ? 1 : 0); spot--) {
--- a/src/main/java/birchusher/model/JobSpec.java
+++ b/src/main/java/birchusher/model/JobSpec.java
@@ -59,6 +59,9 @@
 
     /** Whether one more of its tasks may go to a zone by its zone rules, given how many are in each. */
     public boolean allowsZone(Map<Integer, Integer> tasksByZone, int taskZone) {
+        if (zone >= 0 && zone != taskZone) {
+            return false;
+        }
         if (oneZone && !tasksByZone.isEmpty() && !tasksByZone.containsKey(taskZone)) {
             return false;
         }
--- a/src/main/java/birchusher/placement/Driver.java
+++ b/src/main/java/birchusher/placement/Driver.java
@@ -358,21 +358,7 @@
                     minus(f, j.spec);
                 }
             }
-            slots.add(new Slot(
-                    p.machine(),
-                    t,
-                    p.zone(),
-                    p.spot(),
-                    p.session(),
-                    p.shard(),
-                    p.speed(),
-                    p.fetching(),
-                    p.images(),
-                    0,
-                    true,
-                    f[0],
-                    f[1],
-                    f[2]));
+            slots.add(Slot.of(p, t, p.shard(), 0, true, f));
         }
         return slots;
     }
--- a/src/main/java/birchusher/placement/Preemption.java
+++ b/src/main/java/birchusher/placement/Preemption.java
@@ -5,6 +5,7 @@
 import birchusher.store.Job;
 import birchusher.store.View;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -146,13 +147,14 @@
             }
             List<Slot.Mark> marks = places.stream().map(p -> p.slot.mark()).toList();
             List<Planner.Choice> got = new ArrayList<>();
-            int[] inZone = new int[zoneCount];
+            Map<Integer, Integer> tasksByZone = new HashMap<>();
             double cost = 0;
             while (got.size() < s.tasks()) {
                 Place p = null;
                 for (Place x : places) {
-                    boolean full = s.spread() && inZone[x.slot.zone] >= s.zoneLimit();
-                    if (!full && x.next < Double.MAX_VALUE && (p == null || x.next < p.next)) {
+                    if (s.allowsZone(tasksByZone, x.slot.zone)
+                            && x.next < Double.MAX_VALUE
+                            && (p == null || x.next < p.next)) {
                         p = x;
                     }
                 }
@@ -160,7 +162,7 @@
                     break;
                 }
                 cost += p.next;
-                inZone[p.slot.zone]++;
+                tasksByZone.merge(p.slot.zone, 1, Integer::sum);
                 got.add(new Planner.Choice(j, got.size(), p.slot, p.slot.startDelay(s)));
                 p.take();
             }
--- a/src/main/java/birchusher/placement/RestorePlanner.java
+++ b/src/main/java/birchusher/placement/RestorePlanner.java
@@ -5,7 +5,6 @@
 import birchusher.store.Job;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -86,7 +85,7 @@
         if (spec.gang() && (homes.size() < spec.tasks() || job.placedCount() > 0)) {
             return List.of();
         }
-        Set<String> refusedBy = refused == null ? new HashSet<>() : refused;
+        Set<String> refusedBy = refused == null ? Set.of() : refused;
         List<Planner.Choice> choices = new ArrayList<>();
         List<Slot.Mark> before = new ArrayList<>();
         homes.forEach((task, machine) -> {
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -71,21 +71,34 @@
      * @param used cpus, gpus and memory of the claims on it
      */
     public static Slot arriving(MachineStatus status, Catalog.Type type, double[] used) {
+        double[] stray = status.strayUse();
+        double[] free = {
+            type.cpus() - used[0] - stray[0], type.gpus() - used[1] - stray[1], type.mem() - used[2] - stray[2]
+        };
+        return of(status, type, NO_SHARD, ARRIVAL_MS, false, free);
+    }
+
+    /**
+     * Room on a machine that its owner tells of.
+     *
+     * @param free cpus, gpus and memory
+     */
+    public static Slot of(MachineStatus status, Catalog.Type type, int shard, long etaMs, boolean real, double[] free) {
         return new Slot(
                 status.machine(),
                 type,
                 status.zone(),
                 status.spot(),
                 status.session(),
-                NO_SHARD,
+                shard,
                 status.speed(),
                 status.fetching(),
                 status.images(),
-                ARRIVAL_MS,
-                false,
-                type.cpus() - used[0] - status.strayUse()[0],
-                type.gpus() - used[1] - status.strayUse()[1],
-                type.mem() - used[2] - status.strayUse()[2]);
+                etaMs,
+                real,
+                free[0],
+                free[1],
+                free[2]);
     }
 
     public boolean allows(JobSpec j) {
--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -735,6 +735,8 @@
             }
             room.forgetReservations(m);
             int silentMs = silentMs(m, now);
+            boolean fit = fit(m);
+            boolean hears = shownToHear(m);
             l.add(new MachineStatus(
                     m.name,
                     m.type,
@@ -742,8 +744,8 @@
                     m.spot,
                     m.session,
                     m.shard,
-                    usable(m),
-                    fit(m) && !shownToHear(m) && silentMs == 0,
+                    fit && hears,
+                    fit && !hears && silentMs == 0,
                     m.condemned,
                     m.leaving,
                     silentMs,
--- a/src/test/java/birchusher/PlannerTest.java
+++ b/src/test/java/birchusher/PlannerTest.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntPredicate;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 
 /** What the planner does with jobs and machines; each case is a fault that was seen, or a line of the design. */
@@ -60,6 +61,10 @@
     }
 
     private static Planner.Marks marks(IntPredicate held) {
+        return marks(held, machine -> false);
+    }
+
+    private static Planner.Marks marks(IntPredicate held, Predicate<String> returning) {
         return new Planner.Marks() {
             @Override
             public IntPredicate held(String job) {
@@ -80,6 +85,11 @@
             public boolean doubted(Job j) {
                 return false;
             }
+
+            @Override
+            public boolean returning(String machine, long session) {
+                return returning.test(machine);
+            }
         };
     }
 
@@ -305,32 +315,7 @@
     void aDroppedTaskWaitsForAMachineThatReportsButNotForOneThatDoesNot() {
         dropped(placed("wk-lost", Map.of("pieces", 1L), "home"), 0);
         boolean[] reports = {true};
-        Planner.Marks waiting = new Planner.Marks() {
-            @Override
-            public IntPredicate held(String job) {
-                return null;
-            }
-
-            @Override
-            public Set<String> refused(String job) {
-                return null;
-            }
-
-            @Override
-            public boolean paused(Job j) {
-                return false;
-            }
-
-            @Override
-            public boolean doubted(Job j) {
-                return false;
-            }
-
-            @Override
-            public boolean returning(String machine, long session) {
-                return machine.equals("home") && reports[0];
-            }
-        };
+        Planner.Marks waiting = marks(t -> false, machine -> machine.equals("home") && reports[0]);
         List<Slot> slots = List.of(slot("other", 0, 4, 1));
         assertThat(planner.plan(new ArrayList<>(slots), waiting, List.of(), 4_000, NOW)
                         .choices())
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -28,7 +28,7 @@
     final long leaseMs;
     final long cancelMs;
     /** The default of seats.lease-s. */
-    static final long SEAT_MS = 45_000;
+    private static final long SEAT_MS = 45_000;
 
     private static final String[] ZONES = {"east", "west"};
 
