--- a/review/standin/Net.java
+++ b/review/standin/Net.java
@@ -15,8 +15,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -61,18 +64,20 @@
         thread.start();
     }
 
-    /** Returns free ports on loopback, all different. */
-    static int[] freePorts(int count) throws IOException {
-        ServerSocket[] probes = new ServerSocket[count];
-        int[] ports = new int[count];
-        for (int i = 0; i < count; i++) {
-            probes[i] = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-            ports[i] = probes[i].getLocalPort();
-        }
-        for (ServerSocket probe : probes) {
-            probe.close();
+    /** Returns free ports on loopback, all different, below the range from which the system takes the ports of connections. */
+    static int[] freePorts(int count) {
+        Random random = new Random();
+        Set<Integer> ports = new LinkedHashSet<>();
+        while (ports.size() < count) {
+            int port = 10_000 + random.nextInt(20_000);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                ports.add(probe.getLocalPort());
+            } catch (IOException e) {
+                // In use: another one is drawn.
+                continue;
+            }
         }
-        return ports;
+        return ports.stream().mapToInt(port -> port).toArray();
     }
 
     /** Serves on a free port of loopback and returns host:port. */
