A gang in several rows is done in all of them once one of its tasks is

Seen by callers: a gang of 200 tasks completed while one of its two machines was cut off.

Cause: the end of a gang was recorded in the row of the task that reported it. The tasks of the other row waited for reports of their own, which a lost machine can't send. The planner then saw a waiting gang, and its claim was refused as a whole, since some of its tasks were done.

Change: GangEnd marks all rows of the gang in the transaction that records the first end, so no view shows a part of it, and a cancellation, which depends on a row that is not done, conflicts with it. GangEndRepair completes what an earlier version left in one row, on condition that the row that shows the end is unchanged.

--- a/src/main/java/birchusher/jobs/JobApi.java
+++ b/src/main/java/birchusher/jobs/JobApi.java
@@ -62,6 +62,7 @@
     private final int maxTransactionOps;
     private final boolean confirmsCancelWhenStopped;
     private final Set<String> endingJobs = new HashSet<>();
+    private final GangEndRepair gangEndRepair;
     private long nextSweepMs;
 
     public JobApi(
@@ -79,6 +80,7 @@
         this.store = store;
         this.membership = membership;
         maxTransactionOps = settings.maxTransactionOps();
+        gangEndRepair = new GangEndRepair(effects, view, store, membership);
         confirmsCancelWhenStopped = settings.confirmsCancelWhenStopped();
         if (confirmsCancelWhenStopped) {
             LOG.warn(
@@ -483,6 +485,7 @@
             return;
         }
         nextSweepMs = nowMs + SWEEP_INTERVAL_MS;
+        gangEndRepair.tick();
         for (Job job : view.jobs()) {
             boolean ended = (job.state() != Job.State.OPEN || job.allDone()) && job.claimCount() == 0;
             if (ended
--- a/src/main/java/birchusher/store/StoreClient.java
+++ b/src/main/java/birchusher/store/StoreClient.java
@@ -562,6 +562,11 @@
                                         + Math.round(MAX_BATCH_DELAY_MS * writeLimit.shortage(effects.now())));
     }
 
+    /** Returns the highest number of rows that the state service accepts in one transaction. */
+    public int maxWritesPerTransaction() {
+        return settings.maxTransactionOps();
+    }
+
     /** Returns how many rows this controller can expect to write within a time at its current write rate. */
     public int expectedRowsWithin(long ms) {
         return (int) Math.round(writeLimit.tokensPerSecond() * ms / 1000);
--- a/src/main/java/birchusher/workers/OutcomeRecorder.java
+++ b/src/main/java/birchusher/workers/OutcomeRecorder.java
@@ -9,6 +9,7 @@
 import birchusher.store.Change;
 import birchusher.store.Chunk;
 import birchusher.store.Claim;
+import birchusher.store.GangEnd;
 import birchusher.store.Job;
 import birchusher.store.StoreClient;
 import birchusher.store.StoreView;
@@ -284,6 +285,7 @@
         private final Outcome outcome;
         private final boolean ownProof;
         private final boolean isArray;
+        private final boolean endsGang;
         private final boolean endsJob;
         private final long expiresAtMs;
 
@@ -307,6 +309,7 @@
             expiresAtMs = effects.now() + (outcome.isDroppedWithMachine() ? BULK_TIMEOUT_MS : CHANGE_TIMEOUT_MS);
             Job job = view.job(jobId);
             isArray = job != null && job.spec.shape() == Shape.ARRAY;
+            endsGang = job != null && job.spec.isGang() && outcome == Outcome.DONE;
             // The last tasks (2 % and one more) end the job, and its user waits for that: they are written without
             // delay.
             endsJob = job != null
@@ -323,7 +326,8 @@
 
         @Override
         public int maxWrites() {
-            return 1;
+            Job job = endsGang ? view.job(jobId) : null;
+            return job == null ? 1 : Math.min(store.maxWritesPerTransaction(), 1 + GangEnd.unmarkedRows(job));
         }
 
         @Override
@@ -338,7 +342,9 @@
         @Override
         public boolean addsNoWrites(Transaction tx) {
             Job job = view.job(jobId);
-            return job != null && tx.editsChunk(jobId, task / job.chunkSize);
+            return job != null
+                    && tx.editsChunk(jobId, task / job.chunkSize)
+                    && (!endsGang || GangEnd.isRecorded(tx, job));
         }
 
         @Override
@@ -373,8 +379,8 @@
             chunk.claims.remove(task);
             if (outcome == Outcome.DONE) {
                 if (job.spec.isGang()) {
-                    // One finished task means that the gang is done: the others exit by themselves.
                     chunk.done.set(0, chunk.size());
+                    GangEnd.record(tx, job, maxWrites() - 1);
                 } else {
                     chunk.done.set(task - chunk.index * job.chunkSize);
                 }
