A job that failed on a machine goes back there after a minute at the latest

Cause: an error put the job on the machine's list of errors, and every offer of a job on the list was refused. Only the good end of some task on that machine cleared the list, which does not come where services run or nothing else fits.

Evidence: of 90 s after the trouble, one offer refused as "not usable" (quarantine) and all others as "failed here"; one error. Neither the job's back-off nor the plan held it.

A good end there still ends it. The list of errors remains for judging machines.

Tests: AcceptedWorkEndsTest.jobThatFailedOnTheOnlyMachineWithRoomIsStartedThereAgain, which fails with the old condition ("queued").

--- a/src/main/java/birchusher/daemon/DaemonSettings.java
+++ b/src/main/java/birchusher/daemon/DaemonSettings.java
@@ -237,6 +237,7 @@
             // for long after a task's error.
             tuningProperties.putIfAbsent("fleet.linger-boots", "20");
             tuningProperties.putIfAbsent("workers.quarantine-s", "2");
+            tuningProperties.putIfAbsent("workers.exclusion-s", "2");
             StringWriter writer = new StringWriter();
             tuningProperties.store(writer, null);
             return new Tuning().withOverrides(new StringReader(writer.toString()));
--- a/src/main/java/birchusher/placement/JobScheduler.java
+++ b/src/main/java/birchusher/placement/JobScheduler.java
@@ -159,6 +159,7 @@
     private final Map<String, long[]> errorBackoff = new HashMap<>();
 
     private final long offerTimeoutMs;
+    private final long exclusionRetryMs;
     private final long planGapMs;
     private final double slotsPerMs;
     private final double preemptDelayMs;
@@ -207,6 +208,7 @@
         nextOfferId = effects.wallTime() << 20;
         offerTimeoutMs = tuning.durationMs("placement.offer-s");
         preemptDelayMs = tuning.value("placement.preempt-delay-s") * 1000;
+        exclusionRetryMs = tuning.durationMs("workers.quarantine-s");
         planGapMs = tuning.durationMs("placement.plan-gap-s");
         slotsPerMs = tuning.value("placement.slots-per-s") / 1000;
         planner.zoneOfShard(membership::zoneOf);
@@ -692,9 +694,10 @@
     }
 
     /** How long a job is not offered to a machine again after a refusal for this reason, in ms. */
-    private static long refusalTimeoutMs(String reason) {
+    private long refusalTimeoutMs(String reason) {
         return switch (reason) {
-            case "failed here" -> 60_000;
+                // The owner knows when the exclusion ends. A job that fits nowhere else must learn of that soon.
+            case WorkerRegistry.FAILED_HERE -> exclusionRetryMs;
                 // The owner's view lags by one watch: a longer time made gangs miss their start needlessly.
             case JOB_NOT_IN_VIEW -> 250;
             default -> 1_500;
--- a/src/main/java/birchusher/workers/Machine.java
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -90,6 +90,8 @@
     final Map<String, Long> heldStarts = new HashMap<>();
     /** Errors by job since a task last ended well on this machine. */
     final Map<String, Integer> errorsByJob = new HashMap<>();
+    /** Jobs that get no tasks here for a time after an error. */
+    final JobExclusions exclusions = new JobExclusions();
 
     /** Images expected in the worker's cache, most recently used first. */
     final ArrayDeque<Integer> cachedImages = new ArrayDeque<>();
--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -56,6 +56,9 @@
     /** The state of attempts that are no longer needed is dropped when a machine has this many more than its reported tasks. */
     private static final int MAX_UNREPORTED_ATTEMPTS = 8;
 
+    /** Reason of {@link #reserve} for a refusal: the job is excluded from the machine after an error. */
+    public static final String FAILED_HERE = "failed here";
+
     /** Stops gangs; implemented by the job scheduler, as the tasks of a gang may run on machines of several owners. */
     public interface GangStopper {
         void stopGang(Job job, double graceS, String reason);
@@ -86,6 +89,7 @@
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final List<Machine> changedMachines = new ArrayList<>();
     private final long quarantineMs;
+    private final long exclusionMs;
     /**
      * End of the last process pause, -1 before the first tick. A stalled process receives no reports, so missing reports from before this
      * time say nothing about the machines.
@@ -125,6 +129,7 @@
         this.actionCounters = actionCounters;
         leaseSettings = LeaseSettings.from(tuning);
         quarantineMs = tuning.durationMs("workers.quarantine-s");
+        exclusionMs = tuning.durationMs("workers.exclusion-s");
         capacity = new MachineCapacity(
                 effects, catalog, view, outcomes, guaranteed, tuning.durationMs("placement.reserve-s"));
         safetyChecks = new SafetyChecks(effects, counters, new SafetyChecks.OwnedMachines() {
@@ -483,6 +488,7 @@
                     machine.speed.observe(spec.estimateS() * estimateBias.bias(spec.jobClass()), tookS);
                 }
                 machine.errorsByJob.clear();
+                machine.exclusions.clear();
                 releaseClaim(claim, OutcomeRecorder.Outcome.DONE, "done");
             }
             case ERROR -> {
@@ -499,6 +505,8 @@
     /** Errors of different jobs on one machine count against the machine, errors of one job on several machines against the job. */
     private void onTaskError(Machine machine, Claim claim) {
         counters.taskErrors++;
+        long now = effects.now();
+        machine.exclusions.exclude(claim.job().spec.id(), now, now + exclusionMs);
         for (String name : errorAttribution.recordError(claim.job(), machine)) {
             Machine other = machines.get(name);
             if (other != null && other != machine && errorAttribution.countJobsAgainst(other, view::job) == 0) {
@@ -506,10 +514,10 @@
             }
         }
         if (errorAttribution.countJobsAgainst(machine, view::job) > 0) {
-            machine.quarantineUntilMs = effects.now() + quarantineMs;
+            machine.quarantineUntilMs = now + quarantineMs;
         }
         if (!machine.faulty && machine.faultCheckAtMs < 0 && errorAttribution.isFaulty(machine, view::job)) {
-            machine.faultCheckAtMs = effects.now() + quarantineMs;
+            machine.faultCheckAtMs = now + quarantineMs;
         }
     }
 
@@ -642,8 +650,8 @@
         if (machine.session != session) {
             return "other session";
         }
-        if (machine.errorsByJob.containsKey(spec.id())) {
-            return "failed here";
+        if (machine.exclusions.isExcluded(spec.id(), effects.now())) {
+            return FAILED_HERE;
         }
         String taskKey = spec.id() + "/" + task;
         for (ReportedTask reported : machine.reportedTasks.values()) {
--- a/src/test/java/birchusher/sim/AcceptedWorkEndsTest.java
+++ b/src/test/java/birchusher/sim/AcceptedWorkEndsTest.java
@@ -10,6 +10,8 @@
 class AcceptedWorkEndsTest {
     /** More tasks than one placement row of the simulated state service holds. */
     private static final int TASKS_IN_TWO_ROWS = 200;
+    /** By the users' pages, no job waits for this long while a machine that fits has room and no trouble is left. */
+    private static final long MAX_WAIT_BESIDE_ROOM_MS = 90_000;
 
     @BeforeAll
     static void silenceLogging() {
@@ -74,4 +76,23 @@
         assertThat(world.reportedState("wk-gang")).isEqualTo("done");
         assertThat(world.violations).isEmpty();
     }
+
+    /** Guards against a job that is never started again on the only machine that has room, because a task of it failed there once. */
+    @Test
+    void jobThatFailedOnTheOnlyMachineWithRoomIsStartedThereAgain() {
+        World world = new World(403);
+        world.maxMachines = 1;
+        world.submit("wk-web", "standing", 1, "production", false, false);
+        world.run(30_000);
+        world.failingJobs.add("wk-one");
+        world.submit("wk-one", "sweep", 1, "standard", false, false);
+        for (int i = 0; i < 200 && world.taskErrors == 0; i++) {
+            world.run(100);
+        }
+        assertThat(world.taskErrors).isEqualTo(1);
+        world.failingJobs.clear();
+        world.run(MAX_WAIT_BESIDE_ROOM_MS);
+        assertThat(world.reportedState("wk-one")).isIn("running", "done");
+        assertThat(world.violations).isEmpty();
+    }
 }
