A gang's task starts when the others' images come within the workers' limit

Seen by callers: a gang with one machine that has its image and one that fetches it for longer than gang_wait_s never ran.

Cause: serve did not know gang_wait_s. All starts of a gang were ordered with its claims, and the retry made the same choice, as the score rightly prefers a machine that has the image.

No lease lapsed, no machine was lost, no offer refused.

Change: the owner of a machine holds the start of a gang's task until the gang's other machines, as their owners publish them, are expected to have the image within 0.8 of gang_wait_s, with fetches a third slower than published (GangStart, GangStarts). Like fetches start at once. The hold ends by itself after twice the longest fetch. The line of a start says how long its claim has stood (claimed_ms).

The tests' world follows the protocol further: gang tasks give up waiting, and fetches take their size's time where a test asks for it.

Tests: AcceptedWorkEndsTest.gangRunsAlthoughOneMachineFetchesForLongerThanTheOtherMayWait, which failed before ("running" in place of "done"), and GangStartTest.

--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -17,6 +17,7 @@
 import birchusher.workers.Machine.AttemptState;
 import birchusher.workers.Machine.StopRequest;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,6 +76,7 @@
     private final OutcomeRecorder outcomes;
     private final ActionCounters actionCounters;
     private final SafetyChecks checks;
+    private final GangStarts gangStarts;
     private final AttemptTracker tracker;
 
     Commands(
@@ -87,6 +89,7 @@
             OutcomeRecorder outcomes,
             ActionCounters actionCounters,
             SafetyChecks checks,
+            GangStarts gangStarts,
             AttemptTracker tracker) {
         this.effects = effects;
         this.settings = settings;
@@ -97,6 +100,7 @@
         this.outcomes = outcomes;
         this.actionCounters = actionCounters;
         this.checks = checks;
+        this.gangStarts = gangStarts;
         this.tracker = tracker;
     }
 
@@ -185,6 +189,7 @@
                 }
             }
         }
+        Map<String, Boolean> heldGangs = new HashMap<>();
         for (Claim claim : claims.values()) {
             String attemptKey = claim.attemptKey();
             Reconciliation.ClaimState claimState = recordedState(machine, claim);
@@ -199,7 +204,9 @@
             if (command != Reconciliation.Command.START
                     || machine.session == machine.expiredSession
                     || direct && machine.unansweredStarts.containsKey(attemptKey)
-                    || machine.heldStarts.containsKey(attemptKey)) {
+                    || machine.heldStarts.containsKey(attemptKey)
+                    || !machine.attempts.containsKey(attemptKey)
+                            && heldGangs.computeIfAbsent(claim.job().spec.id(), id -> gangStarts.isHeld(claim))) {
                 continue;
             }
             if (!machine.attempts.containsKey(attemptKey)) {
@@ -207,13 +214,14 @@
                 actionCounters.recordStart(attemptKey, claim.attempt() > 1, now);
                 checks.checkStart(claim, machine);
                 LOG.info(
-                        "task {} attempt {} starts on {} session={} term={} heard_ms={}",
+                        "task {} attempt {} starts on {} session={} term={} heard_ms={} claimed_ms={}",
                         claim.taskKey(),
                         claim.attempt(),
                         machine.name,
                         machine.session,
                         membership.term(machine.shard),
-                        now - machine.lastMessageAtMs);
+                        now - machine.lastMessageAtMs,
+                        now - claim.seenAtMs());
             }
             commands.add(command(Wire.START, claim.taskKey(), claim.attempt(), -1));
             if (direct) {
--- a/src/main/java/birchusher/workers/MachineStatus.java
+++ b/src/main/java/birchusher/workers/MachineStatus.java
@@ -40,4 +40,14 @@
         double[] unclaimedUse,
         int[] fetchingImages,
         int[] cachedImages,
-        List<String> reservedTasks) {}
+        List<String> reservedTasks) {
+    /** Returns whether an image is in the machine's cache. */
+    boolean hasImage(int image) {
+        for (int cached : cachedImages) {
+            if (cached == image) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -154,6 +154,7 @@
                 outcomes,
                 actionCounters,
                 safetyChecks,
+                new GangStarts(effects, settings, catalog, statusExchange),
                 new Commands.AttemptTracker() {
                     @Override
                     public AttemptState newAttempt(Machine machine, JobSpec spec, long now) {
--- a/src/test/java/birchusher/sim/AcceptedWorkEndsTest.java
+++ b/src/test/java/birchusher/sim/AcceptedWorkEndsTest.java
@@ -95,4 +95,25 @@
         assertThat(world.reportedState("wk-one")).isIn("running", "done");
         assertThat(world.violations).isEmpty();
     }
+
+    /**
+     * Guards against a gang that never runs, because one machine has its image and the task there gives up waiting each time before the
+     * other machine has fetched it.
+     */
+    @Test
+    void gangRunsAlthoughOneMachineFetchesForLongerThanTheOtherMayWait() {
+        World world = new World(404);
+        world.maxMachines = 2;
+        world.fetchesBySize = true;
+        double imageGb = 1.5 * World.GANG_WAIT_MS / 1000 * World.FETCH_GB_PER_S;
+        world.submit("wk-web", "standing", 1, "production", false, false).put("size_gb", imageGb);
+        world.run(60_000);
+        assertThat(world.reportedState("wk-web")).isEqualTo("running");
+        Map<String, Object> gang = world.submit("wk-gang", "gang", 2, "standard", false, false);
+        gang.put("size_gb", imageGb);
+        gang.put("cards", 3.0);
+        world.run(MAX_WAIT_BESIDE_ROOM_MS);
+        assertThat(world.reportedState("wk-gang")).isEqualTo("done");
+        assertThat(world.violations).isEmpty();
+    }
 }
--- a/src/test/java/birchusher/sim/FakeWorker.java
+++ b/src/test/java/birchusher/sim/FakeWorker.java
@@ -10,6 +10,8 @@
     static final int GPUS_PER_MACHINE = 4;
     /** Time from a change of tasks, session or fencing token to the report of it. */
     private static final long CHANGE_REPORT_DELAY_MS = 500;
+    /** Time from a start command until a task has an image that is in the machine's cache. */
+    private static final long CACHED_IMAGE_DELAY_MS = 100;
 
     /** One attempt of a task on this machine. */
     static final class Task {
@@ -80,6 +82,9 @@
     /** Whether a report has been sent and its response or time-out has not come. */
     boolean reportInFlight;
 
+    /** Images that it has fetched, if {@link World#fetchesBySize} is set. They stay when its lease ends. */
+    private final java.util.Set<String> cachedImages = new java.util.HashSet<>();
+
     private final java.util.Set<String> reapedAttempts = new java.util.HashSet<>();
     long nextReportMs;
     /** Time from which a higher fencing token counts as a change again. */
@@ -163,10 +168,15 @@
                     continue;
                 }
                 boolean gang = world.isGang(task.key);
+                cachedImages.add(world.image(task.key));
                 task.state = gang ? "waiting" : "running";
-                task.stateEndsMs = gang ? Long.MAX_VALUE : nowMs + world.runTimeMs(task.key);
+                task.stateEndsMs = nowMs + (gang ? World.GANG_WAIT_MS : world.runTimeMs(task.key));
                 world.taskStarted(this, task);
                 reportSoon(nowMs);
+            } else if (task.state.equals("waiting") && nowMs >= task.stateEndsMs) {
+                task.state = "exited";
+                task.cause = "incomplete";
+                reportSoon(nowMs);
             } else if (task.state.equals("flushing") && nowMs >= task.stateEndsMs) {
                 task.state = "exited";
                 task.cause = "halted";
@@ -209,6 +219,16 @@
         }
     }
 
+    /** Returns how long a task has to wait for its image. */
+    private long fetchMs(String key) {
+        if (world.imagesCached || world.fetchesBySize && cachedImages.contains(world.image(key))) {
+            return CACHED_IMAGE_DELAY_MS;
+        }
+        return world.fetchesBySize
+                ? Math.round(world.imageGb(key) / World.FETCH_GB_PER_S * 1000)
+                : 1_000 + world.random.nextInt(2_000);
+    }
+
     /** Executes the commands of a response or of a direct request. */
     @SuppressWarnings("unchecked")
     void execute(List<Object> commands, long nowMs) {
@@ -225,8 +245,7 @@
                             world.violations.add(
                                     "attempt started again after it was reaped: " + attemptKey + " on " + name);
                         }
-                        task = new Task(
-                                key, attempt, nowMs + (world.imagesCached ? 100 : 1_000 + world.random.nextInt(2_000)));
+                        task = new Task(key, attempt, nowMs + fetchMs(key));
                         double gpusUsed = world.gpusNeeded(key);
                         for (Task other : tasks.values()) {
                             if (other.key.equals(key) && !other.exited()) {
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -48,6 +48,10 @@
 
     private static final long USER_REQUEST_INTERVAL_MS = 1_500;
     private static final long GANG_RUN_TIME_MS = 8_000;
+    /** How long a gang's task that has its image waits for the gang's other tasks before it exits. */
+    static final long GANG_WAIT_MS = 20_000;
+    /** Rate at which machines fetch images, as the cloud publishes it. */
+    static final double FETCH_GB_PER_S = 1.0;
     /** Time of day at simulated time 0. */
     private static final long WALL_CLOCK_START_MS = 1_700_000_000_000L;
 
@@ -188,6 +192,11 @@
     boolean fastBoot;
     /** Upper bound of the additional delay of the cloud's replies; the request itself is carried out at once. */
     int maxCloudReplyDelayMs;
+    /**
+     * Fetches take as long as the size of the image says, and machines keep what they have fetched; otherwise every fetch takes a
+     * few seconds.
+     */
+    boolean fetchesBySize;
     /** Every machine has every image in its cache. */
     boolean imagesCached;
     /** Whether reports of the workers are kept for {@link #replayKeptReportsToAll}. */
@@ -757,7 +766,7 @@
                                             "cache_gb",
                                             50.0,
                                             "fetch_gb_per_s",
-                                            1.0,
+                                            FETCH_GB_PER_S,
                                             "hourly",
                                             4.0,
                                             "market_price",
@@ -1098,6 +1107,16 @@
         return (Double) jobs.get(key.substring(0, key.indexOf('/'))).body.get("cards");
     }
 
+    /** Returns the image that a task needs. */
+    String image(String key) {
+        return (String) jobs.get(key.substring(0, key.indexOf('/'))).body.get("bundle");
+    }
+
+    /** Returns the size in GB of the image that a task needs. */
+    double imageGb(String key) {
+        return (Double) jobs.get(key.substring(0, key.indexOf('/'))).body.get("size_gb");
+    }
+
     // ---- gangs
 
     /** Returns whether a task belongs to a gang. */
@@ -1285,7 +1304,7 @@
                 + "\"teams\":[{\"name\":\"guests\"},{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0,\"gpus\":6,\"gpus_max\":"
                 + teamGpuLimit + "}],"
                 + "\"workers\":{\"report_s\":3,\"lease_s\":" + workerLeaseMs / 1000.0
-                + ",\"gang_wait_s\":20,\"gang_peer_s\":4,\"cancel_s\":"
+                + ",\"gang_wait_s\":" + GANG_WAIT_MS / 1000.0 + ",\"gang_peer_s\":4,\"cancel_s\":"
                 + cancelDeadlineMs / 1000.0
                 + "},\"state\":{\"rps\":200,\"write_rps\":60,\"value_kb\":8,\"txn_ops\":12},"
                 + "\"cloud\":{\"rps\":5,\"list_lag_s\":5},\"resources\":{\"cores\":1,\"ram_mb\":200,\"max_connections\":500}}}";
