--- a/src/main/java/birchusher/model/Catalog.java
+++ b/src/main/java/birchusher/model/Catalog.java
@@ -46,6 +46,11 @@
             return bootS * RENT_BREAK_EVEN_MS_PER_BOOT_S;
         }
 
+        /** Expected time in ms to fetch the job's image on a machine of this type, without other fetches beside it. */
+        public double fetchMs(JobSpec spec) {
+            return spec.imageGb() / fetchGbPerS * 1000;
+        }
+
         /** Whether an empty machine of this type can hold one task of the job. */
         public boolean fits(JobSpec spec) {
             return spec.cpus() <= cpus + EPSILON
--- a/src/main/java/birchusher/placement/JobScheduler.java
+++ b/src/main/java/birchusher/placement/JobScheduler.java
@@ -69,12 +69,6 @@
     /** A task is expected to run for at least this share of the time it has run already. */
     private static final double MIN_LEFT_SHARE = 0.4;
 
-    private static final long MIN_BACKOFF_MS = 500;
-    private static final long MAX_BACKOFF_MS = 60_000;
-    private static final int MAX_BACKOFF_DOUBLINGS = 7;
-    /** Consecutive errors after which the back-off of a job doubles; as many as it has tasks if these are fewer. */
-    private static final int ERRORS_PER_DOUBLING = 8;
-
     private static final int GANG_AND_SERVICE_RANK = 2;
     /** Rank of an array's claims with the highest priority. */
     private static final int FIRST_ARRAY_RANK = 4;
@@ -112,12 +106,6 @@
      */
     private record PreemptionRequest(Job job, boolean guaranteed, double delayS) {}
 
-    /**
-     * Consecutive errors, without any finished task, after which an array runs one task at a time. One faulty machine
-     * at the start causes fewer.
-     */
-    private static final int PROBE_AFTER_ERRORS = 6;
-
     private record PendingOffer(OfferBatch batch, List<Planner.Placement> placements) {}
 
     private final Effects effects;
@@ -146,8 +134,7 @@
     private final Map<String, Map<Integer, Long>> heldTasks = new HashMap<>();
 
     private int heldTaskCount;
-    /** Per job and machine: steady time in ms until which the job is not offered there again. */
-    private final Map<String, Map<String, Long>> refusedMachines = new HashMap<>();
+    private final RefusedMachines refusedMachines = new RefusedMachines();
 
     private final Map<Long, PendingOffer> pendingOffers = new HashMap<>();
     /** Batches that are offered and neither claimed nor withdrawn yet. Each writes at least one row. */
@@ -155,8 +142,7 @@
     /** Per job: steady time in ms before which it does not request preemption again. */
     private final Map<String, Long> preemptionRetryAtMs = new HashMap<>();
 
-    /** Per job: the consecutive errors last seen, and the steady time in ms at which its back-off ends. */
-    private final Map<String, long[]> errorBackoff = new HashMap<>();
+    private final ErrorBackoff errorBackoff = new ErrorBackoff();
 
     private final long offerTimeoutMs;
     private final long exclusionRetryMs;
@@ -288,17 +274,14 @@
                 return byKey.isEmpty();
             });
             heldTaskCount = heldTasks.values().stream().mapToInt(Map::size).sum();
-            refusedMachines.values().removeIf(byKey -> {
-                byKey.values().removeIf(until -> now > until);
-                return byKey.isEmpty();
-            });
+            refusedMachines.removeExpired(now);
             preemptionRetryAtMs.values().removeIf(until -> now > until);
             // A crashed owner never replies. Such an offer has to expire here and not only when the next offer is made:
             // a replica once waited forever because its own old offer occupied the only place that its zone rule
             // allowed.
             pendingOffers.values().removeIf(offer -> now - offer.batch.offeredAtMs > offerTimeoutMs);
             openBatches.removeIf(batch -> batch.awaitedReplies > 0 && now - batch.offeredAtMs > offerTimeoutMs);
-            errorBackoff.keySet().removeIf(id -> view.job(id) == null);
+            errorBackoff.forgetEnded(id -> view.job(id) == null);
         }
     }
 
@@ -331,20 +314,17 @@
 
         @Override
         public Set<String> refusedMachines(String job) {
-            Map<String, Long> untilByMachine = refusedMachines.get(job);
-            return untilByMachine == null || untilByMachine.isEmpty() ? null : untilByMachine.keySet();
+            return refusedMachines.of(job);
         }
 
         @Override
         public boolean backingOff(Job job) {
-            return JobScheduler.this.backingOff(job);
+            return errorBackoff.isActive(job, effects.now());
         }
 
         @Override
         public boolean probing(Job job) {
-            return job.spec.shape() == Shape.ARRAY
-                    && job.doneCount() == 0
-                    && job.consecutiveErrors() >= Math.min(PROBE_AFTER_ERRORS, Math.max(2, job.spec.tasks()));
+            return ErrorBackoff.isProbing(job);
         }
 
         @Override
@@ -374,30 +354,6 @@
         return effects.now() + Math.round(Math.max(leftMs, MIN_LEFT_SHARE * ranMs));
     }
 
-    /**
-     * Whether a job with failing tasks is in its back-off. The back-off grows with the errors, up to
-     * {@link #MAX_BACKOFF_MS}, so that the job does not occupy machines with restarts.
-     */
-    private boolean backingOff(Job job) {
-        long errors = job.consecutiveErrors();
-        if (errors < 2) {
-            errorBackoff.remove(job.spec.id());
-            return false;
-        }
-        long[] backoff = errorBackoff.computeIfAbsent(job.spec.id(), k -> new long[] {0, 0});
-        if (backoff[0] != errors) {
-            backoff[0] = errors;
-            backoff[1] = effects.now()
-                    + Math.min(
-                            MAX_BACKOFF_MS,
-                            MIN_BACKOFF_MS
-                                    << Math.min(
-                                            MAX_BACKOFF_DOUBLINGS,
-                                            errors / Math.max(1, Math.min(ERRORS_PER_DOUBLING, job.spec.tasks()))));
-        }
-        return effects.now() < backoff[1];
-    }
-
     private List<Planner.Placement> inFlight() {
         List<Planner.Placement> result = new ArrayList<>(pendingClaims.values());
         pendingOffers.values().forEach(offer -> result.addAll(offer.placements()));
@@ -673,9 +629,8 @@
                 counters.refused++;
                 LOG.debug("offer of {} to {} refused: {}", taskKey(placement), placement.slot().machine, refusal);
                 releaseTask(placement);
-                refusedMachines
-                        .computeIfAbsent(placement.job().spec.id(), k -> new HashMap<>())
-                        .put(placement.slot().machine, effects.now() + refusalTimeoutMs(refusal));
+                refusedMachines.record(
+                        placement.job().spec.id(), placement.slot().machine, effects.now() + refusalTimeoutMs(refusal));
             }
         }
         if (--batch.awaitedReplies > 0) {
--- a/src/main/java/birchusher/placement/Slot.java
+++ b/src/main/java/birchusher/placement/Slot.java
@@ -194,17 +194,12 @@
         return plannedImage == image;
     }
 
-    /** Time in ms to fetch the job's image here without other fetches. */
-    private double fetchMs(JobSpec spec) {
-        return spec.imageGb() / type.fetchGbPerS() * 1000;
-    }
-
     /** Time in ms by which fetching the job's image would slow down the fetches in progress here. */
     double fetchSlowdownMs(JobSpec spec) {
         if (hasImage(spec.image())) {
             return 0;
         }
-        double ownMs = fetchMs(spec);
+        double ownMs = type.fetchMs(spec);
         double slowdownMs = ownMs * Math.max(0, plannedFetches);
         for (int i = 0; i < fetchingImages.length; i += 2) {
             if (fetchingImages[i] == spec.image()) {
@@ -228,7 +223,7 @@
             }
             otherFetchesMs += fetchingImages[i + 1];
         }
-        double ownMs = fetchMs(spec);
+        double ownMs = type.fetchMs(spec);
         return etaMs + ownMs * (1 + plannedFetches) + Math.min(otherFetchesMs, ownMs * (fetchingImages.length / 2));
     }
 }
--- a/src/main/java/birchusher/workers/GangStarts.java
+++ b/src/main/java/birchusher/workers/GangStarts.java
@@ -55,7 +55,7 @@
         if (type == null || status.hasImage(spec.image())) {
             return Fetch.NONE;
         }
-        double fullMs = spec.imageGb() / type.fetchGbPerS() * 1000;
+        double fullMs = type.fetchMs(spec);
         int concurrentFetches = status.fetchingImages().length / 2;
         for (int i = 0; i < status.fetchingImages().length; i += 2) {
             if (status.fetchingImages()[i] == spec.image()) {
--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -409,9 +409,7 @@
     /** Expected time to fetch a job's image, 0 if the machine has it or its type is unknown. */
     private long expectedFetchMs(Machine machine, JobSpec spec) {
         Catalog.MachineType type = catalog.type(machine.type);
-        return type == null || machine.cachedImages.contains(spec.image())
-                ? 0
-                : Math.round(spec.imageGb() / type.fetchGbPerS() * 1000);
+        return type == null || machine.cachedImages.contains(spec.image()) ? 0 : Math.round(type.fetchMs(spec));
     }
 
     private void updateAttempt(Machine machine, Claim claim, ReportedTask reported, AttemptState attempt, long now) {
