A gang's machine that has to fetch the image starts its task at once

Cause: the hold of gang starts also kept back machines that had to fetch themselves, if another machine's fetch shared its rate and so seemed to take much longer. Their own fetch then began later, and the gang with it. Change: only a task whose machine has the image is held. Result: AcceptedWorkEndsTest.machineThatHasToFetchTheImageOfItsGangStartsAtOnce fails with the hold as it was (fetches end 16.8 s apart) and passes now.

--- a/src/main/java/birchusher/lease/GangStart.java
+++ b/src/main/java/birchusher/lease/GangStart.java
@@ -3,9 +3,10 @@
 import java.util.Collection;
 
 /**
- * Decides when a task of a gang is started. A task that has its image waits for the gang's other tasks, but no longer than the workers
- * allow; then it exits and the attempt has failed. So a machine that has the image starts its task only when the others are
- * expected to have fetched theirs within that limit. Times are in ms; this class reads no clock.
+ * Decides when a task of a gang is started on a machine that has its image. The task waits there for the gang's other tasks, but no
+ * longer than the workers allow; then it exits and the attempt has failed. So it is started only when the other machines are
+ * expected to have fetched the image within that limit. A task whose machine has to fetch the image starts at once, since a fetch that
+ * begins later would delay the gang. Times are in ms; this class reads no clock.
  */
 public final class GangStart {
     /** By the protocol, images are fetched at the published rate, give or take a third. */
@@ -45,18 +46,17 @@
     }
 
     /**
-     * Returns whether a task may be started now. A machine on which the fetch takes as long as elsewhere starts at once. Since what is known of
-     * other machines may be missing or wrong, a start is held for a limited time only.
+     * Returns whether a task whose machine has the image may be started now. Since what is known of other machines may be missing or wrong,
+     * a start is held for a limited time only.
      *
-     * @param own the fetch on the task's machine
      * @param others the fetches on the machines of the gang's other tasks
      * @param heldMs for how long the task has been claimed
      */
-    public boolean mayStart(Fetch own, Collection<Fetch> others, long heldMs) {
+    public boolean mayStart(Collection<Fetch> others, long heldMs) {
         double longestWaitMs = 0;
         double longestFetchMs = 0;
         for (Fetch other : others) {
-            longestWaitMs = Math.max(longestWaitMs, other.maxRemainingMs() - own.maxRemainingMs());
+            longestWaitMs = Math.max(longestWaitMs, other.maxRemainingMs());
             longestFetchMs = Math.max(longestFetchMs, other.maxFullMs());
         }
         return longestWaitMs <= plannedWaitMs || heldMs > MAX_HOLD_FACTOR * longestFetchMs;
--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -206,7 +206,8 @@
                     || direct && machine.unansweredStarts.containsKey(attemptKey)
                     || machine.heldStarts.containsKey(attemptKey)
                     || !machine.attempts.containsKey(attemptKey)
-                            && heldGangs.computeIfAbsent(claim.job().spec.id(), id -> gangStarts.isHeld(claim))) {
+                            && heldGangs.computeIfAbsent(
+                                    claim.job().spec.id(), id -> gangStarts.isHeld(machine, claim))) {
                 continue;
             }
             if (!machine.attempts.containsKey(attemptKey)) {
--- a/src/main/java/birchusher/workers/GangStarts.java
+++ b/src/main/java/birchusher/workers/GangStarts.java
@@ -30,22 +30,25 @@
         gangStart = new GangStart(settings.gangWaitTimeoutS() * 1000);
     }
 
-    /** Returns whether the start of a claimed task is to be held; always false if its job is no gang of several tasks. */
-    boolean isHeld(Claim claim) {
+    /**
+     * Returns whether the start of a task that is claimed on a machine is to be held; always false if its job is no gang of several tasks or the
+     * machine has to fetch the image.
+     */
+    boolean isHeld(Machine machine, Claim claim) {
         Job job = claim.job();
-        if (!job.spec.isMultiTaskGang()) {
+        if (!job.spec.isMultiTaskGang() || !machine.cachedImages.contains(job.spec.image())) {
             return false;
         }
         Map<String, Fetch> fetches = new HashMap<>();
         for (Chunk chunk : job.chunks) {
             if (chunk != null) {
                 for (Claim other : chunk.claims.values()) {
-                    fetches.computeIfAbsent(other.machine(), machine -> fetch(machine, job.spec));
+                    fetches.computeIfAbsent(other.machine(), name -> fetch(name, job.spec));
                 }
             }
         }
-        Fetch own = fetches.getOrDefault(claim.machine(), Fetch.NONE);
-        return !gangStart.mayStart(own, fetches.values(), effects.now() - claim.seenAtMs());
+        fetches.remove(machine.name);
+        return !gangStart.mayStart(fetches.values(), effects.now() - claim.seenAtMs());
     }
 
     /** The fetch of a job's image on a machine; none if the machine's status or type is not known. */
--- a/src/test/java/birchusher/sim/AcceptedWorkEndsTest.java
+++ b/src/test/java/birchusher/sim/AcceptedWorkEndsTest.java
@@ -116,4 +116,31 @@
         assertThat(world.reportedState("wk-gang")).isEqualTo("done");
         assertThat(world.violations).isEmpty();
     }
+
+    /** Guards against a later start of a gang: a machine that has to fetch the image must not wait for one whose fetch takes longer. */
+    @Test
+    void machineThatHasToFetchTheImageOfItsGangStartsAtOnce() {
+        World world = new World(405);
+        world.maxMachines = 2;
+        world.fetchesBySize = true;
+        double imageGb = 1.5 * World.GANG_WAIT_MS / 1000 * World.FETCH_GB_PER_S;
+        Map<String, Object> service = world.submit("wk-web", "standing", 1, "production", false, false);
+        service.put("bundle", "img-web");
+        service.put("size_gb", 2 * imageGb);
+        world.submit("wk-full", "standing", 1, "production", false, false).put("cards", 4.0);
+        world.run(25_000);
+        world.requestCancellation("wk-full");
+        Map<String, Object> gang = world.submit("wk-gang", "gang", 2, "standard", false, false);
+        gang.put("bundle", "img-gang");
+        gang.put("size_gb", imageGb);
+        gang.put("cards", 3.0);
+        FakeWorker first = workerOf(world, "wk-gang/0");
+        FakeWorker second = workerOf(world, "wk-gang/1");
+        assertThat(first).isNotEqualTo(second);
+        long firstEndsMs = first.tasks.get("wk-gang/0#1").stateEndsMs;
+        long secondEndsMs = second.tasks.get("wk-gang/1#1").stateEndsMs;
+        assertThat(Math.abs(firstEndsMs - secondEndsMs))
+                .as("ms between the ends of both fetches")
+                .isLessThan(3_000);
+    }
 }
