Decide what users are told of a job in one class, and log the final states told

Need: a told state went back at production size and no log could say why. Change: JobStatusResolver decides the status of a job from the rows in the view, with the rows that it rests on (JobStatus); submissions, polls, cancellations, lists and describe ask it, and none forms a state of its own. JobAnswers keeps what was told of the last 20,000 jobs and logs the first time that a final state is told (at most 20 lines a second). New counters: answers, final_told, final_unlogged, loads, ended, ended_evicted, late_changes.

--- a/src/main/java/birchusher/jobs/JobApi.java
+++ b/src/main/java/birchusher/jobs/JobApi.java
@@ -3,6 +3,8 @@
 import birchusher.core.Effects;
 import birchusher.core.Fields;
 import birchusher.core.Fields.InvalidInputException;
+import birchusher.jobs.JobAnswers.Request;
+import birchusher.jobs.JobStatus.Kind;
 import birchusher.membership.Membership;
 import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
@@ -60,7 +62,8 @@
     private final Membership membership;
     private final int chunkSize;
     private final int maxTransactionOps;
-    private final boolean confirmsCancelWhenStopped;
+    private final JobStatusResolver statuses;
+    private final JobAnswers answers;
     private final Set<String> endingJobs = new HashSet<>();
     private final GangEndRepair gangEndRepair;
     private long nextSweepMs;
@@ -81,8 +84,9 @@
         this.membership = membership;
         maxTransactionOps = settings.maxTransactionOps();
         gangEndRepair = new GangEndRepair(effects, view, store, membership);
-        confirmsCancelWhenStopped = settings.confirmsCancelWhenStopped();
-        if (confirmsCancelWhenStopped) {
+        statuses = new JobStatusResolver(view, store, settings.confirmsCancelWhenStopped());
+        answers = new JobAnswers(effects, view);
+        if (settings.confirmsCancelWhenStopped()) {
             LOG.warn(
                     "cancel_s {} is too short compared with lease_s {}: cancellations are confirmed only when all tasks of the job are gone",
                     settings.cancelLimitS(),
@@ -96,75 +100,19 @@
                         (settings.maxValueKb() * 1024 - PLACEMENT_ROW_OVERHEAD_BYTES) / Chunk.CLAIM_BYTES));
     }
 
-    private static Map<String, Object> stateBody(String id, String state, int done, int running) {
-        Map<String, Object> body = new LinkedHashMap<>();
-        body.put(Wire.ID, id);
-        body.put(Wire.STATE, state);
-        body.put(Wire.DONE, done);
-        body.put(Wire.RUNNING, running);
-        return body;
+    /** Returns where the states of jobs that users are told are decided. */
+    JobStatusResolver statuses() {
+        return statuses;
     }
 
-    static Map<String, Object> endedBody(String id, StoreView.EndedJob ended) {
-        return ended.done() ? stateBody(id, Wire.DONE, ended.tasks(), 0) : stateBody(id, Wire.CANCELLED, 0, 0);
+    /** Returns the record of what users were told of jobs. */
+    JobAnswers answers() {
+        return answers;
     }
 
-    /**
-     * Returns the response for a job that has a final state, which may be sent without asking the state service since
-     * final states never change; null if the job has none yet.
-     */
-    private Map<String, Object> finalState(String id) {
-        StoreView.EndedJob ended = view.endedJob(id);
-        if (ended != null) {
-            return endedBody(id, ended);
-        }
-        Job job = view.job(id);
-        if (job != null
-                && (job.state() == Job.State.DONE
-                        || job.state() == Job.State.OPEN && job.allDone() && viewCoversPlacementRows(job))) {
-            return stateBody(id, Wire.DONE, job.spec.tasks(), 0);
-        }
-        return job != null && job.state() == Job.State.CANCELLED && mayConfirmCancel(job)
-                ? stateBody(id, Wire.CANCELLED, 0, 0)
-                : null;
-    }
-
-    /**
-     * Whether the view is at least as new as the last end of a task that it contains for the job. Sets of done tasks
-     * never shrink, so a job whose tasks are all recorded as done is done before its row says so. But this
-     * controller's own write of the last end enters the view ahead of the changes of other controllers, and a
-     * cancellation that this controller has not seen may precede it. Without this check, one controller reported to
-     * its user "cancelled" and another one then "done". Once the view has everything up to the last end, the job's
-     * row shows which came first; no cancellation is written after it, as each requires a placement row that was not
-     * full.
-     */
-    private boolean viewCoversPlacementRows(Job job) {
-        for (int i = 0; i < job.chunks.size(); i++) {
-            if (view.version(Keys.placement(job.spec.id(), i)) > view.appliedRevision()) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /**
-     * Whether a cancellation may be confirmed. Where leases are too long for the promised time of a cancellation, it
-     * is confirmed only when no task is left, as far as a view shows that is at least as new as the cancellation.
-     */
-    private boolean mayConfirmCancel(Job job) {
-        return !confirmsCancelWhenStopped
-                || job.claimCount() == 0 && view.appliedRevision() >= view.version(Keys.JOB + job.spec.id());
-    }
-
-    private static Map<String, Object> openBody(Job job) {
-        int running = job.claimCount();
-        return stateBody(job.spec.id(), running > 0 ? Wire.RUNNING : Wire.QUEUED, job.doneCount(), running);
-    }
-
-    /** Returns the response to a poll of a job that is in the view, provided that the view is up to date. */
-    Map<String, Object> currentState(Job job) {
-        Map<String, Object> finalBody = finalState(job.spec.id());
-        return finalBody != null ? finalBody : openBody(job);
+    /** Returns the counters of answers for the log. */
+    public String logText() {
+        return answers.logText();
     }
 
     // ---- polls
@@ -178,65 +126,53 @@
             effects.answer(exchange, 404, Map.of("error", "no such job"));
             return;
         }
-        Map<String, Object> finalBody = finalState(id);
-        if (finalBody != null) {
-            effects.answer(exchange, 200, finalBody);
+        JobStatus finalStatus = statuses.finalStatus(id);
+        if (finalStatus != null) {
+            answers.tell(exchange, 200, Request.POLL, id, finalStatus);
             return;
         }
-        answerFromFreshView(exchange, id, () -> effects.answer(exchange, 404, Map.of("error", "no such job")));
+        answerFromFreshView(exchange, Request.POLL, id, () -> answerUnknown(exchange));
+    }
+
+    private void answerUnknown(long exchange) {
+        effects.answer(exchange, 404, Map.of("error", "no such job"));
     }
 
     /**
      * Answers with a job's state from a view that is at least as new as this call; runs {@code unknown} if the job
      * was never accepted.
      */
-    private void answerFromFreshView(long exchange, String id, Runnable unknown) {
-        answerFromFreshView(exchange, id, job -> effects.answer(exchange, 200, openBody(job)), unknown);
+    private void answerFromFreshView(long exchange, Request request, String id, Runnable unknown) {
+        withFreshStatus(exchange, id, status -> {
+            if (status.kind() == Kind.NEVER_ACCEPTED) {
+                unknown.run();
+            } else {
+                tellOrRefuse(exchange, request, id, status);
+            }
+        });
+    }
+
+    /** Answers with the state of an accepted job, or with 503 if it can't be told now. */
+    private void tellOrRefuse(long exchange, Request request, String id, JobStatus status) {
+        if (status.hasState()) {
+            answers.tell(exchange, 200, request, id, status);
+        } else {
+            effects.refuseWithRetry(exchange, 503, LONG_RETRY_AFTER_S);
+        }
     }
 
-    /** As above, except that a job without a final state is passed to {@code unfinished} instead of being answered. */
-    private void answerFromFreshView(long exchange, String id, Consumer<Job> unfinished, Runnable unknown) {
+    /** Passes on a job's status from a view that is at least as new as this call, or refuses the request. */
+    void withFreshStatus(long exchange, String id, Consumer<JobStatus> handler) {
         boolean queued = store.whenUpToDate(ok -> {
             if (!ok) {
                 effects.refuseWithRetry(exchange, 503, LONG_RETRY_AFTER_S);
                 return;
             }
-            Map<String, Object> finalBody = finalState(id);
-            Job job = view.job(id);
-            if (finalBody != null) {
-                effects.answer(exchange, 200, finalBody);
-                return;
-            }
-            if (job != null) {
-                unfinished.accept(job);
-                return;
-            }
-            if (view.isUnreadable(id)) {
-                effects.answer(exchange, 200, stateBody(id, Wire.QUEUED, 0, 0));
-                return;
-            }
-            if (store.allEndedJobsKnown()) {
-                unknown.run();
-                return;
-            }
-            boolean sent = store.get(Keys.ENDED_JOB + id, (status, reply) -> {
-                if (status == 200) {
-                    // Kept in the view, so that every state reported to users by this controller stays in its view.
-                    view.put(Keys.ENDED_JOB + id, reply.get(Wire.VALUE), Fields.count(reply, Wire.VERSION));
-                    Map<String, Object> storedBody = finalState(id);
-                    if (storedBody != null) {
-                        effects.answer(exchange, 200, storedBody);
-                    } else {
-                        effects.refuseWithRetry(exchange, 503, LONG_RETRY_AFTER_S);
-                    }
-                } else if (status == 404) {
-                    unknown.run();
-                } else {
-                    effects.refuseWithRetry(exchange, 503, LONG_RETRY_AFTER_S);
-                }
-            });
-            if (!sent) {
-                effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S);
+            JobStatus status = statuses.currentStatus(id);
+            if (status.kind() == Kind.NOT_IN_VIEW) {
+                readEndedJob(exchange, id, handler);
+            } else {
+                handler.accept(status);
             }
         });
         if (!queued) {
@@ -244,6 +180,25 @@
         }
     }
 
+    /** Reads the final state of a job that an up-to-date view does not show; a job without one was never accepted. */
+    private void readEndedJob(long exchange, String id, Consumer<JobStatus> handler) {
+        boolean sent = store.get(Keys.ENDED_JOB + id, (status, reply) -> {
+            if (status == 200) {
+                // Kept in the view, so that every state reported to users by this controller stays in its view.
+                view.put(Keys.ENDED_JOB + id, reply.get(Wire.VALUE), Fields.count(reply, Wire.VERSION));
+                JobStatus stored = statuses.finalStatus(id);
+                handler.accept(stored != null ? stored : JobStatus.UNDECIDED);
+            } else if (status == 404) {
+                handler.accept(JobStatus.NEVER_ACCEPTED);
+            } else {
+                effects.refuseWithRetry(exchange, 503, LONG_RETRY_AFTER_S);
+            }
+        });
+        if (!sent) {
+            effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S);
+        }
+    }
+
     // ---- submissions
 
     /**
@@ -266,14 +221,13 @@
         } catch (JobCodec.UnrunnableJobException failure) {
             unrunnable = failure;
         }
-        Map<String, Object> finalBody = id == null ? null : finalState(id);
-        if (finalBody != null) {
-            effects.answer(exchange, 200, finalBody);
+        JobStatus finalStatus = id == null ? null : statuses.finalStatus(id);
+        if (finalStatus != null) {
+            answers.tell(exchange, 200, Request.SUBMIT, id, finalStatus);
             return;
         }
         if (id != null && view.job(id) != null) {
-            String jobId = id;
-            answerFromFreshView(exchange, jobId, () -> effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S));
+            answerFromFreshView(exchange, Request.SUBMIT, id, () -> effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S));
             return;
         }
         if (malformed != null && id == null) {
@@ -290,7 +244,8 @@
         if (reason != null) {
             // A repeated submission of an accepted id is answered with the job's state, whatever its body has become.
             int status = malformed != null ? 400 : 422;
-            answerFromFreshView(exchange, id, () -> effects.answer(exchange, status, Map.of("error", reason)));
+            answerFromFreshView(
+                    exchange, Request.SUBMIT, id, () -> effects.answer(exchange, status, Map.of("error", reason)));
             return;
         }
         if (!store.enqueue(new AcceptJob(exchange, spec))) {
@@ -341,7 +296,7 @@
         @Override
         public void committed(long revision) {
             LOG.info("job {} accepted: {} {} tasks, {}", spec.id(), spec.shape(), spec.tasks(), spec.priority());
-            effects.answer(exchange, 201, stateBody(spec.id(), Wire.QUEUED, 0, 0));
+            answers.tell(exchange, 201, Request.SUBMIT, spec.id(), JobStatus.ACCEPTED);
         }
 
         @Override
@@ -355,7 +310,7 @@
 
         @Override
         public void dropped() {
-            answerFromFreshView(exchange, spec.id(), () -> effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S));
+            answerFromFreshView(exchange, Request.SUBMIT, spec.id(), () -> effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S));
         }
     }
 
@@ -376,30 +331,34 @@
             effects.answer(exchange, 404, Map.of("error", "no such job"));
             return;
         }
-        Map<String, Object> finalBody = finalState(id);
-        if (finalBody != null) {
-            effects.answer(exchange, 200, finalBody);
+        JobStatus finalStatus = statuses.finalStatus(id);
+        if (finalStatus != null) {
+            answers.tell(exchange, 200, Request.CANCEL, id, finalStatus);
             return;
         }
         if (!store.healthy() || view.isUnreadable(id)) {
             effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S);
             return;
         }
-        if (view.job(id) == null) {
-            // A job that another controller has just accepted is cancelled like any other. Answering with its state
-            // alone would leave it running.
-            answerFromFreshView(
-                    exchange,
-                    id,
-                    job -> cancel(exchange, job),
-                    () -> effects.answer(exchange, 404, Map.of("error", "no such job")));
+        if (view.job(id) != null) {
+            enqueueCancellation(exchange, id);
             return;
         }
-        cancel(exchange, view.job(id));
+        // A job that another controller has just accepted is cancelled like any other. Answering with its state
+        // alone would leave it running.
+        withFreshStatus(exchange, id, status -> {
+            if (status.kind() == Kind.NEVER_ACCEPTED) {
+                answerUnknown(exchange);
+            } else if (view.job(id) != null && !status.isFinal()) {
+                enqueueCancellation(exchange, id);
+            } else {
+                tellOrRefuse(exchange, Request.CANCEL, id, status);
+            }
+        });
     }
 
-    private void cancel(long exchange, Job job) {
-        if (!store.enqueue(new CancelJob(exchange, job.spec.id()))) {
+    private void enqueueCancellation(long exchange, String id) {
+        if (!store.enqueue(new CancelJob(exchange, id))) {
             effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S);
         }
     }
@@ -463,9 +422,9 @@
 
         @Override
         public void dropped() {
-            Map<String, Object> finalBody = finalState(id);
-            if (finalBody != null) {
-                effects.answer(exchange, 200, finalBody);
+            JobStatus finalStatus = statuses.finalStatus(id);
+            if (finalStatus != null) {
+                answers.tell(exchange, 200, Request.CANCEL, id, finalStatus);
             } else {
                 // Not committed in time, or the job ended in the meantime: the user's repeated request will show it.
                 effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S);
--- a/src/main/java/birchusher/jobs/QueryApi.java
+++ b/src/main/java/birchusher/jobs/QueryApi.java
@@ -124,7 +124,7 @@
             if (!filter.test(job)) {
                 continue;
             }
-            Map<String, Object> body = new LinkedHashMap<>(jobApi.currentState(job));
+            Map<String, Object> body = jobApi.statuses().currentStatus(job.spec.id()).toBody(job.spec.id());
             if (state == null || state.equals(body.get(Wire.STATE))) {
                 body.put(Wire.TEAM, catalog.teams.name(job.spec.team()));
                 body.put(Wire.JOB_CLASS, catalog.classes.name(job.spec.jobClass()));
@@ -151,8 +151,9 @@
                     for (Object entry : Fields.list(reply, Wire.ROWS)) {
                         Map<String, Object> row = Fields.map(entry, "row");
                         lastId = Fields.text(row, Wire.KEY).substring(Keys.ENDED_JOB.length());
-                        Map<String, Object> body = JobApi.endedBody(
-                                lastId, StoreView.readEndedJob(Fields.map(row.get(Wire.VALUE), "value")));
+                        Map<String, Object> body = JobStatus.ofEnded(
+                                        StoreView.readEndedJob(Fields.map(row.get(Wire.VALUE), "value")))
+                                .toBody(lastId);
                         if (state.equals(body.get(Wire.STATE))) {
                             rows.put(lastId, body);
                         }
@@ -203,7 +204,7 @@
                 jobApi.poll(exchange, id);
                 return;
             }
-            Map<String, Object> body = new HashMap<>(jobApi.currentState(job));
+            Map<String, Object> body = jobApi.statuses().currentStatus(id).toBody(id);
             body.put("job", codec.encode(job.spec));
             body.put("accepted_ms", job.acceptedAtMs);
             body.put("attempts", job.lastAttempt());
--- a/src/main/java/birchusher/store/StoreClient.java
+++ b/src/main/java/birchusher/store/StoreClient.java
@@ -572,12 +572,12 @@
         return (int) Math.round(writeLimit.tokensPerSecond() * ms / 1000);
     }
 
-    /** Returns the counters for the log: transactions, rows written, conflicts, throttled requests, queue length, current rates. */
+    /** Returns the counters for the log: transactions, rows written, conflicts, throttled requests, queue length, rates, loads, view. */
     public String logText() {
         return "txns=" + transactions + " rows=" + rowsWritten + " conflicts=" + conflicts + " too_many="
                 + throttledRequests
                 + " queue=" + queue.size() + " rps=" + Math.round(requestLimit.tokensPerSecond()) + " write_rps="
-                + Math.round(writeLimit.tokensPerSecond());
+                + Math.round(writeLimit.tokensPerSecond()) + " loads=" + loadGeneration + " " + view.logText();
     }
 
     /**
--- a/src/main/java/birchusher/store/StoreView.java
+++ b/src/main/java/birchusher/store/StoreView.java
@@ -51,11 +51,13 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, EndedJob> eldest) {
-            endedJobsDropped |= size() > MAX_ENDED_JOBS;
+            endedJobsEvicted += size() > MAX_ENDED_JOBS ? 1 : 0;
             return size() > MAX_ENDED_JOBS;
         }
     };
-    private boolean endedJobsDropped;
+    private long endedJobsEvicted;
+    /** Changes of live rows that arrived when the view had passed their versions already. */
+    private long lateChanges;
     /** Ids of accepted jobs whose rows can't be parsed, for example after a change of the settings. */
     private final Set<String> unreadable = new HashSet<>();
 
@@ -236,9 +238,14 @@
         return endedJobs.get(id);
     }
 
+    /** Returns the counters for the log: final states in memory, those evicted from it, changes that arrived late. */
+    public String logText() {
+        return "ended=" + endedJobs.size() + " ended_evicted=" + endedJobsEvicted + " late_changes=" + lateChanges;
+    }
+
     /** Returns whether no final state has been evicted from memory. */
     public boolean allEndedJobsKept() {
-        return !endedJobsDropped;
+        return endedJobsEvicted == 0;
     }
 
     /** Returns whether this is an accepted job whose row can't be parsed. */
@@ -309,6 +316,7 @@
         knownRevision = Math.max(knownRevision, version);
         boolean isEndedJob = key.startsWith(Keys.ENDED_JOB);
         if (!isEndedJob) {
+            lateChanges += version <= appliedRevision ? 1 : 0;
             changeCount++;
             versions.put(key, version);
             removedVersions.removeLong(key);
@@ -354,6 +362,7 @@
         if (version <= versions.getLong(key)) {
             return;
         }
+        lateChanges += version <= appliedRevision ? 1 : 0;
         knownRevision = Math.max(knownRevision, version);
         changeCount++;
         versions.removeLong(key);
