A job called done is not called running while its last claims are removed

Callers saw: "done" from one controller, then "running" or "queued" from another, asked after that. Cause: done is told of open rows once the view has applied everything up to the newest version of the job's placement rows. A gang's end marks all its tasks; the claims on its other machines leave the rows in later writes. Such a write of a controller's own stands in its view ahead of what it has applied, and when it overtakes the response to the read that a poll waits for, the job looks unfinished again. Class: a condition on the newest version of a row in place of the version that brought the fact relied on. Change: a chunk keeps the revision by which all its tasks were done, and that is what the view has to cover. A job whose tasks are all done, but that can't be called done or cancelled yet, is answered with 503 in place of running.

--- a/src/main/java/birchusher/jobs/JobStatusResolver.java
+++ b/src/main/java/birchusher/jobs/JobStatusResolver.java
@@ -38,7 +38,7 @@
         return switch (job.state()) {
             case DONE -> JobStatus.done(job.spec.tasks(), JobStatus.Evidence.JOB_ROW);
             case CANCELLED -> mayConfirmCancel(job) ? JobStatus.cancelled(JobStatus.Evidence.JOB_ROW) : null;
-            case OPEN -> job.allDone() && viewCoversPlacementRows(job)
+            case OPEN -> job.allDone() && viewCoversLastEnd(job)
                     ? JobStatus.done(job.spec.tasks(), JobStatus.Evidence.PLACEMENT_ROWS)
                     : null;
         };
@@ -52,7 +52,8 @@
         }
         Job job = view.job(id);
         if (job != null) {
-            return JobStatus.ofOpen(job);
+            // All tasks done, but not final: done or cancelled, whichever was written first.
+            return job.state() == Job.State.OPEN && job.allDone() ? JobStatus.UNDECIDED : JobStatus.ofOpen(job);
         }
         if (view.isUnreadable(id)) {
             return JobStatus.ACCEPTED;
@@ -61,21 +62,12 @@
     }
 
     /**
-     * Whether the view is at least as new as the last end of a task that it contains for the job. Sets of done tasks
-     * never shrink, so a job whose tasks are all recorded as done is done before its row says so. But this
-     * controller's own write of the last end enters the view ahead of the changes of other controllers, and a
-     * cancellation that this controller has not seen may precede it. Without this check, one controller reported to
-     * its user "cancelled" and another one then "done". Once the view has everything up to the last end, the job's
-     * row shows which came first; no cancellation is written after it, as each requires a placement row that was not
-     * full.
+     * Whether the view holds every change up to the last end of a task that it shows for a job whose tasks are all done. This
+     * controller's own write of that end enters the view ahead of the changes of other controllers, and a cancellation among those
+     * may precede it. None can follow it, as each requires a placement row that was not full.
      */
-    private boolean viewCoversPlacementRows(Job job) {
-        for (int i = 0; i < job.chunks.size(); i++) {
-            if (view.version(Keys.placement(job.spec.id(), i)) > view.appliedRevision()) {
-                return false;
-            }
-        }
-        return true;
+    private boolean viewCoversLastEnd(Job job) {
+        return job.allDoneRevision() <= view.appliedRevision();
     }
 
     /**
--- a/src/main/java/birchusher/jobs/QueryApi.java
+++ b/src/main/java/birchusher/jobs/QueryApi.java
@@ -110,7 +110,9 @@
                 && (jobClass == null || jobClass.equals(catalog.classes.name(job.spec.jobClass())));
         withFreshView(exchange, () -> {
             TreeMap<String, Map<String, Object>> rows = liveJobs(filter, state);
-            if (ended) {
+            if (rows == null) {
+                effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S);
+            } else if (ended) {
                 addEndedJobs(exchange, rows, state, after, limit);
             } else {
                 sendPage(exchange, rows, limit, false);
@@ -118,13 +120,18 @@
         });
     }
 
+    /** Returns the rows of the jobs in the view, by id; null if the state of one of them can't be told now. */
     private TreeMap<String, Map<String, Object>> liveJobs(Predicate<Job> filter, String state) {
         TreeMap<String, Map<String, Object>> rows = new TreeMap<>();
         for (Job job : view.jobs()) {
             if (!filter.test(job)) {
                 continue;
             }
-            Map<String, Object> body = jobApi.statuses().currentStatus(job.spec.id()).toBody(job.spec.id());
+            JobStatus status = jobApi.statuses().currentStatus(job.spec.id());
+            if (!status.hasState()) {
+                return null;
+            }
+            Map<String, Object> body = status.toBody(job.spec.id());
             if (state == null || state.equals(body.get(Wire.STATE))) {
                 body.put(Wire.TEAM, catalog.teams.name(job.spec.team()));
                 body.put(Wire.JOB_CLASS, catalog.classes.name(job.spec.jobClass()));
@@ -204,7 +211,12 @@
                 jobApi.poll(exchange, id);
                 return;
             }
-            Map<String, Object> body = jobApi.statuses().currentStatus(id).toBody(id);
+            JobStatus status = jobApi.statuses().currentStatus(id);
+            if (!status.hasState()) {
+                effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S);
+                return;
+            }
+            Map<String, Object> body = status.toBody(id);
             body.put("job", codec.encode(job.spec));
             body.put("accepted_ms", job.acceptedAtMs);
             body.put("attempts", job.lastAttempt());
--- a/src/main/java/birchusher/store/Chunk.java
+++ b/src/main/java/birchusher/store/Chunk.java
@@ -26,6 +26,8 @@
     /** Errors since a task of the chunk last succeeded; the more, the longer the job scheduler delays further starts. */
     public long consecutiveErrors;
 
+    private long completeRevision;
+
     /** Upper bound for the size of one claim in a row. */
     public static final int CLAIM_BYTES = 42;
 
@@ -58,6 +60,18 @@
         return done.cardinality() >= size();
     }
 
+    /** Notes the version of the row that this chunk was read from, and the previous chunk, which may be null. */
+    void readAt(long version, Chunk previous) {
+        if (allDone()) {
+            completeRevision = previous != null && previous.allDone() ? previous.completeRevision : version;
+        }
+    }
+
+    /** Returns the revision by which all tasks of the chunk were done; only for a chunk whose tasks are. */
+    long completeRevision() {
+        return completeRevision;
+    }
+
     /** Returns an upper bound for the size of the row. */
     int maxBytes() {
         return ROW_OVERHEAD_BYTES
--- a/src/main/java/birchusher/store/Job.java
+++ b/src/main/java/birchusher/store/Job.java
@@ -151,6 +151,15 @@
         return sum;
     }
 
+    /** Returns the revision by which all tasks were done, whatever was written to their rows since; only if {@link #allDone}. */
+    public long allDoneRevision() {
+        long latest = 0;
+        for (Chunk chunk : chunks) {
+            latest = Math.max(latest, chunk == null ? Long.MAX_VALUE : chunk.completeRevision());
+        }
+        return latest;
+    }
+
     public boolean allDone() {
         return doneCount() >= spec.tasks();
     }
--- a/src/main/java/birchusher/store/StoreView.java
+++ b/src/main/java/birchusher/store/StoreView.java
@@ -446,6 +446,7 @@
         int index = Integer.parseInt(key.substring(slash + 1));
         Chunk previous = job.chunks.get(index);
         Chunk next = Chunk.fromRow(job, index, value, previous);
+        next.readAt(versions.getLong(key), previous);
         updateClaims(previous, next);
         job.replaceChunk(index, next);
     }
--- a/src/test/java/birchusher/sim/AnswerConsistencyTest.java
+++ b/src/test/java/birchusher/sim/AnswerConsistencyTest.java
@@ -176,6 +176,31 @@
         }
     }
 
+    /** Guards against a gang that was called done and is called running while the claims on its other machines are removed. */
+    @ParameterizedTest
+    @CsvSource({"2, 3", "6, 3", "3, 7", "11, 7"})
+    void gangCalledDoneIsNotCalledRunningWhileItsClaimsAreRemoved(long seed, int controllers) {
+        World world = new World(seed, controllers, 64);
+        world.recheckAtAllControllers = true;
+        world.submit("wk-web", "standing", 2, "production", true, false);
+        world.run(20_000);
+        world.slowStoreReplyRate = 0.3;
+        for (int i = 0; i < 25; i++) {
+            world.submit("wk-g" + i, i % 3 == 0 ? "sweep" : "gang", 10, "standard", false, false);
+            if (i % 4 == 1) {
+                world.requestCancellation("wk-g" + (i - 1));
+            }
+            for (int round = 0; round < 30; round++) {
+                world.run(50 + world.random.nextInt(40));
+                for (int k = Math.max(0, i - 8); k <= i; k++) {
+                    world.recheckEverywhere("wk-g" + k);
+                }
+            }
+        }
+        world.run(30_000);
+        assertThat(world.violations).isEmpty();
+    }
+
     /** Tests the checker itself: it detects each kind of answer that it is meant to detect. */
     @Test
     void checkerDetectsEveryOlderAnswer() {
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -58,6 +58,7 @@
     private static final int MAX_KEPT_REPORTS = 600;
     /** Number of violations above which a run is aborted. */
     private static final int MAX_VIOLATIONS = 20;
+    private static final int MAX_SLOW_STORE_REPLY_MS = 400;
 
     private static final String[] ZONES = {"east", "west"};
 
@@ -152,6 +153,8 @@
     double duplicatePeerRecordRate;
     /** Share of transactions that get no reply and are executed 2 to 12 s later, after newer ones of the same controller. */
     double lateTransactionRate;
+    /** Share of the state service's replies that take up to 400 ms longer, so that later ones overtake them. */
+    double slowStoreReplyRate;
     /** Upper bound of the additional delay of each request to the state service. */
     int maxExtraStoreDelayMs;
     /** Run times by task, as set by a test; those of other tasks are drawn. */
@@ -704,7 +707,9 @@
         delayMs += toStore && maxExtraStoreDelayMs > 0 ? random.nextInt(maxExtraStoreDelayMs) : 0;
         int replyDelayMs = call.destination() == Effect.Destination.CLOUD && maxCloudReplyDelayMs > 0
                 ? random.nextInt(maxCloudReplyDelayMs)
-                : 0;
+                : toStore && slowStoreReplyRate > 0 && random.nextDouble() < slowStoreReplyRate
+                        ? random.nextInt(MAX_SLOW_STORE_REPLY_MS)
+                        : 0;
         schedule(
                 nowMs + drawDelayMs() + delayMs,
                 () -> dispatchCall(call, body, (status, reply) -> {
