A row that was removed does not come back with a response that was overtaken

Cause: a watch and a freshness check are under way at once, and a transaction's response may be late as well. What an overtaken response holds was kept out by the versions of removed rows, and once these were more than 4,096, all up to the applied revision were discarded: just those that a late response can contradict. Class: a bounded memory of the past in place of a rule on the present. Change: a change of a live row at or below the applied revision is in the view already, so it is ignored, counted (late_changes) and logged once a second. Versions of removals are kept only above the applied revision, where a controller's own writes stand. Rows of ended jobs never change and are exempt.

--- a/src/main/java/birchusher/store/StoreView.java
+++ b/src/main/java/birchusher/store/StoreView.java
@@ -30,8 +30,7 @@
 public final class StoreView {
     private static final Logger LOG = LoggerFactory.getLogger(StoreView.class);
     private static final int MAX_ENDED_JOBS = 20_000;
-    /** Versions of removed rows are kept up to this number before those that the view has passed are discarded. */
-    private static final int MAX_REMOVED_VERSIONS = 4_096;
+    private static final long LATE_CHANGE_LOG_INTERVAL_MS = 1_000;
 
     /** The final state of a job of so many tasks; {@code done} false: it was cancelled. */
     public record EndedJob(boolean done, int tasks) {}
@@ -39,6 +38,7 @@
     private final Catalog catalog;
     private final JobCodec codec;
     private final Object2LongOpenHashMap<String> versions = new Object2LongOpenHashMap<>();
+    /** Versions of the removals that this view is ahead with: those above {@link #appliedRevision}. */
     private final Object2LongOpenHashMap<String> removedVersions = new Object2LongOpenHashMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final TreeMap<String, Map<String, Object>> rows = new TreeMap<>();
@@ -51,13 +51,14 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, EndedJob> eldest) {
-            endedJobsEvicted += size() > MAX_ENDED_JOBS ? 1 : 0;
-            return size() > MAX_ENDED_JOBS;
+            endedJobsEvicted += size() > maxEndedJobs ? 1 : 0;
+            return size() > maxEndedJobs;
         }
     };
+    private final int maxEndedJobs;
     private long endedJobsEvicted;
-    /** Changes of live rows that arrived when the view had passed their versions already. */
     private long lateChanges;
+    private long lateChangeLoggedMs = Long.MIN_VALUE / 2;
     /** Ids of accepted jobs whose rows can't be parsed, for example after a change of the settings. */
     private final Set<String> unreadable = new HashSet<>();
 
@@ -108,6 +109,12 @@
     private static final double[] NOTHING_USED = new double[3];
 
     public StoreView(Catalog catalog, JobCodec codec) {
+        this(catalog, codec, MAX_ENDED_JOBS);
+    }
+
+    /** Creates a view that keeps the final states of at most {@code maxEndedJobs} jobs in memory. */
+    public StoreView(Catalog catalog, JobCodec codec, int maxEndedJobs) {
+        this.maxEndedJobs = maxEndedJobs;
         this.catalog = catalog;
         this.codec = codec;
         cpusByTeam = new double[catalog.teams.size()];
@@ -197,9 +204,7 @@
         if (revision > appliedRevision) {
             appliedRevision = revision;
             cancellations.discardReportedUpTo(revision);
-            if (removedVersions.size() > MAX_REMOVED_VERSIONS) {
-                removedVersions.object2LongEntrySet().removeIf(entry -> entry.getLongValue() <= appliedRevision);
-            }
+            removedVersions.object2LongEntrySet().removeIf(entry -> entry.getLongValue() <= appliedRevision);
         }
     }
 
@@ -306,17 +311,18 @@
     }
 
     /**
-     * Stores a version of a row unless a newer one is known. A row that can't be parsed is logged and ignored; a job whose row can't be
+     * Stores a version of a row unless a newer one is known, or the view holds every change up to that version already. A row that can't be parsed is logged and ignored; a job whose row can't be
      * parsed still counts as accepted, see {@link #isUnreadable}.
      */
     public void put(String key, Object row, long version) {
-        if (version <= versions.getLong(key) || version <= removedVersions.getLong(key)) {
+        boolean isEndedJob = key.startsWith(Keys.ENDED_JOB);
+        if (version <= versions.getLong(key)
+                || version <= removedVersions.getLong(key)
+                || !isEndedJob && isSuperseded(key, version)) {
             return;
         }
         knownRevision = Math.max(knownRevision, version);
-        boolean isEndedJob = key.startsWith(Keys.ENDED_JOB);
         if (!isEndedJob) {
-            lateChanges += version <= appliedRevision ? 1 : 0;
             changeCount++;
             versions.put(key, version);
             removedVersions.removeLong(key);
@@ -344,6 +350,22 @@
         }
     }
 
+    /**
+     * Whether the view holds this change of a live row, or a later one, already. Responses may overtake each other, and what an
+     * overtaken one holds may have been removed since.
+     */
+    private boolean isSuperseded(String key, long version) {
+        if (version > appliedRevision) {
+            return false;
+        }
+        lateChanges++;
+        if (steadyClock.getAsLong() - lateChangeLoggedMs >= LATE_CHANGE_LOG_INTERVAL_MS) {
+            lateChangeLoggedMs = steadyClock.getAsLong();
+            LOG.info("late change of a row ignored key={} version={} applied={}", key, version, appliedRevision);
+        }
+        return true;
+    }
+
     private void putEndedJob(String id, EndedJob ended, long version) {
         Job job = jobs.get(id);
         if (!ended.done() && (job == null || job.state() != Job.State.CANCELLED)) {
@@ -359,10 +381,9 @@
 
     /** Removes a row as of a version, unless a newer one is known. */
     public void remove(String key, long version) {
-        if (version <= versions.getLong(key)) {
+        if (version <= versions.getLong(key) || isSuperseded(key, version)) {
             return;
         }
-        lateChanges += version <= appliedRevision ? 1 : 0;
         knownRevision = Math.max(knownRevision, version);
         changeCount++;
         versions.removeLong(key);
--- a/src/test/java/birchusher/jobs/JobStatusResolverTest.java
+++ b/src/test/java/birchusher/jobs/JobStatusResolverTest.java
@@ -21,10 +21,11 @@
 /** What the rows of a job in the view allow to be told of it. */
 class JobStatusResolverTest {
     private static final String ID = "wk-1";
+    private static final int MAX_ENDED_JOBS = 10;
 
     private final Settings settings = SettingsReader.read(TestJobs.SETTINGS.getBytes(StandardCharsets.UTF_8));
     private final Catalog catalog = new Catalog(settings);
-    private final StoreView view = new StoreView(catalog, new JobCodec(catalog));
+    private final StoreView view = new StoreView(catalog, new JobCodec(catalog), MAX_ENDED_JOBS);
     private final JobStatusResolver statuses = new JobStatusResolver(
             view, new StoreClient(new Effects(), view, settings, new Tuning()), false);
 
@@ -74,4 +75,21 @@
         view.appliedRevision(7);
         assertThat(statuses.finalStatus(ID).kind()).isEqualTo(Kind.DONE);
     }
+
+    /** Guards against an archived job that is called queued, because a late response brings its row back once its end has left memory. */
+    @Test
+    void archivedJobIsNotCalledQueuedAfterALateResponseOnceItsEndWasEvicted() {
+        putJob("OPEN", 2);
+        view.remove(Keys.JOB + ID, 3);
+        view.put(Keys.ENDED_JOB + ID, StoreView.endedJobRow(true, 2), 3);
+        for (long version = 4; version < 4_204; version++) {
+            view.remove(Keys.JOB + "wk-old-" + version, version);
+        }
+        for (int i = 0; i < MAX_ENDED_JOBS; i++) {
+            view.put(Keys.ENDED_JOB + "wk-end-" + i, StoreView.endedJobRow(true, 1), 4_203);
+        }
+        view.appliedRevision(4_203);
+        putJob("OPEN", 2);
+        assertThat(statuses.currentStatus(ID).kind()).isEqualTo(Kind.NOT_IN_VIEW);
+    }
 }
--- a/src/test/java/birchusher/store/StoreClientTest.java
+++ b/src/test/java/birchusher/store/StoreClientTest.java
@@ -157,4 +157,53 @@
         }
         assertThat(results).contains("second true");
     }
+
+    private static final int REMOVALS = 4_200;
+
+    private static Map<String, Object> put(String key, Map<String, Object> value, long version) {
+        return Map.of("set", key, "value", value, "stamp", version);
+    }
+
+    private static Map<String, Object> remove(String key, long version) {
+        return Map.of("remove", key, "stamp", version);
+    }
+
+    /** A watch response that shows a row written at 2 and removed at 3, and thousands of other removals after that. */
+    private static Map<String, Object> responseWithManyRemovals(String key, Map<String, Object> value) {
+        List<Object> changes = new ArrayList<>(List.of(put(key, value, 2), remove(key, 3)));
+        for (long version = 4; version < 4 + REMOVALS; version++) {
+            changes.add(remove("b/live/job/wk-old-" + version, version));
+        }
+        return Map.of("events", changes, "epoch", 4L + REMOVALS);
+    }
+
+    /** Guards against an archived job that lives again, because a watch response comes after the one that overtook it. */
+    @Test
+    void rowRemovedByANewerResponseIsNotRevivedByAnOlderOne() {
+        Map<String, Object> row = Map.of("s", "OPEN", "k", 100L, "t", 0L, "j", TestJobs.job());
+        advance(1_000);
+        Effect.Call longWatch = calls("/watch").get(0);
+        assertThat(longWatch.path()).endsWith("wait_ms=10000");
+        store.whenUpToDate(ok -> {});
+        Effect.Call overtaking = calls("/watch").get(0);
+        effects.completeCall(overtaking.id(), 200, responseWithManyRemovals("b/live/job/wk-1", row));
+        assertThat(view.appliedRevision()).isEqualTo(4 + REMOVALS);
+        effects.completeCall(
+                longWatch.id(), 200, Map.of("events", List.of(put("b/live/job/wk-1", row, 2)), "epoch", 2L));
+        assertThat(view.job("wk-1")).isNull();
+        assertThat(view.version("b/live/job/wk-1")).isZero();
+    }
+
+    /** Guards against a removed row that lives again, because the response to the transaction that wrote it comes late. */
+    @Test
+    void rowRemovedByOthersIsNotRevivedByTheLateResponseToItsOwnTransaction() {
+        enqueue("ask", 4, 10);
+        Effect.Call transaction = calls("/multi").get(0);
+        advance(1_000);
+        effects.completeCall(
+                calls("/watch").get(0).id(), 200, responseWithManyRemovals("b/live/ask", Map.of("x", "y")));
+        assertThat(view.appliedRevision()).isEqualTo(4 + REMOVALS);
+        effects.completeCall(transaction.id(), 200, Map.of("epoch", 2L));
+        assertThat(view.row("b/live/ask")).isNull();
+    }
 }
