A malformed watch response is refused whole

Cause: changes were applied one by one while the response was being read, so a malformed one left the view with half of it, ahead of its applied revision. Change: WatchResponse parses a response before any of it is applied. A value that the view can't read still only leaves out its row. Result: StoreClientTest.responseWithAMalformedChangeIsRefusedWhole failed before.

--- a/src/main/java/birchusher/store/StoreClient.java
+++ b/src/main/java/birchusher/store/StoreClient.java
@@ -522,16 +522,7 @@
         if (status != 200) {
             return;
         }
-        for (Object item : Fields.list(response, Wire.EVENTS)) {
-            Map<String, Object> event = Fields.map(item, "event");
-            long version = Fields.count(event, Wire.VERSION);
-            if (event.get(Wire.PUT) != null) {
-                view.put(Fields.text(event, Wire.PUT), event.get(Wire.VALUE), version);
-            } else {
-                view.remove(Fields.text(event, Wire.DELETE), version);
-            }
-        }
-        view.appliedRevision(Fields.count(response, Wire.REVISION));
+        WatchResponse.parse(response).applyTo(view);
         sendDueRequests();
     }
 
--- a/src/test/java/birchusher/store/StoreClientTest.java
+++ b/src/test/java/birchusher/store/StoreClientTest.java
@@ -1,10 +1,12 @@
 package birchusher.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import birchusher.TestJobs;
 import birchusher.core.Effect;
 import birchusher.core.Effects;
+import birchusher.core.Fields;
 import birchusher.model.Catalog;
 import birchusher.settings.Settings;
 import birchusher.settings.SettingsReader;
@@ -206,4 +208,17 @@
         effects.completeCall(transaction.id(), 200, Map.of("epoch", 2L));
         assertThat(view.row("b/live/ask")).isNull();
     }
+
+    /** Guards against a view that holds half of a response, the other half of which can't be read. */
+    @Test
+    void responseWithAMalformedChangeIsRefusedWhole() {
+        advance(3_000);
+        List<Object> changes = List.of(put("b/live/a", Map.of("x", "y"), 2), Map.of("stamp", 3L));
+        assertThatThrownBy(() -> replyTo("/watch", 200, Map.of("events", changes, "epoch", 3L)))
+                .isInstanceOf(Fields.InvalidInputException.class);
+        assertThat(view.row("b/live/a")).isNull();
+        advance(3_000);
+        replyTo("/watch", 200, Map.of("events", List.of(put("b/live/a", Map.of("x", "y"), 2)), "epoch", 3L));
+        assertThat(view.row("b/live/a")).isNotNull();
+    }
 }
