A controller never tells something older than it told, checked at run time

Need: the rule that a told state stays was kept in several places and checked in none. Fault mended with it: an acceptance was answered with 201 and queued whatever the view held by then, so one whose response was late told queued of a job that had ended. Now it is answered from the view; if that is ahead, as a repeated submission. A look-up that finds no final state likewise asks the view again. Class: an answer formed from what was true when its request was sent.

--- a/src/main/java/birchusher/jobs/JobApi.java
+++ b/src/main/java/birchusher/jobs/JobApi.java
@@ -145,22 +145,13 @@
     private void answerFromFreshView(long exchange, Request request, String id, Runnable unknown) {
         withFreshStatus(exchange, id, status -> {
             if (status.kind() == Kind.NEVER_ACCEPTED) {
-                unknown.run();
+                answers.tellNeverAccepted(exchange, request, id, unknown);
             } else {
-                tellOrRefuse(exchange, request, id, status);
+                answers.tell(exchange, 200, request, id, status);
             }
         });
     }
 
-    /** Answers with the state of an accepted job, or with 503 if it can't be told now. */
-    private void tellOrRefuse(long exchange, Request request, String id, JobStatus status) {
-        if (status.hasState()) {
-            answers.tell(exchange, 200, request, id, status);
-        } else {
-            effects.refuseWithRetry(exchange, 503, LONG_RETRY_AFTER_S);
-        }
-    }
-
     /** Passes on a job's status from a view that is at least as new as this call, or refuses the request. */
     void withFreshStatus(long exchange, String id, Consumer<JobStatus> handler) {
         boolean queued = store.whenUpToDate(ok -> {
@@ -189,7 +180,8 @@
                 JobStatus stored = statuses.finalStatus(id);
                 handler.accept(stored != null ? stored : JobStatus.UNDECIDED);
             } else if (status == 404) {
-                handler.accept(JobStatus.NEVER_ACCEPTED);
+                JobStatus now = statuses.currentStatus(id);
+                handler.accept(now.kind() == Kind.NOT_IN_VIEW ? JobStatus.NEVER_ACCEPTED : now);
             } else {
                 effects.refuseWithRetry(exchange, 503, LONG_RETRY_AFTER_S);
             }
@@ -296,7 +288,13 @@
         @Override
         public void committed(long revision) {
             LOG.info("job {} accepted: {} {} tasks, {}", spec.id(), spec.shape(), spec.tasks(), spec.priority());
-            answers.tell(exchange, 201, Request.SUBMIT, spec.id(), JobStatus.ACCEPTED);
+            JobStatus status = statuses.currentStatus(spec.id());
+            if (status.kind() == Kind.QUEUED) {
+                answers.tell(exchange, 201, Request.SUBMIT, spec.id(), status);
+            } else {
+                // The response was late, and the view is ahead of it.
+                dropped();
+            }
         }
 
         @Override
@@ -348,11 +346,13 @@
         // alone would leave it running.
         withFreshStatus(exchange, id, status -> {
             if (status.kind() == Kind.NEVER_ACCEPTED) {
-                answerUnknown(exchange);
+                answers.tellNeverAccepted(exchange, Request.CANCEL, id, () -> answerUnknown(exchange));
             } else if (view.job(id) != null && !status.isFinal()) {
                 enqueueCancellation(exchange, id);
+            } else if (status.isFinal()) {
+                answers.tell(exchange, 200, Request.CANCEL, id, status);
             } else {
-                tellOrRefuse(exchange, Request.CANCEL, id, status);
+                effects.refuseWithRetry(exchange, 503, LONG_RETRY_AFTER_S);
             }
         });
     }
--- a/src/main/java/birchusher/jobs/QueryApi.java
+++ b/src/main/java/birchusher/jobs/QueryApi.java
@@ -4,6 +4,7 @@
 import birchusher.core.Fields;
 import birchusher.core.Fields.InvalidInputException;
 import birchusher.http.RequestTarget;
+import birchusher.jobs.JobAnswers.Request;
 import birchusher.model.Catalog;
 import birchusher.settings.Settings;
 import birchusher.store.Claim;
@@ -109,10 +110,11 @@
                 && (team == null || team.equals(catalog.teams.name(job.spec.team())))
                 && (jobClass == null || jobClass.equals(catalog.classes.name(job.spec.jobClass())));
         withFreshView(exchange, () -> {
-            TreeMap<String, Map<String, Object>> rows = liveJobs(filter, state);
+            TreeMap<String, Map<String, Object>> rows = liveJobs(exchange, filter, state);
             if (rows == null) {
-                effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S);
-            } else if (ended) {
+                return;
+            }
+            if (ended) {
                 addEndedJobs(exchange, rows, state, after, limit);
             } else {
                 sendPage(exchange, rows, limit, false);
@@ -120,15 +122,15 @@
         });
     }
 
-    /** Returns the rows of the jobs in the view, by id; null if the state of one of them can't be told now. */
-    private TreeMap<String, Map<String, Object>> liveJobs(Predicate<Job> filter, String state) {
+    /** Returns the rows of the jobs in the view, by id; refuses the request and returns null if the state of one can't be told now. */
+    private TreeMap<String, Map<String, Object>> liveJobs(long exchange, Predicate<Job> filter, String state) {
         TreeMap<String, Map<String, Object>> rows = new TreeMap<>();
         for (Job job : view.jobs()) {
             if (!filter.test(job)) {
                 continue;
             }
             JobStatus status = jobApi.statuses().currentStatus(job.spec.id());
-            if (!status.hasState()) {
+            if (jobApi.answers().refuseIfUntellable(exchange, Request.LIST, job.spec.id(), status)) {
                 return null;
             }
             Map<String, Object> body = status.toBody(job.spec.id());
@@ -212,8 +214,7 @@
                 return;
             }
             JobStatus status = jobApi.statuses().currentStatus(id);
-            if (!status.hasState()) {
-                effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S);
+            if (jobApi.answers().refuseIfUntellable(exchange, Request.DESCRIBE, id, status)) {
                 return;
             }
             Map<String, Object> body = status.toBody(id);
