Soak: users who ask, repeat and cancel all the time while the state service answers late

Need: the soak's users asked one controller each few seconds, so it could not see a told state go back. Each seed says how many answers, ended jobs, loads, late changes and evictions it saw, and how many answers were overtaken: requests sent before a final state was told, answered with another state after it. These overlap and break no rule as AnswerHistory judges it (by when the request was sent); by the strictest reading they would be older. By hand: soak.short-jobs-per-s (0: as before) and soak.large-every; the schedules of earlier seeds stay.

--- a/src/test/java/birchusher/sim/AnswerHistory.java
+++ b/src/test/java/birchusher/sim/AnswerHistory.java
@@ -20,6 +20,7 @@
     private String finalState;
     private String lastState;
     private int answerCount;
+    private int overtakenAnswers;
 
     /** Records that a request is sent. */
     SentRequest requestSent(RequestKind kind) {
@@ -49,6 +50,7 @@
         if (isFinal && finalState != null && !finalState.equals(state)) {
             return "went_back from " + finalState + " to " + state;
         }
+        overtakenAnswers += !isFinal && finalState != null && !request.endedBefore ? 1 : 0;
         if (!isFinal && request.endedBefore) {
             return "went_back from " + finalState + " to " + state;
         }
@@ -69,6 +71,14 @@
         return lastState;
     }
 
+    /**
+     * Returns the number of answers without a final state that came after a final state, from requests sent before that: allowed, as
+     * they overlap, and older by the strictest reading of the rule.
+     */
+    int overtakenAnswers() {
+        return overtakenAnswers;
+    }
+
     /** Returns the number of answers recorded. */
     int answerCount() {
         return answerCount;
--- a/src/test/java/birchusher/sim/Soak.java
+++ b/src/test/java/birchusher/sim/Soak.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * A soak run on real processes under faults drawn by a seed: kills, pauses, network partitions, delays, and lost,
@@ -30,12 +32,52 @@
             List<String> faultSchedule,
             int taskStarts,
             int machinesRented,
-            int controllerStarts) {
+            int controllerStarts,
+            AnswerCounts answers) {
         /** Returns the result in one line. */
         String summary() {
             return "seed " + seed + ": " + (violations.isEmpty() ? "no rule broken" : "BROKEN " + violations) + ", "
                     + taskStarts + " starts, " + machinesRented + " machines, " + controllerStarts
-                    + " controller starts";
+                    + " controller starts, " + answers.text();
+        }
+    }
+
+    /**
+     * What users saw, and what the controllers' logs say of their views.
+     *
+     * @param overtaken as {@link AnswerHistory#overtakenAnswers}
+     * @param loads complete loads of the view, those at starts included
+     * @param lateChanges the most changes from overtaken responses that any line of counters shows
+     */
+    record AnswerCounts(int answers, int finalStates, int overtaken, int loads, long lateChanges, long evictions) {
+        private static final Pattern LATE_CHANGES = Pattern.compile("late_changes=(\\d+)");
+        private static final Pattern EVICTIONS = Pattern.compile("ended_evicted=(\\d+)");
+
+        static AnswerCounts of(ProcessWorld world) throws IOException {
+            List<AnswerHistory> histories = world.answerHistories();
+            List<String> counters = world.logLines("counters takeovers=");
+            return new AnswerCounts(
+                    histories.stream().mapToInt(AnswerHistory::answerCount).sum(),
+                    (int) histories.stream().filter(AnswerHistory::hasEnded).count(),
+                    histories.stream().mapToInt(AnswerHistory::overtakenAnswers).sum(),
+                    world.logLines("state loaded").size(),
+                    highest(LATE_CHANGES, counters),
+                    highest(EVICTIONS, counters));
+        }
+
+        /** Returns the highest value that any line shows. */
+        private static long highest(Pattern pattern, List<String> lines) {
+            return lines.stream()
+                    .map(pattern::matcher)
+                    .filter(Matcher::find)
+                    .mapToLong(matcher -> Long.parseLong(matcher.group(1)))
+                    .max()
+                    .orElse(0);
+        }
+
+        String text() {
+            return answers + " answers, " + finalStates + " jobs ended, " + overtaken + " answers overtaken, " + loads
+                    + " loads, at most " + lateChanges + " late changes and " + evictions + " evictions at one controller";
         }
     }
 
@@ -50,11 +92,16 @@
      * Runs one seed.
      *
      * @param workers about how many machines the first jobs need
+     * @param shortJobsPerS short jobs that {@link BusyUsers} submit; 0: there are no such users
      */
-    static Result run(long seed, int workers, int seconds, Path dir) throws IOException, InterruptedException {
+    static Result run(long seed, int workers, int seconds, double shortJobsPerS, Path dir)
+            throws IOException, InterruptedException {
         try (ProcessWorld world = new ProcessWorld(seed, 3, workers * FakeWorker.GPUS_PER_MACHINE, dir)) {
             Soak soak = new Soak(seed, world, seconds * 1000L);
             soak.scheduleJobsAndFaults(workers);
+            if (shortJobsPerS > 0) {
+                BusyUsers.schedule(world, seed, shortJobsPerS, FIRST_FAULT_MS, soak.endMs - FAULT_FREE_END_MS);
+            }
             world.runInRealTime(soak.endMs);
             List<String> violations = new ArrayList<>(world.violations);
             violations.addAll(world.logLines("safety rule broken"));
@@ -64,7 +111,8 @@
                     soak.faultSchedule,
                     world.taskStarts,
                     world.machinesRented,
-                    world.controllerStarts);
+                    world.controllerStarts,
+                    AnswerCounts.of(world));
         }
     }
 
--- a/src/test/java/birchusher/sim/SoakTest.java
+++ b/src/test/java/birchusher/sim/SoakTest.java
@@ -26,7 +26,20 @@
     @ParameterizedTest
     @ValueSource(longs = {1})
     void noRuleIsBroken(long seed) throws Exception {
-        Soak.Result result = Soak.run(seed, 10, SHORT_RUN_S, dir);
+        assertNoRuleIsBroken(Soak.run(seed, 10, SHORT_RUN_S, 0, dir));
+    }
+
+    /** Users submit short jobs throughout, and ask, repeat and cancel at all controllers while the state service answers late. */
+    @ParameterizedTest
+    @ValueSource(longs = {2})
+    void noRuleIsBrokenWhileUsersAskAllTheTime(long seed) throws Exception {
+        Soak.Result result = Soak.run(seed, 10, SHORT_RUN_S, 5, dir);
+        System.out.println("SOAK " + result.summary());
+        assertNoRuleIsBroken(result);
+        assertThat(result.answers().finalStates()).as("jobs that ended").isPositive();
+    }
+
+    private static void assertNoRuleIsBroken(Soak.Result result) {
         assertThat(result.violations())
                 .as(result.summary() + "\n" + String.join("\n", result.faultSchedule()))
                 .isEmpty();
@@ -35,8 +48,9 @@
     /**
      * A long run, started by hand:
      * {@code mvn -B test -Dtest=SoakTest#byHand -Dsoak.from=1000 -Dsoak.seeds=50 -Dsoak.at-once=3}.
-     * Every fifth seed has {@code soak.workers} machines (default 300), the others ten; each seed takes
-     * {@code soak.seconds} (default 75).
+     * Every fifth seed has {@code soak.workers} machines (default 300), or every {@code soak.large-every}-th, the others ten; each
+     * seed takes {@code soak.seconds} (default 75). {@code soak.short-jobs-per-s} adds users who submit so many short jobs and ask
+     * all the time (default 0).
      */
     @Test
     void byHand() throws Exception {
@@ -46,10 +60,14 @@
         List<Future<Soak.Result>> results = new ArrayList<>();
         for (long seed = from; seed < from + seeds; seed++) {
             long runSeed = seed;
-            int workers = seed % 5 == 0 ? Integer.getInteger("soak.workers", 300) : 10;
+            int workers = seed % Integer.getInteger("soak.large-every", 5) == 0 ? Integer.getInteger("soak.workers", 300) : 10;
             results.add(pool.submit(() -> {
                 Soak.Result result = Soak.run(
-                        runSeed, workers, Integer.getInteger("soak.seconds", 75), dir.resolve("seed-" + runSeed));
+                        runSeed,
+                        workers,
+                        Integer.getInteger("soak.seconds", 75),
+                        Integer.getInteger("soak.short-jobs-per-s", 0),
+                        dir.resolve("seed-" + runSeed));
                 System.out.println("SOAK " + result.summary());
                 if (!result.violations().isEmpty()) {
                     System.out.println("SOAK schedule " + runSeed + ": " + result.faultSchedule());
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -502,6 +502,11 @@
         return jobs.get(id).history.lastState();
     }
 
+    /** Returns the histories of the answers about all jobs. */
+    List<AnswerHistory> answerHistories() {
+        return jobs.values().stream().map(job -> job.history).toList();
+    }
+
     /** Returns whether a controller has confirmed the cancellation of a job. */
     boolean isCancelled(String id) {
         return jobs.get(id).cancelledAtMs >= 0;
