Known red: states told of rows that can't be read; check of rows written after a job's end

Cause in StoreView.put, which answers for a row that it has not read. FakeStore also lists transactions that write a job row or claim row of a job whose final state is stored, as a late one without a condition on that would. The line on late changes is logged once in 10 s (before: once a second), as duplicates are common.

--- a/src/main/java/birchusher/store/StoreView.java
+++ b/src/main/java/birchusher/store/StoreView.java
@@ -30,7 +30,7 @@
 public final class StoreView {
     private static final Logger LOG = LoggerFactory.getLogger(StoreView.class);
     private static final int MAX_ENDED_JOBS = 20_000;
-    private static final long LATE_CHANGE_LOG_INTERVAL_MS = 1_000;
+    private static final long LATE_CHANGE_LOG_INTERVAL_MS = 10_000;
 
     /** The final state of a job of so many tasks; {@code done} false: it was cancelled. */
     public record EndedJob(boolean done, int tasks) {}
--- a/src/test/java/birchusher/jobs/JobStatusResolverTest.java
+++ b/src/test/java/birchusher/jobs/JobStatusResolverTest.java
@@ -92,4 +92,30 @@
         putJob("OPEN", 2);
         assertThat(statuses.currentStatus(ID).kind()).isEqualTo(Kind.NOT_IN_VIEW);
     }
+
+    /** Guards against a cancelled job that is called queued by a controller that can't read the rest of its row. */
+    @Test
+    void stateOfAJobWhoseDescriptionCannotBeReadIsToldAsItIsStored() {
+        view.put(Keys.JOB + ID, new HashMap<>(Map.of("s", "CANCELLED", "k", 100L, "t", 0L, "j", Map.of("odd", 1L))), 2);
+        view.appliedRevision(2);
+        assertThat(statuses.currentStatus(ID).kind()).isEqualTo(Kind.CANCELLED);
+    }
+
+    /** Guards against a job that keeps its old state under the version of a row that could not be read. */
+    @Test
+    void newerRowThatCannotBeReadDoesNotLeaveTheOldStateStanding() {
+        putJob("OPEN", 2);
+        view.put(Keys.JOB + ID, new HashMap<>(Map.of("s", 7L, "k", 100L, "t", 0L, "j", TestJobs.job())), 3);
+        view.appliedRevision(3);
+        assertThat(statuses.currentStatus(ID).kind()).isEqualTo(Kind.UNDECIDED);
+        assertThat(view.version(Keys.JOB + ID)).isEqualTo(2);
+    }
+
+    /** Guards against a job that is called cancelled, because the row of its final state can't be read. */
+    @Test
+    void finalStateThatCannotBeReadIsNotToldAsCancelled() {
+        view.put(Keys.ENDED_JOB + ID, new HashMap<>(Map.of("s", "odd", "n", 2L)), 2);
+        view.appliedRevision(2);
+        assertThat(statuses.finalStatus(ID)).isNull();
+    }
 }
--- a/src/test/java/birchusher/sim/FakeStore.java
+++ b/src/test/java/birchusher/sim/FakeStore.java
@@ -196,6 +196,14 @@
                                 .equals(""));
     }
 
+    /** Returns whether this is a job row or a claim row of a job whose final state is stored. */
+    private boolean belongsToEndedJob(String key) {
+        String[] parts = key.split("/");
+        return parts.length >= 4
+                && (parts[2].equals("job") || parts[2].equals("place"))
+                && rows.containsKey("b/end/" + parts[3]);
+    }
+
     /** Counts a transaction's rows and lists it if it lacks a condition on which safety rests. */
     @SuppressWarnings("unchecked")
     private void checkTransaction(Map<String, Object> body) {
@@ -209,6 +217,9 @@
             if (!conditions.contains(key)) {
                 unsafeTransactions.add("unconditional write of " + key);
             }
+            if (write.get("set") != null && belongsToEndedJob(key)) {
+                unsafeTransactions.add("row of an ended job written again: " + key);
+            }
             if (!key.startsWith("b/live/place/") || write.get("set") == null) {
                 continue;
             }
