--- a/src/main/java/birchusher/jobs/JobApi.java
+++ b/src/main/java/birchusher/jobs/JobApi.java
@@ -19,8 +19,6 @@
 import birchusher.wire.JobCodec;
 import birchusher.wire.MessagePackCodec;
 import birchusher.wire.Wire;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -28,8 +26,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Answers the requests of users about single jobs (submissions, polls, cancellations) and writes the final states of
- * jobs.
+ * Answers the requests of users about single jobs (submissions, polls, cancellations). What is told of a job is
+ * decided by {@link JobStatusResolver}.
  *
  * <p>Not thread-safe: all calls run on the controller's event loop. Requests are answered through {@link Effects}, at
  * once or later; {@code exchange} identifies the request.
@@ -43,30 +41,21 @@
 
     private static final int CANCELLATION_RANK = 1;
     private static final int ACCEPTANCE_RANK = 2;
-    private static final int ARCHIVING_RANK = 9;
     private static final long COMMIT_TIMEOUT_MS = 2_500;
-    private static final long SWEEP_INTERVAL_MS = 200;
-    private static final int MAX_ENDING_JOBS = 100;
     private static final int MIN_CHUNK_SIZE = 16;
     private static final int MAX_CHUNK_SIZE = 500;
     /** Bytes of a placement row's value that are not used for claims. */
     private static final int PLACEMENT_ROW_OVERHEAD_BYTES = 512;
-    /** Longest time for which the archiving of a job waits for other changes. */
-    private static final long MAX_ARCHIVING_DELAY_MS = 1_000;
 
     private final Effects effects;
     private final Catalog catalog;
     private final JobCodec codec;
     private final StoreView view;
     private final StoreClient store;
-    private final Membership membership;
     private final int chunkSize;
-    private final int maxTransactionOps;
     private final JobStatusResolver statuses;
     private final JobAnswers answers;
-    private final Set<String> endingJobs = new HashSet<>();
-    private final GangEndRepair gangEndRepair;
-    private long nextSweepMs;
+    private final JobArchiver archiver;
 
     public JobApi(
             Effects effects,
@@ -81,9 +70,7 @@
         this.codec = codec;
         this.view = view;
         this.store = store;
-        this.membership = membership;
-        maxTransactionOps = settings.maxTransactionOps();
-        gangEndRepair = new GangEndRepair(effects, view, store, membership);
+        archiver = new JobArchiver(effects, codec, view, store, membership);
         statuses = new JobStatusResolver(view, store, settings.confirmsCancelWhenStopped());
         answers = new JobAnswers(effects, view);
         if (settings.confirmsCancelWhenStopped()) {
@@ -281,7 +268,7 @@
                 return false;
             }
             tx.requireUnchanged(Keys.ENDED_JOB + spec.id());
-            tx.put(Keys.JOB + spec.id(), jobRow(spec, chunkSize, effects.wallTime(), Job.State.OPEN));
+            tx.put(Keys.JOB + spec.id(), JobRow.ofNewJob(codec, spec, chunkSize, effects.wallTime()));
             return true;
         }
 
@@ -312,15 +299,6 @@
         }
     }
 
-    private Map<String, Object> jobRow(JobSpec spec, int rowChunkSize, long acceptedAtMs, Job.State state) {
-        Map<String, Object> row = new LinkedHashMap<>();
-        row.put("s", state.name());
-        row.put("k", rowChunkSize);
-        row.put("t", acceptedAtMs);
-        row.put("j", codec.encode(spec));
-        return row;
-    }
-
     // ---- cancellations
 
     /** Handles a cancellation: 200 with the final state, 404 for an unknown job, 503 if it is to be repeated. */
@@ -410,7 +388,7 @@
                 return false;
             }
             tx.requireUnchanged(Keys.placement(id, firstOpen));
-            tx.put(Keys.JOB + id, jobRow(job.spec, job.chunkSize, job.acceptedAtMs, Job.State.CANCELLED));
+            tx.put(Keys.JOB + id, JobRow.withState(codec, job, Job.State.CANCELLED));
             return true;
         }
 
@@ -432,122 +410,8 @@
         }
     }
 
-    // ---- endings
-
-    /**
-     * Writes final states, and archives ended jobs once none of their tasks is on any machine: one row with the final state replaces
-     * the rows of the job.
-     */
+    /** Writes final states, and archives ended jobs. To be called periodically. */
     public void tick() {
-        long nowMs = effects.now();
-        if (!store.loaded() || !store.healthy() || !membership.canAct() || nowMs < nextSweepMs) {
-            return;
-        }
-        nextSweepMs = nowMs + SWEEP_INTERVAL_MS;
-        gangEndRepair.tick();
-        for (Job job : view.jobs()) {
-            boolean ended = (job.state() != Job.State.OPEN || job.allDone()) && job.claimCount() == 0;
-            if (ended
-                    && membership.schedules(job.spec.id())
-                    && endingJobs.size() < MAX_ENDING_JOBS
-                    && endingJobs.add(job.spec.id())) {
-                if (!store.enqueue(new EndJob(job.spec.id(), Math.min(maxTransactionOps, job.chunks.size() + 2)))) {
-                    endingJobs.remove(job.spec.id());
-                }
-            }
-        }
-    }
-
-    /**
-     * Records that a job is done, or archives an ended job. The placement rows of a large job are deleted in several
-     * transactions.
-     */
-    private final class EndJob implements Change {
-        private final String id;
-        private final int maxWrites;
-        private boolean archives;
-        private boolean done;
-
-        EndJob(String id, int maxWrites) {
-            this.id = id;
-            this.maxWrites = maxWrites;
-        }
-
-        @Override
-        public int rank() {
-            return ARCHIVING_RANK;
-        }
-
-        /** Can wait: polls are answered from the set of done tasks already, and this change only archives rows. */
-        @Override
-        public long maxDelayMs() {
-            return MAX_ARCHIVING_DELAY_MS;
-        }
-
-        @Override
-        public int maxWrites() {
-            return maxWrites;
-        }
-
-        @Override
-        public boolean build(Transaction tx) {
-            Job job = view.job(id);
-            if (job == null || tx.writes(Keys.JOB + id)) {
-                return false;
-            }
-            done = job.state() == Job.State.DONE || job.state() == Job.State.OPEN && job.allDone();
-            if (!done && job.state() != Job.State.CANCELLED) {
-                return false;
-            }
-            int placementRows = 0;
-            for (Chunk chunk : job.chunks) {
-                placementRows += chunk == null ? 0 : 1;
-            }
-            archives = job.claimCount() == 0 && placementRows + 2 <= maxTransactionOps;
-            if (archives) {
-                for (Chunk chunk : job.chunks) {
-                    if (chunk != null) {
-                        tx.remove(Keys.placement(id, chunk.index));
-                    }
-                }
-                tx.remove(Keys.JOB + id);
-                tx.put(Keys.ENDED_JOB + id, StoreView.endedJobRow(done, job.spec.tasks()));
-                return true;
-            }
-            if (job.state() == Job.State.OPEN) {
-                for (Chunk chunk : job.chunks) {
-                    tx.requireUnchanged(Keys.placement(id, chunk.index));
-                    if (tx.conditionCount() > 3 * maxTransactionOps) {
-                        break;
-                    }
-                }
-                tx.put(Keys.JOB + id, jobRow(job.spec, job.chunkSize, job.acceptedAtMs, Job.State.DONE));
-                return true;
-            }
-            if (job.claimCount() > 0) {
-                return false;
-            }
-            int removed = 0;
-            for (Chunk chunk : job.chunks) {
-                if (chunk != null && removed++ < maxTransactionOps - 1) {
-                    tx.remove(Keys.placement(id, chunk.index));
-                }
-            }
-            tx.requireUnchanged(Keys.JOB + id);
-            return true;
-        }
-
-        @Override
-        public void committed(long revision) {
-            endingJobs.remove(id);
-            if (archives) {
-                LOG.info("job {} ended: {}", id, done ? "done" : "cancelled");
-            }
-        }
-
-        @Override
-        public void dropped() {
-            endingJobs.remove(id);
-        }
+        archiver.tick();
     }
 }
