--- a/src/main/java/birchusher/jobs/QueryApi.java
+++ b/src/main/java/birchusher/jobs/QueryApi.java
@@ -16,8 +16,6 @@
 import birchusher.wire.Wire;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
--- a/src/test/java/birchusher/sim/ProcessWorld.java
+++ b/src/test/java/birchusher/sim/ProcessWorld.java
@@ -356,5 +356,6 @@
         for (HttpServer server : servers) {
             server.close();
         }
+        events.channelGroup().shutdownNow();
     }
 }
