--- a/src/main/java/birchusher/jobs/JobApi.java
+++ b/src/main/java/birchusher/jobs/JobApi.java
@@ -206,7 +206,8 @@
             return;
         }
         if (id != null && view.job(id) != null) {
-            answerFromFreshView(exchange, Request.SUBMIT, id, () -> effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S));
+            answerFromFreshView(
+                    exchange, Request.SUBMIT, id, () -> effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S));
             return;
         }
         if (malformed != null && id == null) {
@@ -295,7 +296,8 @@
 
         @Override
         public void dropped() {
-            answerFromFreshView(exchange, Request.SUBMIT, spec.id(), () -> effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S));
+            answerFromFreshView(
+                    exchange, Request.SUBMIT, spec.id(), () -> effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S));
         }
     }
 
--- a/src/main/java/birchusher/store/StoreView.java
+++ b/src/main/java/birchusher/store/StoreView.java
@@ -40,6 +40,7 @@
     private final Object2LongOpenHashMap<String> versions = new Object2LongOpenHashMap<>();
     /** Versions of the removals that this view is ahead with: those above {@link #appliedRevision}. */
     private final Object2LongOpenHashMap<String> removedVersions = new Object2LongOpenHashMap<>();
+
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final TreeMap<String, Map<String, Object>> rows = new TreeMap<>();
     private final Map<String, MachineClaims> claimsByMachine = new HashMap<>();
--- a/src/test/java/birchusher/jobs/JobAnswersTest.java
+++ b/src/test/java/birchusher/jobs/JobAnswersTest.java
@@ -41,7 +41,9 @@
     }
 
     private void assertRefused(JobStatus status) {
-        assertThatThrownBy(() -> tell(status)).isInstanceOf(AssertionError.class).hasMessageContaining("answer_went_back");
+        assertThatThrownBy(() -> tell(status))
+                .isInstanceOf(AssertionError.class)
+                .hasMessageContaining("answer_went_back");
         assertThat(lastHttpStatus()).isEqualTo(503);
     }
 
@@ -63,8 +65,8 @@
     void acceptedJobIsNotCalledUnknown() {
         tell(JobStatus.ACCEPTED);
         effects.drain();
-        assertThatThrownBy(() ->
-                        answers.tellNeverAccepted(2, Request.POLL, ID, () -> effects.refuseWithRetry(2, 404, 1)))
+        assertThatThrownBy(
+                        () -> answers.tellNeverAccepted(2, Request.POLL, ID, () -> effects.refuseWithRetry(2, 404, 1)))
                 .isInstanceOf(AssertionError.class);
         assertThat(lastHttpStatus()).isEqualTo(503);
     }
--- a/src/test/java/birchusher/jobs/JobApiTest.java
+++ b/src/test/java/birchusher/jobs/JobApiTest.java
@@ -84,7 +84,11 @@
         Map<String, Object> ended = StoreView.endedJobRow(true, 2);
         reply(
                 "/watch",
-                Map.of("events", List.of(Map.of("set", Keys.ENDED_JOB + ID, "value", ended, "stamp", 4L)), "epoch", 4L));
+                Map.of(
+                        "events",
+                        List.of(Map.of("set", Keys.ENDED_JOB + ID, "value", ended, "stamp", 4L)),
+                        "epoch",
+                        4L));
         reply("/multi", Map.of("epoch", 2L));
         for (int i = 0; i < 3 && answers.isEmpty(); i++) {
             effects.setTime(effects.now() + 300, effects.now() + 300);
--- a/src/test/java/birchusher/jobs/JobStatusResolverTest.java
+++ b/src/test/java/birchusher/jobs/JobStatusResolverTest.java
@@ -26,8 +26,8 @@
     private final Settings settings = SettingsReader.read(TestJobs.SETTINGS.getBytes(StandardCharsets.UTF_8));
     private final Catalog catalog = new Catalog(settings);
     private final StoreView view = new StoreView(catalog, new JobCodec(catalog), MAX_ENDED_JOBS);
-    private final JobStatusResolver statuses = new JobStatusResolver(
-            view, new StoreClient(new Effects(), view, settings, new Tuning()), false);
+    private final JobStatusResolver statuses =
+            new JobStatusResolver(view, new StoreClient(new Effects(), view, settings, new Tuning()), false);
 
     private void putJob(String state, long version) {
         Map<String, Object> row = new HashMap<>(Map.of("s", state, "k", 100L, "t", 0L, "j", TestJobs.job()));
--- a/src/test/java/birchusher/sim/Soak.java
+++ b/src/test/java/birchusher/sim/Soak.java
@@ -77,7 +77,8 @@
 
         String text() {
             return answers + " answers, " + finalStates + " jobs ended, " + overtaken + " answers overtaken, " + loads
-                    + " loads, at most " + lateChanges + " late changes and " + evictions + " evictions at one controller";
+                    + " loads, at most " + lateChanges + " late changes and " + evictions
+                    + " evictions at one controller";
         }
     }
 
--- a/src/test/java/birchusher/sim/SoakTest.java
+++ b/src/test/java/birchusher/sim/SoakTest.java
@@ -60,7 +60,9 @@
         List<Future<Soak.Result>> results = new ArrayList<>();
         for (long seed = from; seed < from + seeds; seed++) {
             long runSeed = seed;
-            int workers = seed % Integer.getInteger("soak.large-every", 5) == 0 ? Integer.getInteger("soak.workers", 300) : 10;
+            int workers = seed % Integer.getInteger("soak.large-every", 5) == 0
+                    ? Integer.getInteger("soak.workers", 300)
+                    : 10;
             results.add(pool.submit(() -> {
                 Soak.Result result = Soak.run(
                         runSeed,
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -58,6 +58,7 @@
     private static final int MAX_KEPT_REPORTS = 600;
     /** Number of violations above which a run is aborted. */
     private static final int MAX_VIOLATIONS = 20;
+
     private static final int MAX_SLOW_STORE_REPLY_MS = 400;
 
     private static final String[] ZONES = {"east", "west"};
