Lists and descriptions count as told; an acceptance is answered without a further read again

Found in reading the change once more, two places where a check stood in one path only or reached too far. Cause: the check that nothing older is told looked at what lists and descriptions show but did not keep it, and did not look at a list's page of ended jobs. And an acceptance whose response came after the start of the job's tasks waited for a read of its own, or got 503, though running is no end. Change: JobAnswers.mayTell checks and keeps for every path; a committed acceptance is answered with 201 unless the view shows the job's end. The answer to an unknown id is formed in one place. Result: JobApiTest.acceptanceOfAJobThatRunsAlreadyIsAnsweredAtOnce failed before (no answer without a read); JobAnswersTest.endShownByAListCountsAsTold could not be written before.

--- a/src/main/java/birchusher/jobs/JobAnswers.java
+++ b/src/main/java/birchusher/jobs/JobAnswers.java
@@ -64,23 +64,26 @@
      * now.
      */
     void tell(long exchange, int httpStatus, Request request, String id, JobStatus status) {
-        if (!refuseIfUntellable(exchange, request, id, status)) {
-            record(request, id, status);
+        if (mayTell(exchange, request, id, status)) {
             effects.answer(exchange, httpStatus, status.toBody(id));
         }
     }
 
-    /** Refuses a request with 503 if its answer may not contain this status; returns whether it did. */
-    boolean refuseIfUntellable(long exchange, Request request, String id, JobStatus status) {
+    /**
+     * Returns whether the answer to a request may contain this status, which then counts as told; otherwise refuses the request with
+     * 503.
+     */
+    boolean mayTell(long exchange, Request request, String id, JobStatus status) {
         if (!status.hasState()) {
             effects.refuseWithRetry(exchange, 503, RETRY_AFTER_S);
-            return true;
+            return false;
         }
         if (isOlderThanTold(id, status)) {
             refuseOlder(exchange, request, id, status);
-            return true;
+            return false;
         }
-        return false;
+        record(request, id, status);
+        return true;
     }
 
     /** Answers a request about a job that was never accepted. */
@@ -147,7 +150,7 @@
                 view.version(Keys.JOB + id));
     }
 
-    /** Returns the counters for the log: answers with a state, first answers with a final state, log lines left out, violations. */
+    /** Returns the counters for the log: states told, final states told first, log lines left out, violations. */
     String logText() {
         return "answers=" + answers + " final_told=" + finalStatesTold + " final_unlogged=" + linesSuppressed
                 + " answers_unsafe=" + unsafeAnswers;
--- a/src/main/java/birchusher/jobs/JobApi.java
+++ b/src/main/java/birchusher/jobs/JobApi.java
@@ -110,7 +110,7 @@
      */
     public void poll(long exchange, String id) {
         if (!JobCodec.isJobId(id)) {
-            effects.answer(exchange, 404, Map.of("error", "no such job"));
+            answerUnknown(exchange);
             return;
         }
         JobStatus finalStatus = statuses.finalStatus(id);
@@ -140,7 +140,7 @@
     }
 
     /** Passes on a job's status from a view that is at least as new as this call, or refuses the request. */
-    void withFreshStatus(long exchange, String id, Consumer<JobStatus> handler) {
+    private void withFreshStatus(long exchange, String id, Consumer<JobStatus> handler) {
         boolean queued = store.whenUpToDate(ok -> {
             if (!ok) {
                 effects.refuseWithRetry(exchange, 503, LONG_RETRY_AFTER_S);
@@ -277,10 +277,10 @@
         public void committed(long revision) {
             LOG.info("job {} accepted: {} {} tasks, {}", spec.id(), spec.shape(), spec.tasks(), spec.priority());
             JobStatus status = statuses.currentStatus(spec.id());
-            if (status.kind() == Kind.QUEUED) {
-                answers.tell(exchange, 201, Request.SUBMIT, spec.id(), status);
+            if (status.kind() == Kind.QUEUED || status.kind() == Kind.RUNNING) {
+                answers.tell(exchange, 201, Request.SUBMIT, spec.id(), JobStatus.ACCEPTED);
             } else {
-                // The response was late, and the view is ahead of it.
+                // The response was late, and the job has ended meanwhile.
                 dropped();
             }
         }
@@ -306,7 +306,7 @@
     /** Handles a cancellation: 200 with the final state, 404 for an unknown job, 503 if it is to be repeated. */
     public void cancel(long exchange, String id) {
         if (!JobCodec.isJobId(id)) {
-            effects.answer(exchange, 404, Map.of("error", "no such job"));
+            answerUnknown(exchange);
             return;
         }
         JobStatus finalStatus = statuses.finalStatus(id);
--- a/src/main/java/birchusher/jobs/QueryApi.java
+++ b/src/main/java/birchusher/jobs/QueryApi.java
@@ -128,15 +128,16 @@
                 continue;
             }
             JobStatus status = jobApi.statuses().currentStatus(job.spec.id());
-            if (jobApi.answers().refuseIfUntellable(exchange, Request.LIST, job.spec.id(), status)) {
+            if (status.hasState() && state != null && !state.equals(status.wireState())) {
+                continue;
+            }
+            if (!jobApi.answers().mayTell(exchange, Request.LIST, job.spec.id(), status)) {
                 return null;
             }
             Map<String, Object> body = status.toBody(job.spec.id());
-            if (state == null || state.equals(body.get(Wire.STATE))) {
-                body.put(Wire.TEAM, catalog.teams.name(job.spec.team()));
-                body.put(Wire.JOB_CLASS, catalog.classes.name(job.spec.jobClass()));
-                rows.put(job.spec.id(), body);
-            }
+            body.put(Wire.TEAM, catalog.teams.name(job.spec.team()));
+            body.put(Wire.JOB_CLASS, catalog.classes.name(job.spec.jobClass()));
+            rows.put(job.spec.id(), body);
         }
         return rows;
     }
@@ -158,12 +159,15 @@
                     for (Object entry : Fields.list(reply, Wire.ROWS)) {
                         Map<String, Object> row = Fields.map(entry, "row");
                         lastId = Fields.text(row, Wire.KEY).substring(Keys.ENDED_JOB.length());
-                        Map<String, Object> body = JobStatus.ofEnded(
-                                        StoreView.readEndedJob(Fields.map(row.get(Wire.VALUE), "value")))
-                                .toBody(lastId);
-                        if (state.equals(body.get(Wire.STATE))) {
-                            rows.put(lastId, body);
+                        JobStatus stored =
+                                JobStatus.ofEnded(StoreView.readEndedJob(Fields.map(row.get(Wire.VALUE), "value")));
+                        if (!state.equals(stored.wireState())) {
+                            continue;
+                        }
+                        if (!jobApi.answers().mayTell(exchange, Request.LIST, lastId, stored)) {
+                            return;
                         }
+                        rows.put(lastId, stored.toBody(lastId));
                     }
                     if (hasMore) {
                         rows.tailMap(lastId, false).clear();
@@ -212,7 +216,7 @@
                 return;
             }
             JobStatus status = jobApi.statuses().currentStatus(id);
-            if (jobApi.answers().refuseIfUntellable(exchange, Request.DESCRIBE, id, status)) {
+            if (!jobApi.answers().mayTell(exchange, Request.DESCRIBE, id, status)) {
                 return;
             }
             Map<String, Object> body = status.toBody(id);
--- a/src/main/java/birchusher/store/StoreView.java
+++ b/src/main/java/birchusher/store/StoreView.java
@@ -312,8 +312,8 @@
     }
 
     /**
-     * Stores a version of a row unless a newer one is known, or the view holds every change up to that version already. A row that can't be parsed is logged and ignored; a job whose row can't be
-     * parsed still counts as accepted, see {@link #isUnreadable}.
+     * Stores a version of a row unless a newer one is known, or the view holds every change up to that version already. A row that
+     * can't be parsed is logged and ignored; a job whose row can't be parsed still counts as accepted, see {@link #isUnreadable}.
      */
     public void put(String key, Object row, long version) {
         boolean isEndedJob = key.startsWith(Keys.ENDED_JOB);
--- a/src/test/java/birchusher/jobs/JobAnswersTest.java
+++ b/src/test/java/birchusher/jobs/JobAnswersTest.java
@@ -70,4 +70,11 @@
                 .isInstanceOf(AssertionError.class);
         assertThat(lastHttpStatus()).isEqualTo(503);
     }
+
+    /** Guards against another state after an end that only a list or a description has shown. */
+    @Test
+    void endShownByAListCountsAsTold() {
+        assertThat(answers.mayTell(1, Request.LIST, ID, DONE)).isTrue();
+        assertRefused(JobStatus.ACCEPTED);
+    }
 }
--- a/src/test/java/birchusher/jobs/JobApiTest.java
+++ b/src/test/java/birchusher/jobs/JobApiTest.java
@@ -98,4 +98,27 @@
         assertThat(answers).hasSize(1);
         assertThat(((Map<?, ?>) answers.get(0).body()).get("stage")).isEqualTo("done");
     }
+
+    /** Guards against an acceptance that waits for a further read, because its response came after the start of the job's tasks. */
+    @Test
+    void acceptanceOfAJobThatRunsAlreadyIsAnsweredAtOnce() {
+        jobApi.submit(7, MessagePackCodec.encode(TestJobs.job()));
+        collect();
+        effects.setTime(NOW_MS + 1_000, NOW_MS + 1_000);
+        store.tick();
+        Map<String, Object> row = Map.of("s", "OPEN", "k", 100L, "t", 0L, "j", TestJobs.job());
+        Map<String, Object> placement = Map.of("a", 1L, "d", "", "c", "0:1:n-000001:1:0");
+        reply(
+                "/watch",
+                Map.of(
+                        "events",
+                        List.of(
+                                Map.of("set", Keys.JOB + ID, "value", row, "stamp", 2L),
+                                Map.of("set", Keys.placement(ID, 0), "value", placement, "stamp", 3L)),
+                        "epoch",
+                        3L));
+        reply("/multi", Map.of("epoch", 2L));
+        assertThat(answers).hasSize(1);
+        assertThat(answers.get(0).status()).isEqualTo(201);
+    }
 }
