Commands to workers: deciding, sending and what was sent directly stand apart

No change of behaviour. Commands decided, encoded, sent and kept the unanswered direct starts as bare maps and arrays. Now WorkerCommand is the typed command, DirectCalls sends direct calls and handles their answers, and DirectStarts is the one place that knows which starts a worker was sent directly, when and under which term. DirectStarts keeps an answered start until its attempt is neither claimed nor listed; nothing asks for it yet.

--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -1,10 +1,7 @@
 package birchusher.workers;
 
-import birchusher.core.Effect.Destination;
 import birchusher.core.Effects;
-import birchusher.core.Fields;
 import birchusher.membership.Membership;
-import birchusher.model.Catalog;
 import birchusher.model.JobSpec;
 import birchusher.recovery.ActionCounters;
 import birchusher.recovery.Reconciliation;
@@ -13,25 +10,22 @@
 import birchusher.store.Job;
 import birchusher.store.StoreClient;
 import birchusher.store.StoreView;
-import birchusher.wire.Wire;
 import birchusher.workers.Machine.AttemptState;
 import birchusher.workers.Machine.StopRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Decides which commands an owned machine gets, for the responses to its reports, and sends them directly where a machine need not wait for its
- * next report. Not thread-safe: called on the controller's thread.
+ * Decides which commands an owned machine gets, for the responses to its reports and for {@link DirectCalls}. Not thread-safe: called on the
+ * controller's thread.
  */
 final class Commands {
     private static final Logger LOG = LoggerFactory.getLogger(Commands.class);
-    private static final long COMMAND_TIMEOUT_MS = 3_000;
-    /** Added to {@link #COMMAND_TIMEOUT_MS} before an unanswered start is fenced. */
+    /** Added to {@link DirectCalls#TIMEOUT_MS} before an unanswered start is fenced. */
     private static final long FENCE_MARGIN_MS = 500;
     /** The longest interval between two reports, in ms per second of the mean: an interval may be a quarter longer than the mean. */
     private static final double MAX_REPORT_INTERVAL_MS_PER_S = 1250;
@@ -39,8 +33,6 @@
     private static final long REPORT_MARGIN_MS = 1_500;
     /** A task that is still saving this long after the end of its grace period is stopped without one. */
     private static final long OVERDUE_STOP_MARGIN_MS = 4_000;
-    /** Machines whose workers have shown only an earlier term get direct commands only for this time after their last message. */
-    private static final long MAX_MESSAGE_AGE_BEFORE_TERM_MS = 1_000;
     /** Added to {@link #RESPONSE_LIFETIME_MS}. */
     private static final long RESPONSE_LIFETIME_MARGIN_MS = 50;
 
@@ -58,18 +50,14 @@
             Math.round(Settings.WORKER_RESPONSE_TIMEOUT_MS * (1 + 2 * Settings.MAX_CLOCK_DRIFT))
                     + RESPONSE_LIFETIME_MARGIN_MS;
 
-    /** Tracks the attempts on the machines and applies their reports. */
+    /** Tracks the attempts on the machines. */
     interface AttemptTracker {
         /** Creates the state of an attempt that begins at {@code now}, with its task lease. */
         AttemptState newAttempt(Machine machine, JobSpec spec, long now);
-
-        /** Applies a report that answers a direct command; returns whether it was newer than the last one. */
-        boolean acceptReport(Machine machine, Report report, int zone);
     }
 
     private final Effects effects;
     private final Settings settings;
-    private final Catalog catalog;
     private final StoreView view;
     private final StoreClient store;
     private final Membership membership;
@@ -82,7 +70,6 @@
     Commands(
             Effects effects,
             Settings settings,
-            Catalog catalog,
             StoreView view,
             StoreClient store,
             Membership membership,
@@ -93,7 +80,6 @@
             AttemptTracker tracker) {
         this.effects = effects;
         this.settings = settings;
-        this.catalog = catalog;
         this.view = view;
         this.store = store;
         this.membership = membership;
@@ -138,12 +124,12 @@
     }
 
     /**
-     * The commands to send to a machine, in their wire format. Notes the starts among them as sent.
+     * The commands to send to a machine. Notes the starts among them as sent.
      *
      * @param direct whether they are sent directly; else with the response to a report
      */
-    List<Object> commandsFor(Machine machine, boolean direct) {
-        List<Object> commands = new ArrayList<>();
+    List<WorkerCommand> commandsFor(Machine machine, boolean direct) {
+        List<WorkerCommand> commands = new ArrayList<>();
         if (!store.loaded()) {
             return commands;
         }
@@ -154,7 +140,7 @@
                 if (!reported.exited()
                         && view.isCancelled(reported.taskKey()
                                 .substring(0, reported.taskKey().lastIndexOf('/')))) {
-                    commands.add(command(Wire.STOP, reported.taskKey(), reported.attempt(), 0));
+                    commands.add(WorkerCommand.stop(reported, 0));
                 }
             }
             return commands;
@@ -179,9 +165,9 @@
             }
             switch (Reconciliation.command(
                     claimState, reportedState(reported), ownerKnowledge(machine, reported.attemptKey()))) {
-                case REAP -> commands.add(command(Wire.REAP, reported.taskKey(), reported.attempt(), -1));
+                case REAP -> commands.add(WorkerCommand.reap(reported));
                 case FENCE -> fenceUnansweredStart(machine, reported.attemptKey(), now);
-                case STOP -> commands.add(command(Wire.STOP, reported.taskKey(), reported.attempt(), 0));
+                case STOP -> commands.add(WorkerCommand.stop(reported, 0));
                 default -> {
                     if (claimState == Reconciliation.ClaimState.CLAIMED && stop != null && !reported.exited()) {
                         addStop(commands, reported, stop, now);
@@ -203,7 +189,7 @@
             }
             if (command != Reconciliation.Command.START
                     || machine.session == machine.expiredSession
-                    || direct && machine.unansweredStarts.containsKey(attemptKey)
+                    || direct && machine.directStarts.isUnanswered(attemptKey)
                     || machine.heldStarts.containsKey(attemptKey)
                     || !machine.attempts.containsKey(attemptKey)
                             && heldGangs.computeIfAbsent(
@@ -224,9 +210,9 @@
                         now - machine.lastMessageAtMs,
                         now - claim.seenAtMs());
             }
-            commands.add(command(Wire.START, claim.taskKey(), claim.attempt(), -1));
+            commands.add(WorkerCommand.start(claim));
             if (direct) {
-                machine.unansweredStarts.put(attemptKey, new long[] {now, membership.term(machine.shard)});
+                machine.directStarts.onSent(attemptKey, membership.term(machine.shard), now);
             } else {
                 machine.startsInResponses.put(attemptKey, now);
             }
@@ -234,12 +220,12 @@
         return commands;
     }
 
-    private static void addStop(List<Object> commands, ReportedTask reported, StopRequest stop, long now) {
+    private static void addStop(List<WorkerCommand> commands, ReportedTask reported, StopRequest stop, long now) {
         boolean overdue = now - stop.requestedAtMs > stop.graceS * 1000 + OVERDUE_STOP_MARGIN_MS;
         if (reported.phase() != ReportedTask.Phase.SAVING) {
-            commands.add(command(Wire.STOP, reported.taskKey(), reported.attempt(), stop.graceS));
+            commands.add(WorkerCommand.stop(reported, stop.graceS));
         } else if (overdue) {
-            commands.add(command(Wire.STOP, reported.taskKey(), reported.attempt(), 0));
+            commands.add(WorkerCommand.stop(reported, 0));
         }
     }
 
@@ -277,7 +263,7 @@
         AttemptState attempt = machine.attempts.get(attemptKey);
         return new Reconciliation.OwnerKnowledge(
                 attempt != null && attempt.reported,
-                machine.unansweredStarts.containsKey(attemptKey) || mayBeInFlight(machine, attemptKey),
+                machine.directStarts.isUnanswered(attemptKey) || mayBeInFlight(machine, attemptKey),
                 machine.fencingToken >= membership.term(machine.shard),
                 outcomes.isPending(attemptKey));
     }
@@ -297,103 +283,9 @@
      * arrive, but the worker rejects it once it has seen the higher term.
      */
     private void fenceUnansweredStart(Machine machine, String attemptKey, long now) {
-        long[] start = machine.unansweredStarts.get(attemptKey);
-        if (start != null
-                && now - start[0] > COMMAND_TIMEOUT_MS + FENCE_MARGIN_MS
-                && start[1] >= membership.term(machine.shard)) {
+        if (machine.directStarts.isOverdue(
+                attemptKey, membership.term(machine.shard), DirectCalls.TIMEOUT_MS + FENCE_MARGIN_MS, now)) {
             membership.raiseTerm(machine.shard);
         }
     }
-
-    /** One command as it is sent; {@code graceS} in seconds, below 0: none. */
-    private static Map<String, Object> command(String op, String taskKey, long attempt, double graceS) {
-        Map<String, Object> command = new LinkedHashMap<>();
-        command.put(Wire.COMMAND_TYPE, op);
-        command.put(Wire.TASK, taskKey);
-        command.put(Wire.ATTEMPT, attempt);
-        if (graceS >= 0) {
-            command.put(Wire.GRACE_S, graceS);
-        }
-        return command;
-    }
-
-    /** Sends a machine's commands directly, unless it is unreachable or a direct command is in flight. Its answer is a report. */
-    void sendCommands(Machine machine) {
-        long now = effects.now();
-        boolean reachable = machine.address != null && isReporting(machine, now);
-        if (machine.commandInFlight
-                || !reachable
-                || machine.fencingToken < membership.term(machine.shard)
-                        && machine.fencingToken > 0
-                        && now - machine.lastMessageAtMs > MAX_MESSAGE_AGE_BEFORE_TERM_MS) {
-            return;
-        }
-        List<Object> commands = commandsFor(machine, true);
-        if (commands.isEmpty()
-                && (machine.receivesResponses || machine.fencingToken < membership.term(machine.shard))) {
-            // Without commands, the request only asks whether the worker can be reached; that is needed only where
-            // its reports don't show it.
-            return;
-        }
-        machine.commandInFlight = true;
-        long session = machine.session;
-        long sentAtMs = now;
-        List<String> starts = new ArrayList<>();
-        for (Object command : commands) {
-            Map<String, Object> fields = Fields.map(command, "order");
-            if (Wire.START.equals(fields.get(Wire.COMMAND_TYPE))) {
-                starts.add(fields.get(Wire.TASK) + "#" + fields.get(Wire.ATTEMPT));
-            }
-        }
-        effects.call(
-                Destination.WORKER,
-                machine.address,
-                "POST",
-                Wire.WORKER_COMMANDS,
-                Map.of(
-                        Wire.FENCING_TOKEN,
-                        membership.term(machine.shard),
-                        Wire.SESSION,
-                        session,
-                        Wire.COMMANDS,
-                        commands),
-                (int) COMMAND_TIMEOUT_MS,
-                (status, body) -> {
-                    machine.commandInFlight = false;
-                    if (status == 0) {
-                        LOG.info(
-                                "machine {}: no answer to {} direct commands after {} ms",
-                                machine.name,
-                                commands.size(),
-                                effects.now() - sentAtMs);
-                        return;
-                    }
-                    for (String attemptKey : starts) {
-                        long[] start = machine.unansweredStarts.get(attemptKey);
-                        if (start != null && start[0] == sentAtMs) {
-                            machine.unansweredStarts.remove(attemptKey);
-                        }
-                    }
-                    if ((status == 200 || status == 409) && membership.owns(machine.shard)) {
-                        try {
-                            Report report = Report.read(body);
-                            int zone = catalog.zones.find(report.zone());
-                            if (zone >= 0 && report.machine().equals(machine.name)) {
-                                boolean hadHeldStarts = !machine.heldStarts.isEmpty();
-                                tracker.acceptReport(machine, report, zone);
-                                if (hadHeldStarts) {
-                                    // The stopped tasks may have left: the held start need not wait for the next
-                                    // report.
-                                    sendCommands(machine);
-                                }
-                            }
-                        } catch (Fields.InvalidInputException invalid) {
-                            LOG.info(
-                                    "machine {}: invalid answer to direct commands: {}",
-                                    machine.name,
-                                    invalid.getMessage());
-                        }
-                    }
-                });
-    }
 }
--- a/src/main/java/birchusher/workers/Machine.java
+++ b/src/main/java/birchusher/workers/Machine.java
@@ -77,8 +77,8 @@
     Map<String, ReportedTask> reportedTasks = new LinkedHashMap<>();
     final Map<String, AttemptState> attempts = new HashMap<>();
     final Map<String, StopRequest> stopRequests = new HashMap<>();
-    /** Starts sent directly to the worker and not answered; they may still arrive. Value: time of sending and the term they carried. */
-    final Map<String, long[]> unansweredStarts = new HashMap<>();
+    /** Starts sent directly to the worker in {@link #session}. */
+    final DirectStarts directStarts = new DirectStarts();
     /**
      * When a start was sent in a response to a report. A delayed response may be carried out for as long as a worker waits for one, see
      * {@link Commands}.
--- a/src/main/java/birchusher/workers/WorkerLease.java
+++ b/src/main/java/birchusher/workers/WorkerLease.java
@@ -76,10 +76,14 @@
     }
 
     /** The response that renews the lease of a worker whose report is the newest message, or was overtaken ({@link #isOvertaken}). */
-    Map<String, Object> renewalResponse(Report report, long term, List<Object> commands) {
+    Map<String, Object> renewalResponse(Report report, long term, List<WorkerCommand> commands) {
         lastAnsweredSeq = report.seq();
         grantedAtMs = Math.max(grantedAtMs, lastMessageAtMs);
-        return Map.of(Wire.FENCING_TOKEN, term, Wire.COMMANDS, commands);
+        return Map.of(
+                Wire.FENCING_TOKEN,
+                term,
+                Wire.COMMANDS,
+                commands.stream().map(WorkerCommand::fields).toList());
     }
 
     /** The response to a report that no worker waits for. It has no token, so a worker that received it would drop it. */
--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -80,6 +80,7 @@
 
     private final MachineCapacity capacity;
     private final Commands commands;
+    private final DirectCalls directCalls;
     private final ActionCounters actionCounters;
     private final Reachability reachability;
     private final Tombstones tombstones = new Tombstones();
@@ -147,7 +148,6 @@
         commands = new Commands(
                 effects,
                 settings,
-                catalog,
                 view,
                 store,
                 membership,
@@ -155,17 +155,13 @@
                 actionCounters,
                 safetyChecks,
                 new GangStarts(effects, settings, catalog, statusExchange),
-                new Commands.AttemptTracker() {
-                    @Override
-                    public AttemptState newAttempt(Machine machine, JobSpec spec, long now) {
-                        return WorkerRegistry.this.newAttempt(machine, spec, now);
-                    }
-
-                    @Override
-                    public boolean acceptReport(Machine machine, Report report, int zone) {
-                        return WorkerRegistry.this.acceptReport(machine, report, zone, true);
-                    }
-                });
+                this::newAttempt);
+        directCalls = new DirectCalls(
+                effects,
+                catalog,
+                membership,
+                commands,
+                (machine, report, zone) -> acceptReport(machine, report, zone, true));
         reachability = new Reachability(
                 commands.reportTimeoutMs(), 1 + settings.peers().size());
         ownerRedirect = new OwnerRedirect(effects, membership, statusExchange);
@@ -221,7 +217,7 @@
                     200,
                     machine.workerLease.renewalResponse(report, term, commands.commandsFor(machine, false)));
             if (reachability.needsProbe(machine, term)) {
-                commands.sendCommands(machine);
+                directCalls.send(machine);
             }
         } else if (machine.workerLease.isOvertaken(report)) {
             counters.overtakenReports++;
@@ -262,7 +258,7 @@
             LOG.info("machine {}: session {} replaces session {}", machine.name, report.session(), machine.session);
             machine.attempts.clear();
             machine.stopRequests.clear();
-            machine.unansweredStarts.clear();
+            machine.directStarts.clear();
             machine.startsInResponses.clear();
         }
         reachability.onMessage(machine, report, membership.term(machine.shard), direct, effects.now());
@@ -286,8 +282,7 @@
         machine.spot = report.spot();
         machine.lastMessageAtMs = effects.now();
         machine.workerLease.onMessage(report, membership.term(machine.shard), effects.now());
-        long shownToken = machine.fencingToken;
-        machine.unansweredStarts.values().removeIf(start -> start[1] < shownToken);
+        machine.directStarts.onTermShown(machine.fencingToken);
         if (report.noticeS() >= 0) {
             long interruptionAtMs = effects.now() + Math.round(report.noticeS() * 1000);
             if (machine.interruptionAtMs < 0) {
@@ -368,21 +363,7 @@
                 updateAttempt(machine, claim, reported, attempt, now);
             }
         }
-        // A stop request of a claim is kept even if the attempt is not reported: its start may still be in flight.
-        machine.stopRequests
-                .keySet()
-                .removeIf(attemptKey ->
-                        !machine.reportedTasks.containsKey(attemptKey) && !isClaimed(machine, attemptKey));
-        machine.startsInResponses
-                .values()
-                .removeIf(sentAtMs -> now - sentAtMs > Settings.WORKER_RESPONSE_TIMEOUT_MS * 2);
-        if (machine.attempts.size() > MAX_UNREPORTED_ATTEMPTS + machine.reportedTasks.size()) {
-            // Drops the state of attempts that are neither reported nor claimed any more.
-            machine.attempts
-                    .keySet()
-                    .removeIf(attemptKey ->
-                            !machine.reportedTasks.containsKey(attemptKey) && !isClaimed(machine, attemptKey));
-        }
+        dropUnneededState(machine, now);
         for (ReportedTask reported : machine.reportedTasks.values()) {
             busy |= !reported.exited();
         }
@@ -393,6 +374,24 @@
         }
     }
 
+    /** Drops what is kept of attempts that are neither listed by the worker nor claimed any more. */
+    private void dropUnneededState(Machine machine, long now) {
+        // A stop request of a claim is kept even if the attempt is not reported: its start may still be in flight.
+        machine.stopRequests.keySet().removeIf(attemptKey -> !isListedOrClaimed(machine, attemptKey));
+        machine.startsInResponses
+                .values()
+                .removeIf(sentAtMs -> now - sentAtMs > Settings.WORKER_RESPONSE_TIMEOUT_MS * 2);
+        machine.directStarts.retainAnswered(attemptKey -> isListedOrClaimed(machine, attemptKey));
+        if (machine.attempts.size() > MAX_UNREPORTED_ATTEMPTS + machine.reportedTasks.size()) {
+            // Drops the state of attempts that are neither reported nor claimed any more.
+            machine.attempts.keySet().removeIf(attemptKey -> !isListedOrClaimed(machine, attemptKey));
+        }
+    }
+
+    private boolean isListedOrClaimed(Machine machine, String attemptKey) {
+        return machine.reportedTasks.containsKey(attemptKey) || isClaimed(machine, attemptKey);
+    }
+
     private boolean isClaimed(Machine machine, String attemptKey) {
         Claim claim = view.claims(machine.name).get(attemptKey.substring(0, attemptKey.lastIndexOf('#')));
         return claim != null && claim.attemptKey().equals(attemptKey);
@@ -554,7 +553,7 @@
             machine.changed = false;
             if (membership.owns(machine.shard) && machine.lastMessageAtMs >= 0) {
                 reconcile(machine);
-                commands.sendCommands(machine);
+                directCalls.send(machine);
             }
         }
     }
@@ -772,7 +771,7 @@
             if (!machine.stopRequests.isEmpty()
                     || hasUnstartedClaims(machine)
                     || reachability.needsProbe(machine, membership.term(machine.shard))) {
-                commands.sendCommands(machine);
+                directCalls.send(machine);
             }
         }
     }
