Direct calls, reaps and raised terms are logged; a second start after a reap is noticed

That a call was answered, that its attempt was reaped, and under which terms, stood in the machines' records alone, so the controllers' own logs could not tell a repeated call from a second owner or a restarted machine. SafetyChecks reports an attempt that runs after its reap was sent (started_after_reap). The line "no answer to N direct commands" is now the call's line with status=0.

--- a/src/main/java/birchusher/membership/Membership.java
+++ b/src/main/java/birchusher/membership/Membership.java
@@ -889,11 +889,17 @@
 
     /**
      * Takes an owned shard under a higher term, which fences commands that may still be on their way to its workers.
+     *
+     * @param cause for the log
+     * @return whether the change was enqueued: not while another one is pending, or shortly after the last one
      */
-    public void raiseTerm(int shard) {
-        if (!takeoverPending && owns(shard) && effects.now() - lastTakeoverMs[shard] > RAISE_TERM_INTERVAL_MS) {
-            takeOver(List.of(shard));
+    public boolean raiseTerm(int shard, String cause) {
+        if (takeoverPending || !owns(shard) || effects.now() - lastTakeoverMs[shard] <= RAISE_TERM_INTERVAL_MS) {
+            return false;
         }
+        LOG.info("raising the term of shard {}: term={} cause={}", shard, term(shard), cause);
+        takeOver(List.of(shard));
+        return true;
     }
 
     /** Enqueues a takeover of the shards; those that change before it is built are left out. */
--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -64,6 +64,8 @@
     private final OutcomeRecorder outcomes;
     private final ActionCounters actionCounters;
     private final SafetyChecks checks;
+    private final Counters counters;
+    private final CommandLog commandLog;
     private final GangStarts gangStarts;
     private final AttemptTracker tracker;
 
@@ -76,6 +78,8 @@
             OutcomeRecorder outcomes,
             ActionCounters actionCounters,
             SafetyChecks checks,
+            Counters counters,
+            CommandLog commandLog,
             GangStarts gangStarts,
             AttemptTracker tracker) {
         this.effects = effects;
@@ -86,6 +90,8 @@
         this.outcomes = outcomes;
         this.actionCounters = actionCounters;
         this.checks = checks;
+        this.counters = counters;
+        this.commandLog = commandLog;
         this.gangStarts = gangStarts;
         this.tracker = tracker;
     }
@@ -129,6 +135,14 @@
      * @param direct whether they are sent directly; else with the response to a report
      */
     List<WorkerCommand> commandsFor(Machine machine, boolean direct) {
+        List<WorkerCommand> commands = decide(machine, direct);
+        long term = membership.term(machine.shard);
+        commandLog.logReaps(machine, term, commands, direct);
+        checks.recordReaps(machine, term, commands);
+        return commands;
+    }
+
+    private List<WorkerCommand> decide(Machine machine, boolean direct) {
         List<WorkerCommand> commands = new ArrayList<>();
         if (!store.loaded()) {
             return commands;
@@ -285,7 +299,13 @@
     private void fenceUnansweredStart(Machine machine, String attemptKey, long now) {
         if (machine.directStarts.isOverdue(
                 attemptKey, membership.term(machine.shard), DirectCalls.TIMEOUT_MS + FENCE_MARGIN_MS, now)) {
-            membership.raiseTerm(machine.shard);
+            raiseTerm(machine, "unanswered start " + attemptKey + " on " + machine.name);
+        }
+    }
+
+    private void raiseTerm(Machine machine, String cause) {
+        if (membership.raiseTerm(machine.shard, cause)) {
+            counters.termRaises++;
         }
     }
 }
--- a/src/main/java/birchusher/workers/DirectCalls.java
+++ b/src/main/java/birchusher/workers/DirectCalls.java
@@ -32,14 +32,21 @@
     private final Catalog catalog;
     private final Membership membership;
     private final Commands commands;
+    private final CommandLog commandLog;
     private final ReportHandler reportHandler;
 
     DirectCalls(
-            Effects effects, Catalog catalog, Membership membership, Commands commands, ReportHandler reportHandler) {
+            Effects effects,
+            Catalog catalog,
+            Membership membership,
+            Commands commands,
+            CommandLog commandLog,
+            ReportHandler reportHandler) {
         this.effects = effects;
         this.catalog = catalog;
         this.membership = membership;
         this.commands = commands;
+        this.commandLog = commandLog;
         this.reportHandler = reportHandler;
     }
 
@@ -56,6 +63,7 @@
             return;
         }
         machine.commandInFlight = true;
+        long session = machine.session;
         long sentAtMs = effects.now();
         effects.call(
                 Destination.WORKER,
@@ -66,11 +74,14 @@
                         Wire.FENCING_TOKEN,
                         term,
                         Wire.SESSION,
-                        machine.session,
+                        session,
                         Wire.COMMANDS,
                         sent.stream().map(WorkerCommand::fields).toList()),
                 (int) TIMEOUT_MS,
-                (status, body) -> onAnswer(machine, sent, sentAtMs, status, body));
+                (status, body) -> {
+                    commandLog.logCall(machine, term, session, sent, sentAtMs, status);
+                    onAnswer(machine, sent, sentAtMs, status, body);
+                });
     }
 
     private boolean isReachable(Machine machine) {
@@ -87,11 +98,6 @@
             Machine machine, List<WorkerCommand> sent, long sentAtMs, int status, Map<String, Object> body) {
         machine.commandInFlight = false;
         if (status == 0) {
-            LOG.info(
-                    "machine {}: no answer to {} direct commands after {} ms",
-                    machine.name,
-                    sent.size(),
-                    effects.now() - sentAtMs);
             return;
         }
         for (WorkerCommand command : sent) {
--- a/src/main/java/birchusher/workers/SafetyChecks.java
+++ b/src/main/java/birchusher/workers/SafetyChecks.java
@@ -3,6 +3,7 @@
 import birchusher.core.Effects;
 import birchusher.store.Claim;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,6 +16,7 @@
 final class SafetyChecks {
     private static final Logger LOG = LoggerFactory.getLogger(SafetyChecks.class);
     private static final int MAX_TASKS = 50_000;
+    private static final int MAX_REAPS = 20_000;
     private static final long LOG_INTERVAL_MS = 1_000;
 
     /** The machines of the shards that this controller owns. */
@@ -39,6 +41,20 @@
         }
     };
 
+    private record AttemptOnMachine(String machine, long session, String attemptKey) {}
+
+    private record Reap(long term, long atMs) {}
+
+    /** The reaps sent last; those sent longest ago are dropped first. */
+    private final Map<AttemptOnMachine, Reap> reaps = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<AttemptOnMachine, Reap> eldest) {
+            return size() > MAX_REAPS;
+        }
+    };
+
     private long loggedAtMs = Long.MIN_VALUE / 2;
 
     SafetyChecks(Effects effects, Counters counters, OwnedMachines machines) {
@@ -68,6 +84,32 @@
         }
     }
 
+    /** Notes the reaps among the commands that are sent to a machine under a term. */
+    void recordReaps(Machine machine, long term, List<WorkerCommand> commands) {
+        for (WorkerCommand command : commands) {
+            if (command.type() == WorkerCommand.Type.REAP) {
+                reaps.putIfAbsent(
+                        new AttemptOnMachine(machine.name, machine.session, command.attemptKey()),
+                        new Reap(term, effects.now()));
+            }
+        }
+    }
+
+    /** Checks that an attempt whose end a machine had reported was not started again there after it was reaped. */
+    void checkNotReaped(ReportedTask reported, Machine machine) {
+        Reap reap = reaps.remove(new AttemptOnMachine(machine.name, machine.session, reported.attemptKey()));
+        if (reap == null) {
+            return;
+        }
+        counters.secondStarts++;
+        reportViolation(
+                "started_after_reap",
+                reported.taskKey(),
+                reported.attempt(),
+                machine,
+                "phase=" + reported.phase() + " reap_term=" + reap.term + " reaped_ms=" + (effects.now() - reap.atMs));
+    }
+
     private boolean mayRun(String task, Machine machine) {
         if (machine.deleted || effects.now() >= machines.leaseEndMs(machine)) {
             return false;
@@ -81,6 +123,10 @@
     }
 
     private void reportViolation(String rule, Claim claim, Machine machine) {
+        reportViolation(rule, claim.taskKey(), claim.attempt(), machine, machine.workerLease.logFields(effects.now()));
+    }
+
+    private void reportViolation(String rule, String taskKey, long attempt, Machine machine, String details) {
         counters.safetyViolations++;
         long now = effects.now();
         if (now - loggedAtMs >= LOG_INTERVAL_MS) {
@@ -88,13 +134,13 @@
             LOG.error(
                     "safety rule broken rule={} task={} attempt={} machine={} session={} lease_left_ms={} {}",
                     rule,
-                    claim.taskKey(),
-                    claim.attempt(),
+                    taskKey,
+                    attempt,
                     machine.name,
                     machine.session,
                     machines.leaseEndMs(machine) - now,
-                    machine.workerLease.logFields(now));
+                    details);
         }
-        assert false : rule + ": " + claim.taskKey() + " attempt " + claim.attempt() + ", " + machine.name;
+        assert false : rule + ": " + taskKey + " attempt " + attempt + ", " + machine.name;
     }
 }
--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -145,6 +145,7 @@
                 return WorkerRegistry.this.leaseEndMs(machine);
             }
         });
+        CommandLog commandLog = new CommandLog(effects, counters);
         commands = new Commands(
                 effects,
                 settings,
@@ -154,6 +155,8 @@
                 outcomes,
                 actionCounters,
                 safetyChecks,
+                counters,
+                commandLog,
                 new GangStarts(effects, settings, catalog, statusExchange),
                 this::newAttempt);
         directCalls = new DirectCalls(
@@ -161,6 +164,7 @@
                 catalog,
                 membership,
                 commands,
+                commandLog,
                 (machine, report, zone) -> acceptReport(machine, report, zone, true));
         reachability = new Reachability(
                 commands.reportTimeoutMs(), 1 + settings.peers().size());
@@ -365,7 +369,10 @@
         }
         dropUnneededState(machine, now);
         for (ReportedTask reported : machine.reportedTasks.values()) {
-            busy |= !reported.exited();
+            if (!reported.exited()) {
+                busy = true;
+                safetyChecks.checkNotReaped(reported, machine);
+            }
         }
         machine.idleSinceMs = busy ? -1 : machine.idleSinceMs < 0 ? now : machine.idleSinceMs;
         capacity.preemptForClaims(machine, this::requestStop);
