--- /dev/null
+++ b/src/test/java/birchusher/sim/RepeatedCommandTest.java
@@ -0,0 +1,136 @@
+package birchusher.sim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Direct commands that reach their machines once more after they were carried out and answered. */
+class RepeatedCommandTest {
+    private static final String JOB = "wk-moved";
+    private static final String FIRST_ATTEMPT = JOB + "/0#1";
+    private static final long ENDLESS_MS = 600_000;
+    /** Longer than it takes until the end of an attempt is stored and its exit may be reaped. */
+    private static final long SETTLE_MS = 8_000;
+    /** Longer than a start with a cached image takes, shorter than the time until the worker's next report. */
+    private static final long START_MS = 300;
+
+    @BeforeAll
+    static void silenceLogging() {
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", System.getProperty("sim.log", "off"));
+    }
+
+    private static World worldWithMachines(long seed) {
+        World world = new World(seed, 3, 12);
+        world.imagesCached = true;
+        world.keepDirectCommands = true;
+        world.submit("wk-web", "standing", 6, "production", true, false);
+        world.run(40_000);
+        return world;
+    }
+
+    /** Submits the job, whose first attempt fails if {@code fails}, and returns the machine of that attempt. */
+    private static FakeWorker startFirstAttempt(World world, boolean fails) {
+        if (fails) {
+            world.failingJobs.add(JOB);
+        }
+        world.fixedRunTimesMs.put(JOB + "/0", ENDLESS_MS);
+        world.submit(JOB, "sweep", 1, "standard", false, false);
+        runUntil(world, 40_000, () -> world.directlyStartedOn(FIRST_ATTEMPT) != null);
+        runUntil(world, 5_000, () -> !fails || world.taskErrors > 0);
+        world.failingJobs.clear();
+        return world.directlyStartedOn(FIRST_ATTEMPT);
+    }
+
+    private static void runUntil(World world, long timeoutMs, BooleanSupplier condition) {
+        long endMs = world.nowMs + timeoutMs;
+        while (!condition.getAsBoolean()) {
+            assertThat(world.nowMs).as("time of the run").isLessThan(endMs);
+            world.run(10);
+        }
+    }
+
+    /** The task's attempt that runs on another machine than its first one, or on any if {@code other} is null. */
+    private static boolean runs(World world, FakeWorker other) {
+        return world.workers.values().stream()
+                .filter(worker -> worker != other)
+                .flatMap(worker -> worker.tasks.values().stream())
+                .anyMatch(task -> task.key.equals(JOB + "/0") && task.state.equals("running"));
+    }
+
+    private static void repeatStartAndCheck(World world, FakeWorker worker) {
+        world.repeatDirectStarts(worker, FIRST_ATTEMPT);
+        world.run(START_MS);
+        assertThat(world.violations).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {2, 3})
+    void repeatedStartRunsNoTaskThatMovedToAnotherMachine(long seed) {
+        World world = worldWithMachines(seed);
+        FakeWorker first = startFirstAttempt(world, true);
+        runUntil(world, 90_000, () -> runs(world, first));
+        world.run(SETTLE_MS);
+        repeatStartAndCheck(world, first);
+        world.run(10_000);
+        repeatStartAndCheck(world, first);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void repeatedStartRunsNoTaskOfACancelledJob(long seed) {
+        World world = worldWithMachines(seed);
+        FakeWorker first = startFirstAttempt(world, false);
+        runUntil(world, 5_000, () -> runs(world, null));
+        assertThat(world.cancelAndWait(0, JOB)).isTrue();
+        world.run(World.CANCEL_DEADLINE_MS + 1_000);
+        repeatStartAndCheck(world, first);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void repeatedStartRunsNoMovedTaskWhileItsControllerRestarts(long seed) {
+        World world = worldWithMachines(seed);
+        FakeWorker first = startFirstAttempt(world, true);
+        runUntil(world, 90_000, () -> runs(world, first));
+        world.run(SETTLE_MS);
+        world.crash(world.ownerOf(first), 300);
+        for (int i = 0; i < 40; i++) {
+            repeatStartAndCheck(world, first);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void repeatedStartRunsNoMovedTaskWhileItsMachineChangesOwner(long seed) {
+        World world = worldWithMachines(seed);
+        FakeWorker first = startFirstAttempt(world, true);
+        runUntil(world, 90_000, () -> runs(world, first));
+        world.run(SETTLE_MS);
+        int owner = world.ownerOf(first);
+        world.crash(owner, 60_000);
+        for (int i = 0; i < 60; i++) {
+            repeatStartAndCheck(world, first);
+        }
+        assertThat(world.ownerOf(first)).isNotEqualTo(owner);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void repeatedStartRunsNoEarlierAttemptAfterARestartOnTheSameMachine(long seed) {
+        World world = new World(seed, 3, 12);
+        world.maxMachines = 1;
+        world.submit("wk-web", "standing", 1, "production", false, false);
+        world.imagesCached = true;
+        world.keepDirectCommands = true;
+        FakeWorker only = startFirstAttempt(world, true);
+        runUntil(world, 90_000, () -> runs(world, null));
+        world.run(SETTLE_MS);
+        repeatStartAndCheck(world, only);
+        world.endRunningTasks(JOB);
+        world.run(5_000);
+        repeatStartAndCheck(world, only);
+    }
+}
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -8,6 +8,7 @@
 import birchusher.settings.Settings;
 import birchusher.settings.SettingsReader;
 import birchusher.settings.Tuning;
+import birchusher.wire.Json;
 import birchusher.wire.MessagePackCodec;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -60,6 +61,10 @@
     private static final int MAX_VIOLATIONS = 20;
 
     private static final int MAX_SLOW_STORE_REPLY_MS = 400;
+    private static final long MIN_REPEAT_DELAY_MS = 20;
+    private static final long MAX_REPEAT_DELAY_MS = 120_000;
+    /** The protocol's limit for request bodies. */
+    private static final int MAX_REQUEST_BYTES = 64 * 1024;
 
     private static final String[] ZONES = {"east", "west"};
 
@@ -154,6 +159,15 @@
     double duplicatePeerRecordRate;
     /** Share of transactions that get no reply and are executed 2 to 12 s later, after newer ones of the same controller. */
     double lateTransactionRate;
+    /**
+     * Share of direct commands, transactions, lease and rental calls that are delivered once more, from a moment to two minutes after they were
+     * carried out and answered, also after their controller has crashed.
+     */
+    double repeatedCallRate;
+    /** Whether direct commands are kept for {@link #repeatDirectStarts}. */
+    boolean keepDirectCommands;
+
+    private final List<Effect.Call> keptDirectCommands = new ArrayList<>();
     /** Share of the state service's replies that take up to 400 ms longer, so that later ones overtake them. */
     double slowStoreReplyRate;
     /** Upper bound of the additional delay of each request to the state service. */
@@ -745,10 +759,59 @@
         }
     }
 
+    /** Carries out a call, and some calls once more later, see {@link #repeatedCallRate}. */
     private void dispatchCall(
             Effect.Call call,
             Map<String, Object> body,
             java.util.function.BiConsumer<Integer, Map<String, Object>> replyHandler) {
+        carryOut(call, body, (status, reply) -> {
+            replyHandler.accept(status, reply);
+            if (repeatedCallRate > 0 && !call.method().equals("GET") && random.nextDouble() < repeatedCallRate) {
+                schedule(nowMs + drawRepeatDelayMs(), () -> carryOut(call, body, (repeatStatus, repeatReply) -> {}));
+            }
+            if (keepDirectCommands && call.path().equals("/do")) {
+                keptDirectCommands.add(new Effect.Call(
+                        0, call.destination(), call.address(), call.method(), call.path(), body, call.timeoutMs()));
+            }
+        });
+    }
+
+    /** Draws after what time a call is delivered once more: a fifth within a second, half within 15 s, all within two minutes. */
+    private long drawRepeatDelayMs() {
+        return MIN_REPEAT_DELAY_MS + Math.round(Math.pow(random.nextDouble(), 3) * MAX_REPEAT_DELAY_MS);
+    }
+
+    /** Delivers once more the direct commands by which an attempt was started on a machine; nobody waits for the answers. */
+    void repeatDirectStarts(FakeWorker worker, String attemptKey) {
+        for (Effect.Call call : keptDirectCommands) {
+            if (call.address().startsWith(worker.name + ":") && startsAttempt(call, attemptKey)) {
+                carryOut(call, encodedCopy(call.body()), (status, reply) -> {});
+            }
+        }
+    }
+
+    /** Returns whether a call contains the start of an attempt, {@code JOB/TASK#ATTEMPT}. */
+    private static boolean startsAttempt(Effect.Call call, String attemptKey) {
+        return asList(encodedCopy(call.body()).get("orders")).stream()
+                .map(item -> Fields.map(item, "order"))
+                .anyMatch(command -> command.get("verb").equals("start")
+                        && attemptKey.equals(command.get("piece") + "#" + command.get("try")));
+    }
+
+    /** Returns the machine on which an attempt was started by a kept direct command, or null. */
+    FakeWorker directlyStartedOn(String attemptKey) {
+        return keptDirectCommands.stream()
+                .filter(call -> startsAttempt(call, attemptKey))
+                .map(call ->
+                        workers.get(call.address().substring(0, call.address().indexOf(':'))))
+                .findFirst()
+                .orElse(null);
+    }
+
+    private void carryOut(
+            Effect.Call call,
+            Map<String, Object> body,
+            java.util.function.BiConsumer<Integer, Map<String, Object>> replyHandler) {
         switch (call.destination()) {
             case STORE, WATCH -> store.handle(nowMs, call.method(), call.path(), body, replyHandler);
             case CLOUD -> handleCloudRequest(call.path(), body, replyHandler);
@@ -892,7 +955,11 @@
         worker.nextReportMs = nowMs + REPORT_INTERVAL_MS;
         long sentAtMs = nowMs;
         long session = worker.session;
-        byte[] report = MessagePackCodec.encode(worker.report());
+        Map<String, Object> reportFields = worker.report();
+        byte[] report = MessagePackCodec.encode(reportFields);
+        if (Json.sizeBytes(reportFields) > MAX_REQUEST_BYTES) {
+            violations.add("report above the limit by " + worker.name);
+        }
         int controller = worker.controllerIndex;
         if (keepReports && keptReports.size() < MAX_KEPT_REPORTS) {
             keptReports.add(report);
