The check of second starts passes over reports from before the reap

FurtherFaultCombinationsTest.staleReportsToAllControllersDuringTakeoverEndNoTask (3 cases) and one case of FaultCombinationsTest.randomFaultCombinationsBreakNoRule failed with started_after_reap since. Cause, by the trace: seq=7 reap_seq=11 (6 and 11, 7 and 12): an owner that reaped an attempt loses the shard, takes it back, and the first report that it then accepts is a delayed duplicate from before the reap. No attempt ran again. The check now counts only reports newer than the last message before the reap, and names both numbers. Both test classes pass.

--- a/src/main/java/birchusher/workers/SafetyChecks.java
+++ b/src/main/java/birchusher/workers/SafetyChecks.java
@@ -43,7 +43,7 @@
 
     private record AttemptOnMachine(String machine, long session, String attemptKey) {}
 
-    private record Reap(long term, long atMs) {}
+    private record Reap(long term, long seq, long atMs) {}
 
     /** The reaps sent last; those sent longest ago are dropped first. */
     private final Map<AttemptOnMachine, Reap> reaps = new LinkedHashMap<>() {
@@ -90,24 +90,28 @@
             if (command.type() == WorkerCommand.Type.REAP) {
                 reaps.putIfAbsent(
                         new AttemptOnMachine(machine.name, machine.session, command.attemptKey()),
-                        new Reap(term, effects.now()));
+                        new Reap(term, machine.lastSeq, effects.now()));
             }
         }
     }
 
     /** Checks that an attempt whose end a machine had reported was not started again there after it was reaped. */
     void checkNotReaped(ReportedTask reported, Machine machine) {
-        Reap reap = reaps.remove(new AttemptOnMachine(machine.name, machine.session, reported.attemptKey()));
-        if (reap == null) {
+        AttemptOnMachine attempt = new AttemptOnMachine(machine.name, machine.session, reported.attemptKey());
+        Reap reap = reaps.get(attempt);
+        if (reap == null || machine.lastSeq <= reap.seq) {
+            // The first report after a change of owner may be a delayed duplicate from before the reap.
             return;
         }
+        reaps.remove(attempt);
         counters.secondStarts++;
         reportViolation(
                 "started_after_reap",
                 reported.taskKey(),
                 reported.attempt(),
                 machine,
-                "phase=" + reported.phase() + " reap_term=" + reap.term + " reaped_ms=" + (effects.now() - reap.atMs));
+                "phase=" + reported.phase() + " seq=" + machine.lastSeq + " reap_seq=" + reap.seq + " reap_term="
+                        + reap.term + " reaped_ms=" + (effects.now() - reap.atMs));
     }
 
     private boolean mayRun(String task, Machine machine) {
