A direct start that was answered is not carried out once more after its attempt was reaped

Cause: the answer to a call was taken as proof that its start is over. That holds for the call and not for copies of it: a worker ignores them only while it lists the attempt, and after a reap carries them out while token and session match. A right that had not lapsed where it was believed to. Change: an attempt is not reaped under the term under which its start was sent directly (Reconciliation, known from DirectStarts). A worker that has seen the reap has then seen a higher term and rejects copies; any other still lists the attempt; a later session rejects them. So exits stay listed until the shard's term is higher. At 64 on one machine the term is raised, at most once a minute and shard (KeptExits); with 256 attempts started directly under one term a machine gets starts in responses only, whose exits are reaped at once, as no response is carried out late. SafetyChecks asserts it with records of its own (reap_under_start_term, not sent). A silent machine's state is kept until its worker's lease is over. exits_kept= and exits_kept_max= stand in the line of counters.

--- a/src/main/java/birchusher/controller/Core.java
+++ b/src/main/java/birchusher/controller/Core.java
@@ -284,7 +284,7 @@
                     inventory.phase(),
                     inventory.awaitedMachines(),
                     view.releasedClaimCount(),
-                    actionCounters.logText() + " " + jobApi.logText());
+                    actionCounters.logText() + " " + jobApi.logText() + " " + workerRegistry.logText());
         }
         return finishStep();
     }
--- a/src/main/java/birchusher/recovery/Reconciliation.java
+++ b/src/main/java/birchusher/recovery/Reconciliation.java
@@ -47,8 +47,15 @@
      * @param fenced the worker has seen this owner's term, so that no command of an earlier owner can reach it any
      * more
      * @param endKnown the attempt's end is known and about to be written to the state service
+     * @param startRepeatable a start was sent directly to the worker under the present term: a worker that has forgotten
+     * the attempt would carry out a copy of it
      */
-    public record OwnerKnowledge(boolean reportedBefore, boolean startUnanswered, boolean fenced, boolean endKnown) {}
+    public record OwnerKnowledge(
+            boolean reportedBefore,
+            boolean startUnanswered,
+            boolean fenced,
+            boolean endKnown,
+            boolean startRepeatable) {}
 
     /** What is to be written to the state service for a claim. */
     public enum ClaimOutcome {
@@ -102,7 +109,8 @@
 
     /**
      * Returns the command for the worker. An exit is reaped only when its report is no longer needed, as that is the
-     * only proof of the exit.
+     * only proof of the exit, and only when no copy of a start can still be carried out, as a worker ignores copies only
+     * for the attempts that it lists.
      */
     public static Command command(ClaimState claim, ReportedState reported, OwnerKnowledge known) {
         return switch (claim) {
@@ -110,7 +118,7 @@
                 case ABSENT -> Command.NOTHING;
                 case DONE, ERROR, ENDED -> known.startUnanswered()
                         ? Command.FENCE
-                        : known.endKnown() ? Command.NOTHING : Command.REAP;
+                        : known.endKnown() || known.startRepeatable() ? Command.NOTHING : Command.REAP;
                     // Stopped in any state, so that the task does not run twice.
                 default -> Command.STOP;
             };
--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -66,6 +66,7 @@
     private final SafetyChecks checks;
     private final Counters counters;
     private final CommandLog commandLog;
+    private final KeptExits keptExits;
     private final GangStarts gangStarts;
     private final AttemptTracker tracker;
 
@@ -80,6 +81,7 @@
             SafetyChecks checks,
             Counters counters,
             CommandLog commandLog,
+            KeptExits keptExits,
             GangStarts gangStarts,
             AttemptTracker tracker) {
         this.effects = effects;
@@ -92,6 +94,7 @@
         this.checks = checks;
         this.counters = counters;
         this.commandLog = commandLog;
+        this.keptExits = keptExits;
         this.gangStarts = gangStarts;
         this.tracker = tracker;
     }
@@ -137,9 +140,10 @@
     List<WorkerCommand> commandsFor(Machine machine, boolean direct) {
         List<WorkerCommand> commands = decide(machine, direct);
         long term = membership.term(machine.shard);
-        commandLog.logReaps(machine, term, commands, direct);
-        checks.recordReaps(machine, term, commands);
-        return commands;
+        List<WorkerCommand> allowed = checks.withoutUnsafeReaps(machine, term, commands);
+        commandLog.logReaps(machine, term, allowed, direct);
+        checks.recordSent(machine, term, allowed, direct);
+        return allowed;
     }
 
     private List<WorkerCommand> decide(Machine machine, boolean direct) {
@@ -160,6 +164,8 @@
             return commands;
         }
         long now = effects.now();
+        keptExits.raiseTermIfMany(machine);
+        int startsLeft = direct ? keptExits.directStartsLeft(machine) : Integer.MAX_VALUE;
         Map<String, Claim> claims = view.claims(machine.name);
         for (ReportedTask reported : machine.reportedTasks.values()) {
             Claim claim = claims.get(reported.taskKey());
@@ -202,6 +208,7 @@
                 fenceUnansweredStart(machine, attemptKey, now);
             }
             if (command != Reconciliation.Command.START
+                    || startsLeft <= 0
                     || machine.session == machine.expiredSession
                     || direct && machine.directStarts.isUnanswered(attemptKey)
                     || machine.heldStarts.containsKey(attemptKey)
@@ -225,6 +232,7 @@
                         now - claim.seenAtMs());
             }
             commands.add(WorkerCommand.start(claim));
+            startsLeft--;
             if (direct) {
                 machine.directStarts.onSent(attemptKey, membership.term(machine.shard), now);
             } else {
@@ -279,7 +287,8 @@
                 attempt != null && attempt.reported,
                 machine.directStarts.isUnanswered(attemptKey) || mayBeInFlight(machine, attemptKey),
                 machine.fencingToken >= membership.term(machine.shard),
-                outcomes.isPending(attemptKey));
+                outcomes.isPending(attemptKey),
+                machine.directStarts.isRepeatable(attemptKey, membership.term(machine.shard)));
     }
 
     /**
--- a/src/main/java/birchusher/workers/DirectStarts.java
+++ b/src/main/java/birchusher/workers/DirectStarts.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * The starts that this owner has sent directly to one worker in its present session, until their attempts are neither claimed nor listed by the
@@ -61,8 +62,22 @@
         return start == null ? NOT_SENT : start.term;
     }
 
+    /** Whether a copy of a start of the attempt may still be carried out by a worker that has seen {@code term} and forgotten the attempt. */
+    boolean isRepeatable(String attemptKey, long term) {
+        return term(attemptKey) >= term;
+    }
+
+    /** The number of attempts for which {@link #isRepeatable} holds. */
+    int countRepeatable(long term) {
+        int count = 0;
+        for (Start start : starts.values()) {
+            count += start.term >= term ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Forgets the answered starts of attempts for which {@code isNeeded} is false. */
-    void retainAnswered(java.util.function.Predicate<String> isNeeded) {
+    void retainAnswered(Predicate<String> isNeeded) {
         starts.entrySet().removeIf(entry -> entry.getValue().answered && !isNeeded.test(entry.getKey()));
     }
 
--- a/src/main/java/birchusher/workers/SafetyChecks.java
+++ b/src/main/java/birchusher/workers/SafetyChecks.java
@@ -2,6 +2,7 @@
 
 import birchusher.core.Effects;
 import birchusher.store.Claim;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,7 +17,7 @@
 final class SafetyChecks {
     private static final Logger LOG = LoggerFactory.getLogger(SafetyChecks.class);
     private static final int MAX_TASKS = 50_000;
-    private static final int MAX_REAPS = 20_000;
+    private static final int MAX_COMMANDS = 20_000;
     private static final long LOG_INTERVAL_MS = 1_000;
 
     /** The machines of the shards that this controller owns. */
@@ -45,18 +46,25 @@
 
     private record Reap(long term, long seq, long atMs) {}
 
-    /** The reaps sent last; those sent longest ago are dropped first. */
-    private final Map<AttemptOnMachine, Reap> reaps = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<AttemptOnMachine, Reap> eldest) {
-            return size() > MAX_REAPS;
-        }
-    };
+    /** The reaps sent last. */
+    private final Map<AttemptOnMachine, Reap> reaps = boundedMap();
+    /** The terms of the direct starts sent last. */
+    private final Map<AttemptOnMachine, Long> directStartTerms = boundedMap();
 
     private long loggedAtMs = Long.MIN_VALUE / 2;
 
+    /** A map that drops the entry added longest ago when it has more than {@link #MAX_COMMANDS}. */
+    private static <V> Map<AttemptOnMachine, V> boundedMap() {
+        return new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<AttemptOnMachine, V> eldest) {
+                return size() > MAX_COMMANDS;
+            }
+        };
+    }
+
     SafetyChecks(Effects effects, Counters counters, OwnedMachines machines) {
         this.effects = effects;
         this.counters = counters;
@@ -84,17 +92,46 @@
         }
     }
 
-    /** Notes the reaps among the commands that are sent to a machine under a term. */
-    void recordReaps(Machine machine, long term, List<WorkerCommand> commands) {
+    /** Notes the reaps and the direct starts among the commands that are sent to a machine under a term. */
+    void recordSent(Machine machine, long term, List<WorkerCommand> commands, boolean direct) {
         for (WorkerCommand command : commands) {
+            AttemptOnMachine attempt = new AttemptOnMachine(machine.name, machine.session, command.attemptKey());
             if (command.type() == WorkerCommand.Type.REAP) {
-                reaps.putIfAbsent(
-                        new AttemptOnMachine(machine.name, machine.session, command.attemptKey()),
-                        new Reap(term, machine.lastSeq, effects.now()));
+                reaps.putIfAbsent(attempt, new Reap(term, machine.lastSeq, effects.now()));
+            } else if (direct && command.type() == WorkerCommand.Type.START) {
+                directStartTerms.put(attempt, term);
             }
         }
     }
 
+    /**
+     * Checks that no attempt is reaped under the term under which it was started directly: a worker that has forgotten the attempt would carry
+     * out a copy of that start. Returns the commands without such reaps.
+     */
+    List<WorkerCommand> withoutUnsafeReaps(Machine machine, long term, List<WorkerCommand> commands) {
+        List<WorkerCommand> unsafe = new ArrayList<>();
+        for (WorkerCommand command : commands) {
+            Long startTerm = command.type() != WorkerCommand.Type.REAP
+                    ? null
+                    : directStartTerms.get(new AttemptOnMachine(machine.name, machine.session, command.attemptKey()));
+            if (startTerm != null && startTerm >= term) {
+                unsafe.add(command);
+                reportViolation(
+                        "reap_under_start_term",
+                        command.taskKey(),
+                        command.attempt(),
+                        machine,
+                        "start_term=" + startTerm + " term=" + term);
+            }
+        }
+        if (unsafe.isEmpty()) {
+            return commands;
+        }
+        List<WorkerCommand> allowed = new ArrayList<>(commands);
+        allowed.removeAll(unsafe);
+        return allowed;
+    }
+
     /** Checks that an attempt whose end a machine had reported was not started again there after it was reaped. */
     void checkNotReaped(ReportedTask reported, Machine machine) {
         AttemptOnMachine attempt = new AttemptOnMachine(machine.name, machine.session, reported.attemptKey());
--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -81,6 +81,7 @@
     private final MachineCapacity capacity;
     private final Commands commands;
     private final DirectCalls directCalls;
+    private final KeptExits keptExits;
     private final ActionCounters actionCounters;
     private final Reachability reachability;
     private final Tombstones tombstones = new Tombstones();
@@ -146,6 +147,7 @@
             }
         });
         CommandLog commandLog = new CommandLog(effects, counters);
+        keptExits = new KeptExits(effects, membership, counters);
         commands = new Commands(
                 effects,
                 settings,
@@ -157,6 +159,7 @@
                 safetyChecks,
                 counters,
                 commandLog,
+                keptExits,
                 new GangStarts(effects, settings, catalog, statusExchange),
                 this::newAttempt);
         directCalls = new DirectCalls(
@@ -786,11 +789,12 @@
     /**
      * Whether the state of a machine may be dropped: the machine has no claims, and either it is deleted and has sent no
      * message for over {@link #DELETED_STATE_RETENTION_MS}, or it has reported before, but not for over
-     * {@link #SILENT_STATE_RETENTION_MS}.
+     * {@link #SILENT_STATE_RETENTION_MS}, and its worker's lease is over, so that it rejects copies of direct starts.
      */
     private boolean mayDropState(Machine machine, long now) {
         return machine.lastMessageAtMs >= 0
                         && now - machine.lastMessageAtMs > SILENT_STATE_RETENTION_MS
+                        && now >= leaseEndMs(machine)
                         && view.claims(machine.name).isEmpty()
                 || machine.deleted
                         && view.claims(machine.name).isEmpty()
@@ -942,6 +946,18 @@
         return pairs;
     }
 
+    /** The present state as {@code key=value} fields of a log line: the exits that can't be reaped yet, on all machines and at most on one. */
+    public String logText() {
+        int total = 0;
+        int highest = 0;
+        for (Machine machine : machines.values()) {
+            int kept = keptExits.count(machine);
+            total += kept;
+            highest = Math.max(highest, kept);
+        }
+        return "exits_kept=" + total + " exits_kept_max=" + highest;
+    }
+
     /** The shard of a machine that this controller tracks, or null. */
     public Integer shardOf(String machineName) {
         Machine machine = machines.get(machineName);
--- a/src/test/java/birchusher/recovery/ReconciliationTest.java
+++ b/src/test/java/birchusher/recovery/ReconciliationTest.java
@@ -40,6 +40,7 @@
             case "loose" -> known.startUnanswered();
             case "fenced" -> known.fenced();
             case "told" -> known.endKnown();
+            case "repeatable" -> known.startRepeatable();
             default -> throw new AssertionError("unknown condition " + condition);
         };
     }
@@ -79,15 +80,22 @@
         return rows;
     }
 
+    private static List<OwnerKnowledge> allKnowledge() {
+        List<OwnerKnowledge> combinations = new ArrayList<>();
+        for (int bits = 0; bits < 32; bits++) {
+            combinations.add(new OwnerKnowledge(
+                    (bits & 1) > 0, (bits & 2) > 0, (bits & 4) > 0, (bits & 8) > 0, (bits & 16) > 0));
+        }
+        return combinations;
+    }
+
     @Test
     void everyCombinationMatchesExactlyOneTableRow() throws IOException {
         List<TableRow> table = readTable();
         assertThat(table).hasSizeGreaterThan(20);
         for (ClaimState claim : ClaimState.values()) {
             for (ReportedState reported : ReportedState.values()) {
-                for (int bits = 0; bits < 16; bits++) {
-                    OwnerKnowledge known =
-                            new OwnerKnowledge((bits & 1) > 0, (bits & 2) > 0, (bits & 4) > 0, (bits & 8) > 0);
+                for (OwnerKnowledge known : allKnowledge()) {
                     List<TableRow> rows = table.stream()
                             .filter(row -> row.matches(claim, reported, known))
                             .toList();
@@ -108,9 +116,7 @@
     void claimsAreReleasedOnlyOnProofAndExitsReapedOnlyWhenUnneeded() {
         for (ClaimState claim : ClaimState.values()) {
             for (ReportedState reported : ReportedState.values()) {
-                for (int bits = 0; bits < 16; bits++) {
-                    OwnerKnowledge known =
-                            new OwnerKnowledge((bits & 1) > 0, (bits & 2) > 0, (bits & 4) > 0, (bits & 8) > 0);
+                for (OwnerKnowledge known : allKnowledge()) {
                     boolean claimedHere = claim == ClaimState.CLAIMED || claim == ClaimState.UNWANTED;
                     if (claimedHere
                             && (reported == ReportedState.ABSENT && known.startUnanswered()
@@ -119,7 +125,7 @@
                         assertThat(Reconciliation.claimOutcome(claim, reported, known))
                                 .isEqualTo(ClaimOutcome.NOTHING);
                     }
-                    if (claimedHere || known.endKnown() || known.startUnanswered()) {
+                    if (claimedHere || known.endKnown() || known.startUnanswered() || known.startRepeatable()) {
                         assertThat(Reconciliation.command(claim, reported, known))
                                 .isNotEqualTo(Command.REAP);
                     }
--- a/src/test/java/birchusher/sim/RepeatedCommandTest.java
+++ b/src/test/java/birchusher/sim/RepeatedCommandTest.java
@@ -2,8 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Map;
+import java.util.Random;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -11,6 +14,7 @@
 class RepeatedCommandTest {
     private static final String JOB = "wk-moved";
     private static final String FIRST_ATTEMPT = JOB + "/0#1";
+    private static final int SHORT_TASKS = 1_000;
     private static final long ENDLESS_MS = 600_000;
     /** Longer than it takes until the end of an attempt is stored and its exit may be reaped. */
     private static final long SETTLE_MS = 8_000;
@@ -133,4 +137,63 @@
         world.run(5_000);
         repeatStartAndCheck(world, only);
     }
+
+    @Test
+    void repeatedCallsOfAllKindsBreakNoRule() {
+        SeedSearch.forEachSeed("repeat", RepeatedCommandTest::playRepeatedCalls);
+    }
+
+    /** Two minutes in which a third of all calls is repeated, machines hang, controllers restart at once and some jobs are cancelled. */
+    private static void playRepeatedCalls(long seed) {
+        World world = new World(seed, 3, 24);
+        world.imagesCached = true;
+        world.repeatedCallRate = 0.3;
+        world.submit("wk-web", "standing", 3, "production", true, false);
+        world.submit("wk-gang", "gang", 3, "standard", false, true);
+        Random random = new Random(seed);
+        for (int i = 0; i < 30; i++) {
+            String id = "wk-a" + i;
+            long submitMs = world.nowMs + random.nextInt(80_000);
+            world.schedule(submitMs, () -> world.submit(id, "sweep", 1 + random.nextInt(3), "standard", false, false));
+            if (i % 3 == 0) {
+                world.schedule(submitMs + random.nextInt(15_000), () -> world.requestCancellation(id));
+            }
+        }
+        for (long atMs = 25_000; atMs < 100_000; atMs += 7_000) {
+            int controller = random.nextInt(3);
+            int machine = random.nextInt(100);
+            world.schedule(atMs, () -> world.crash(controller, 300));
+            world.schedule(atMs + 3_000, () -> world.workers.values().stream()
+                    .skip(machine % Math.max(1, world.workers.size()))
+                    .findFirst()
+                    .ifPresent(worker -> worker.hungUntilMs = world.nowMs + 3_000));
+        }
+        world.run(120_000);
+        assertThat(world.violations).isEmpty();
+    }
+
+    /** Four times as many short tasks as one machine may keep exits of: its shard's term is raised, and starts go on in responses meanwhile. */
+    @Test
+    void shortTasksNeitherOutgrowAReportNorWaitForAHigherTerm() {
+        World world = new World(7, 3, 100);
+        world.maxMachines = 1;
+        world.imagesCached = true;
+        Map<String, Object> body = world.submit(JOB, "sweep", SHORT_TASKS, "standard", false, false);
+        body.put("cards", 0.0);
+        body.put("cores", 0.1);
+        body.put("memory_gb", 0.1);
+        for (int task = 0; task < SHORT_TASKS; task++) {
+            world.fixedRunTimesMs.put(JOB + "/" + task, 1L);
+        }
+        int mostListed = 0;
+        while (!"done".equals(world.reportedState(JOB)) && world.nowMs < 120_000) {
+            world.run(100);
+            for (FakeWorker worker : world.workers.values()) {
+                mostListed = Math.max(mostListed, worker.tasks.size());
+            }
+        }
+        assertThat(world.violations).isEmpty();
+        assertThat(world.reportedState(JOB)).isEqualTo("done");
+        assertThat(mostListed).as("attempts in one report").isGreaterThan(200);
+    }
 }
