A repeated start for an earlier machine of an agent's host starts nothing

What callers would see: on own hosts, a task that runs without a claim, also one that was cancelled. A direct command carries a token and a session, and no machine. A host of the daemon keeps its address when its machine is returned and it is rented as another one, which begins with session 1 and no token: every start of the earlier machine matches again. Evidence: WorkerTest.repeatedStartForAnEarlierMachineOfTheHostStartsNothing failed before ("fetch wk-1, answer 200"). Change: direct commands name their machine (host); the agent rejects what names another. Machines' names are never used again, so a start that is repeated after a restart of the agent is rejected as well. Other workers ignore the field, as the protocol asks. The tests' world checks that every direct command names its machine. Ruled out: sessions that go on over all machines of a host (they would have to be kept on disk). Result: the test passes; the rest of WorkerTest is unchanged.

--- a/src/main/java/birchusher/agent/Worker.java
+++ b/src/main/java/birchusher/agent/Worker.java
@@ -364,7 +364,10 @@
 
     // ---- requests by controllers
 
-    /** Handles a request to this worker: for a report, or to execute commands under a fencing token and a session. */
+    /**
+     * Handles a request to this worker: for a report, or to execute commands under a fencing token and a session. Commands that name another
+     * machine are rejected: a delayed one may be for a machine that this host ran as before, at the same address.
+     */
     List<Action> onDirectRequest(long nowMs, long exchange, String method, String path, Object body) {
         if (machine == null || killingAll) {
             pendingActions.add(new Action.SendResponse(
@@ -376,7 +379,10 @@
             long token = Fields.count(fields, Wire.FENCING_TOKEN);
             long commandSession = Fields.count(fields, Wire.SESSION);
             List<Command> commands = Command.read(fields);
-            boolean accepted = token >= fencingToken && commandSession == session;
+            String addressee = Fields.textOrNull(fields, Wire.MACHINE);
+            boolean accepted = token >= fencingToken
+                    && commandSession == session
+                    && (addressee == null || addressee.equals(machine));
             if (accepted) {
                 raiseFencingToken(nowMs, token);
                 commands.forEach(command -> execute(nowMs, command));
--- a/src/main/java/birchusher/workers/DirectCalls.java
+++ b/src/main/java/birchusher/workers/DirectCalls.java
@@ -71,6 +71,8 @@
                 "POST",
                 Wire.WORKER_COMMANDS,
                 Map.of(
+                        Wire.MACHINE,
+                        machine.name,
                         Wire.FENCING_TOKEN,
                         term,
                         Wire.SESSION,
--- a/src/test/java/birchusher/agent/WorkerTest.java
+++ b/src/test/java/birchusher/agent/WorkerTest.java
@@ -361,4 +361,17 @@
         tick(9_500);
         assertThat(drainPerformed()).contains("[wk-1/0#1 exited mates_gone]");
     }
+
+    @Test
+    void repeatedStartForAnEarlierMachineOfTheHostStartsNothing() {
+        startRunning(jobDescription("sweep", 1, 1, false));
+        Map<String, Object> start =
+                Map.of("host", "n-1", "baton", 5L, "tenure", 1L, "orders", List.of(startCommand("wk-1/0", 1)));
+        perform(worker.onAssignment(3_000, 3_000, assignment(null)));
+        perform(worker.onAllKilled(3_100));
+        perform(worker.onAssignment(3_200, 3_200, assignment("n-2")));
+        performed.clear();
+        perform(worker.onDirectRequest(3_300, 1, "POST", "/do", start));
+        assertThat(drainPerformed()).isEqualTo("answer 409");
+    }
 }
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -932,6 +932,9 @@
             replyHandler.accept(200, worker.report());
             return;
         }
+        if (!worker.name.equals(body.get("host"))) {
+            violations.add("direct command to " + worker.name + " names " + body.get("host"));
+        }
         long fencingToken = (Long) body.get("baton");
         if (fencingToken < worker.fencingToken || (Long) body.get("tenure") != worker.session) {
             replyHandler.accept(409, worker.report());
