Tests' state service: the order of a row's claims has no meaning

By the trace, the transaction conditions on the stored version of its row (stamp 15, the current one) and writes the same 18 claims, the done tasks and nothing else, which needs no term; only the order of two claims in the text differs (8 before 7), as rows are written from a hash map. The check compared the texts. It now compares the claims themselves: as strict, since a claim that is added, missing or changed still differs.

--- a/src/test/java/birchusher/sim/FakeStore.java
+++ b/src/test/java/birchusher/sim/FakeStore.java
@@ -183,10 +183,8 @@
         if (current == null) {
             return false;
         }
-        Map<String, Object> withoutDone = new HashMap<>((Map<String, Object>) current.value);
-        Map<String, Object> newWithoutDone = new HashMap<>(value);
-        withoutDone.remove("d");
-        newWithoutDone.remove("d");
+        Map<String, Object> withoutDone = withoutDone((Map<String, Object>) current.value);
+        Map<String, Object> newWithoutDone = withoutDone(value);
         String jobPrefix = key.substring(0, key.lastIndexOf('/') + 1);
         return withoutDone.equals(newWithoutDone)
                 && conditions.stream()
@@ -196,6 +194,16 @@
                                 .equals(""));
     }
 
+    /** Returns a claim row without the tasks that are done, and with its claims in the order of their text, as their order has no meaning. */
+    private static Map<String, Object> withoutDone(Map<String, Object> row) {
+        Map<String, Object> fields = new HashMap<>(row);
+        fields.remove("d");
+        fields.put(
+                "c",
+                List.of(((String) row.get("c")).split(";")).stream().sorted().toList());
+        return fields;
+    }
+
     /** Returns whether this is a job row or a claim row of a job whose final state is stored. */
     private boolean belongsToEndedJob(String key) {
         String[] parts = key.split("/");
