--- a/src/test/java/birchusher/sim/Soak.java
+++ b/src/test/java/birchusher/sim/Soak.java
@@ -4,17 +4,20 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
  * A soak run on real processes under faults drawn by a seed: kills, pauses, network partitions, delays, and lost,
- * duplicated and late messages, up to three at once.
+ * duplicated and late messages, up to three at once; a share of all calls is repeated throughout.
  */
 final class Soak {
     /** Time of the first fault. Before it the controllers start and the first machines become ready. */
     private static final long FIRST_FAULT_MS = 14_000;
+    /** Share of the controllers' calls that are delivered once more after they were answered. */
+    private static final double REPEATED_CALL_RATE = 0.3;
     /** Length of the last part of a run, in which no fault begins and all have ended. */
     static final long FAULT_FREE_END_MS = 15_000;
 
@@ -33,12 +36,14 @@
             int taskStarts,
             int machinesRented,
             int controllerStarts,
+            Map<String, Integer> repeatedCalls,
             AnswerCounts answers) {
         /** Returns the result in one line. */
         String summary() {
             return "seed " + seed + ": " + (violations.isEmpty() ? "no rule broken" : "BROKEN " + violations) + ", "
                     + taskStarts + " starts, " + machinesRented + " machines, " + controllerStarts
-                    + " controller starts, " + answers.text();
+                    + " controller starts, repeated "
+                    + repeatedCalls + ", " + answers.text();
         }
     }
 
@@ -113,6 +118,7 @@
                     world.taskStarts,
                     world.machinesRented,
                     world.controllerStarts,
+                    world.repeatedCalls,
                     AnswerCounts.of(world));
         }
     }
@@ -129,6 +135,7 @@
     private void scheduleJobsAndFaults(int workers) {
         world.imagesCached = random.nextBoolean();
         world.fastBoot = workers > 50;
+        world.repeatedCallRate = REPEATED_CALL_RATE;
         world.submit("wk-web", "standing", 3, "production", true, false);
         world.submit("wk-gang", "gang", 3, "standard", false, true);
         int remainingTasks = workers * FakeWorker.GPUS_PER_MACHINE * 2 / 3;
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -164,6 +164,8 @@
      * carried out and answered, also after their controller has crashed.
      */
     double repeatedCallRate;
+    /** Number of repeated calls by path. */
+    final Map<String, Integer> repeatedCalls = new java.util.TreeMap<>();
     /** Whether direct commands are kept for {@link #repeatDirectStarts}. */
     boolean keepDirectCommands;
 
@@ -767,6 +769,7 @@
         carryOut(call, body, (status, reply) -> {
             replyHandler.accept(status, reply);
             if (repeatedCallRate > 0 && !call.method().equals("GET") && random.nextDouble() < repeatedCallRate) {
+                repeatedCalls.merge(call.path().replaceAll("\\d+", "N"), 1, Integer::sum);
                 schedule(nowMs + drawRepeatDelayMs(), () -> carryOut(call, body, (repeatStatus, repeatReply) -> {}));
             }
             if (keepDirectCommands && call.path().equals("/do")) {
