Test: commands of all kinds that are repeated start and stop nothing

Starts, stops with and without grace, reaps and their batches, repeated eight times over 40 s, of tasks that run, save, ended, moved or were cancelled.

--- a/src/test/java/birchusher/sim/RepeatedCommandTest.java
+++ b/src/test/java/birchusher/sim/RepeatedCommandTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
@@ -138,6 +139,32 @@
         repeatStartAndCheck(world, only);
     }
 
+    /** Starts, stops with and without grace, reaps and batches of them, of tasks that run, save, ended, moved or were cancelled. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void repeatedCommandsOfAllKindsStartAndStopNothing(long seed) {
+        World world = worldWithMachines(seed);
+        for (int i = 0; i < 4; i++) {
+            Map<String, Object> body = world.submit("wk-save" + i, "sweep", 2, "low", false, false);
+            body.put("mark_every_s", 1.0);
+            body.put("mark_take_s", 1.0);
+        }
+        startFirstAttempt(world, true);
+        world.submit("wk-gang", "gang", 4, "urgent", false, true);
+        world.run(6_000);
+        world.requestCancellation("wk-save0");
+        for (int i = 0; i < 8; i++) {
+            world.run(5_000);
+            List<String> before = world.unfinishedTasks();
+            int startsBefore = world.taskStarts;
+            world.repeatAllDirectCommands();
+            assertThat(world.unfinishedTasks()).isEqualTo(before);
+            assertThat(world.taskStarts).isEqualTo(startsBefore);
+        }
+        world.run(World.CANCEL_DEADLINE_MS);
+        assertThat(world.violations).isEmpty();
+    }
+
     @Test
     void repeatedCallsOfAllKindsBreakNoRule() {
         SeedSearch.forEachSeed("repeat", RepeatedCommandTest::playRepeatedCalls);
--- a/src/test/java/birchusher/sim/World.java
+++ b/src/test/java/birchusher/sim/World.java
@@ -793,6 +793,13 @@
         }
     }
 
+    /** Delivers all kept direct commands once more, the oldest first. */
+    void repeatAllDirectCommands() {
+        for (Effect.Call call : List.copyOf(keptDirectCommands)) {
+            carryOut(call, encodedCopy(call.body()), (status, reply) -> {});
+        }
+    }
+
     /** Returns whether a call contains the start of an attempt, {@code JOB/TASK#ATTEMPT}. */
     private static boolean startsAttempt(Effect.Call call, String attemptKey) {
         return asList(encodedCopy(call.body()).get("orders")).stream()
@@ -1177,6 +1184,15 @@
         return (Double) body.get("mark_every_s") > 0 ? (Double) body.get("mark_take_s") : 0;
     }
 
+    /** Returns all attempts that have not exited, with their machines and states. */
+    List<String> unfinishedTasks() {
+        return workers.values().stream()
+                .flatMap(worker -> worker.tasks.values().stream()
+                        .filter(task -> !task.exited())
+                        .map(task -> worker.name + " " + task.key + "#" + task.attempt + " " + task.state))
+                .toList();
+    }
+
     /** Returns the number of tasks of a job that are on machines and have not exited, whatever their state. */
     long unfinishedTaskCount(String id) {
         return workers.values().stream()
