--- a/src/main/java/birchusher/membership/Membership.java
+++ b/src/main/java/birchusher/membership/Membership.java
@@ -121,6 +121,8 @@
 
     /** Number of takeover transactions committed since this controller started, for the counters' log line. */
     public long takeovers;
+    /** Number of requests to raise the term of an owned shard, for the same line. */
+    public long termRaises;
 
     /** Creates a membership that is not registered yet; {@link #tick} obtains the lease and registers it. */
     public Membership(
@@ -897,6 +899,7 @@
         if (takeoverPending || !owns(shard) || effects.now() - lastTakeoverMs[shard] <= RAISE_TERM_INTERVAL_MS) {
             return false;
         }
+        termRaises++;
         LOG.info("raising the term of shard {}: term={} cause={}", shard, term(shard), cause);
         takeOver(List.of(shard));
         return true;
--- a/src/main/java/birchusher/workers/Commands.java
+++ b/src/main/java/birchusher/workers/Commands.java
@@ -64,7 +64,6 @@
     private final OutcomeRecorder outcomes;
     private final ActionCounters actionCounters;
     private final SafetyChecks checks;
-    private final Counters counters;
     private final CommandLog commandLog;
     private final KeptExits keptExits;
     private final GangStarts gangStarts;
@@ -79,7 +78,6 @@
             OutcomeRecorder outcomes,
             ActionCounters actionCounters,
             SafetyChecks checks,
-            Counters counters,
             CommandLog commandLog,
             KeptExits keptExits,
             GangStarts gangStarts,
@@ -92,7 +90,6 @@
         this.outcomes = outcomes;
         this.actionCounters = actionCounters;
         this.checks = checks;
-        this.counters = counters;
         this.commandLog = commandLog;
         this.keptExits = keptExits;
         this.gangStarts = gangStarts;
@@ -308,13 +305,7 @@
     private void fenceUnansweredStart(Machine machine, String attemptKey, long now) {
         if (machine.directStarts.isOverdue(
                 attemptKey, membership.term(machine.shard), DirectCalls.TIMEOUT_MS + FENCE_MARGIN_MS, now)) {
-            raiseTerm(machine, "unanswered start " + attemptKey + " on " + machine.name);
-        }
-    }
-
-    private void raiseTerm(Machine machine, String cause) {
-        if (membership.raiseTerm(machine.shard, cause)) {
-            counters.termRaises++;
+            membership.raiseTerm(machine.shard, "unanswered start " + attemptKey + " on " + machine.name);
         }
     }
 }
--- a/src/main/java/birchusher/workers/Counters.java
+++ b/src/main/java/birchusher/workers/Counters.java
@@ -42,8 +42,6 @@
     public long staleReports;
     /** Reports overtaken by the answer to a direct command; they are answered and renew the worker's lease. */
     public long overtakenReports;
-    /** Requests to raise the term of a shard. */
-    public long termRaises;
     /** Attempts reported as not exited after this owner had reaped them; any other value than 0 is a fault. */
     public long secondStarts;
     /** Direct calls and reaps that were not logged, because there were too many. */
@@ -72,7 +70,7 @@
         return "renewed=" + renewed + " at_cap=" + atCap + " lapsed=" + lapsed + " speed_limited=" + speedLimited
                 + " refused=" + refused + " stops=" + stops + " errors=" + taskErrors + " condemned=" + condemned
                 + " notices=" + notices + " copies=" + staleReports + " overtaken=" + overtakenReports + " unsafe="
-                + safetyViolations + " raises=" + termRaises + " second_starts=" + secondStarts + " commands_unlogged="
+                + safetyViolations + " second_starts=" + secondStarts + " commands_unlogged="
                 + unloggedCommands
                 + " done=" + done + " restarts=" + restarts + " claims=" + claims + " rentals="
                 + rentals + " returns=" + returns + " plans=" + plans + " slots_looked_at=" + slotsLookedAt
--- a/src/main/java/birchusher/workers/DirectStarts.java
+++ b/src/main/java/birchusher/workers/DirectStarts.java
@@ -12,8 +12,8 @@
  * <p>Not thread-safe: used on the controller's thread. Times are ms of the steady clock.
  */
 final class DirectStarts {
-    /** The value of {@link #term} for an attempt that was not started directly. */
-    static final long NOT_SENT = 0;
+    /** Below every term. */
+    private static final long NOT_SENT = 0;
 
     private static final class Start {
         long sentAtMs;
@@ -56,7 +56,7 @@
         return start != null && !start.answered && now - start.sentAtMs > timeoutMs && start.term >= term;
     }
 
-    /** The term under which the attempt was last started directly, {@link #NOT_SENT} if it was not. */
+    /** The term under which the attempt was last started directly, 0 if it was not. */
     long term(String attemptKey) {
         Start start = starts.get(attemptKey);
         return start == null ? NOT_SENT : start.term;
--- a/src/main/java/birchusher/workers/KeptExits.java
+++ b/src/main/java/birchusher/workers/KeptExits.java
@@ -15,22 +15,20 @@
  */
 final class KeptExits {
     /** Exits kept on one machine from which on its shard's term is raised. */
-    static final int RAISE_THRESHOLD = 64;
+    private static final int RAISE_THRESHOLD = 64;
     /** Attempts, exited or not, that a machine may list of those started directly under one term: three fifths of a report at 150 bytes each. */
-    static final int MAX_DIRECT_STARTS = 256;
+    private static final int MAX_DIRECT_STARTS = 256;
     /** After each raise, the machines of a shard get no new tasks until they have shown the new term. */
     private static final long MIN_RAISE_INTERVAL_MS = 60_000;
 
     private final Effects effects;
     private final Membership membership;
-    private final Counters counters;
     /** By shard, when its term was last raised for kept exits. */
     private final Map<Integer, Long> raisedAtMs = new HashMap<>();
 
-    KeptExits(Effects effects, Membership membership, Counters counters) {
+    KeptExits(Effects effects, Membership membership) {
         this.effects = effects;
         this.membership = membership;
-        this.counters = counters;
     }
 
     /** The number of exits in a machine's newest report that can't be reaped under the present term. */
@@ -59,7 +57,6 @@
                 && (raisedBeforeMs == null || now - raisedBeforeMs >= MIN_RAISE_INTERVAL_MS)
                 && membership.raiseTerm(machine.shard, kept + " kept exits on " + machine.name)) {
             raisedAtMs.put(machine.shard, now);
-            counters.termRaises++;
         }
     }
 }
--- a/src/main/java/birchusher/workers/WorkerRegistry.java
+++ b/src/main/java/birchusher/workers/WorkerRegistry.java
@@ -147,7 +147,7 @@
             }
         });
         CommandLog commandLog = new CommandLog(effects, counters);
-        keptExits = new KeptExits(effects, membership, counters);
+        keptExits = new KeptExits(effects, membership);
         commands = new Commands(
                 effects,
                 settings,
@@ -157,7 +157,6 @@
                 outcomes,
                 actionCounters,
                 safetyChecks,
-                counters,
                 commandLog,
                 keptExits,
                 new GangStarts(effects, settings, catalog, statusExchange),
@@ -946,7 +945,7 @@
         return pairs;
     }
 
-    /** The present state as {@code key=value} fields of a log line: the exits that can't be reaped yet, on all machines and at most on one. */
+    /** The present state as {@code key=value} fields of a log line: raised terms, and the exits that can't be reaped yet, on all machines and at most on one. */
     public String logText() {
         int total = 0;
         int highest = 0;
@@ -955,7 +954,7 @@
             total += kept;
             highest = Math.max(highest, kept);
         }
-        return "exits_kept=" + total + " exits_kept_max=" + highest;
+        return "raises=" + membership.termRaises + " exits_kept=" + total + " exits_kept_max=" + highest;
     }
 
     /** The shard of a machine that this controller tracks, or null. */
--- a/src/test/java/birchusher/sim/RepeatedCommandTest.java
+++ b/src/test/java/birchusher/sim/RepeatedCommandTest.java
@@ -65,6 +65,14 @@
                 .anyMatch(task -> task.key.equals(JOB + "/0") && task.state.equals("running"));
     }
 
+    /** Lets the job's task fail and run on another machine, and returns the machine of its first attempt. */
+    private static FakeWorker moveTask(World world) {
+        FakeWorker first = startFirstAttempt(world, true);
+        runUntil(world, 90_000, () -> runs(world, first));
+        world.run(SETTLE_MS);
+        return first;
+    }
+
     private static void repeatStartAndCheck(World world, FakeWorker worker) {
         world.repeatDirectStarts(worker, FIRST_ATTEMPT);
         world.run(START_MS);
@@ -75,9 +83,7 @@
     @ValueSource(longs = {2, 3})
     void repeatedStartRunsNoTaskThatMovedToAnotherMachine(long seed) {
         World world = worldWithMachines(seed);
-        FakeWorker first = startFirstAttempt(world, true);
-        runUntil(world, 90_000, () -> runs(world, first));
-        world.run(SETTLE_MS);
+        FakeWorker first = moveTask(world);
         repeatStartAndCheck(world, first);
         world.run(10_000);
         repeatStartAndCheck(world, first);
@@ -98,9 +104,7 @@
     @ValueSource(longs = {1, 2, 3})
     void repeatedStartRunsNoMovedTaskWhileItsControllerRestarts(long seed) {
         World world = worldWithMachines(seed);
-        FakeWorker first = startFirstAttempt(world, true);
-        runUntil(world, 90_000, () -> runs(world, first));
-        world.run(SETTLE_MS);
+        FakeWorker first = moveTask(world);
         world.crash(world.ownerOf(first), 300);
         for (int i = 0; i < 40; i++) {
             repeatStartAndCheck(world, first);
@@ -111,9 +115,7 @@
     @ValueSource(longs = {1, 2, 3})
     void repeatedStartRunsNoMovedTaskWhileItsMachineChangesOwner(long seed) {
         World world = worldWithMachines(seed);
-        FakeWorker first = startFirstAttempt(world, true);
-        runUntil(world, 90_000, () -> runs(world, first));
-        world.run(SETTLE_MS);
+        FakeWorker first = moveTask(world);
         int owner = world.ownerOf(first);
         world.crash(owner, 60_000);
         for (int i = 0; i < 60; i++) {
