--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -88,6 +88,19 @@
         client.close();
     }
 
+    /** The machine stops with all that is on it and is back at once, in its next session. */
+    void restart() {
+        synchronized (world) {
+            for (Task task : tasks.values()) {
+                leave(task, "machine restarted");
+            }
+            tasks.clear();
+            tenure++;
+            leaseFromMs = World.nowMs();
+            changed();
+        }
+    }
+
     private void changed() {
         nextReportMs = Math.min(nextReportMs, Math.max(World.nowMs() + 20, lastReportMs + 500));
     }
--- a/review/standin-2/World.java
+++ b/review/standin-2/World.java
@@ -436,6 +436,15 @@
         return worker;
     }
 
+    /** The cloud takes a machine back without notice: it is gone with all that is on it. */
+    void takeBack(String name) {
+        Worker worker;
+        synchronized (this) {
+            worker = machines.remove(name);
+        }
+        worker.remove();
+    }
+
     // ---- tasks
 
     /** The number of a job's tasks that are on a machine. */
